feat(gateway): place by a ledger that gateways share; report usage

Cause: each gateway saw only its own requests, read shared parts again and put long prompts beside streams whose callers want short gaps; usage was missing. Change: gateways tell each other by datagram what they placed; engines are divided between long and short prompts by demand; cached parts are copied from the engine that holds them; usage windows are counted, sealed and reported under a lease; time of day follows the median of the peers.

--- a/cli/sardinestile/src/platform_wiring.ts
+++ b/cli/sardinestile/src/platform_wiring.ts
@@ -1,8 +1,11 @@
 import {readFileSync} from 'node:fs';
 import {
   createConfigurationFeed,
+  createDutyCalls,
   createStoreClient,
+  createTableService,
   createUpstreamFeed,
+  createUsageReceiver,
   parseSettings,
   platformDialect,
   SETTINGS_PATH_VARIABLE,
@@ -14,6 +17,10 @@
 import {createMetricsRegistry} from '@sardinestile/metrics';
 import {createSystemClock} from '@sardinestile/types';
 
+/** Where the system keeps its own rows. */
+const SYSTEM_TABLE = 'sardinestile';
+const SYSTEM_PARTITION = 'system';
+
 /** Port of the metrics, after the first port for peers. */
 const METRICS_PORT_OFFSET = 1;
 
@@ -42,6 +49,7 @@
     });
   }
   const store = createStoreClient(settings.store.address);
+  const calls = settings.dutyApi && createDutyCalls(settings.dutyApi.address);
   const gateway = await startGateway({
     ...settings,
     callerAddress,
@@ -50,6 +58,20 @@
       host: settings.host,
       port: settings.peerPort + METRICS_PORT_OFFSET,
     },
+    peerAddress: {host: settings.host, port: settings.peerPort},
+    table: createTableService({
+      store,
+      table: SYSTEM_TABLE,
+      partition: SYSTEM_PARTITION,
+    }),
+    usageReceiver:
+      calls && settings.dutyApi?.hasUsage
+        ? createUsageReceiver({
+            calls,
+            instance: settings.instance,
+            windowMs: settings.usageWindowMs,
+          })
+        : undefined,
     dialect: platformDialect,
     configuration: createConfigurationFeed(store),
     upstreams: createUpstreamFeed(store),
@@ -63,5 +85,6 @@
     process.once('SIGINT', () => resolve());
   });
   await gateway.stop();
+  await calls?.close();
   await store.close();
 }
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -58,6 +58,8 @@
     isFreshConnection: boolean;
     /** Prompt tokens that the engine was believed to have to read. */
     unreadTokens: number;
+    /** Engine that cached parts were copied from. */
+    copiedFrom?: string;
     expectedWaitMs: number;
     expectedFirstEventMs: number;
     firstEventMs?: number;
@@ -74,7 +76,10 @@
   upstream_failed: {upstream: string; reason: string};
   lease_acquired: {duty: string; fencingToken: number};
   lease_lost: {duty: string; fencingToken: number};
-  usage_reported: {windowId: string; organisation: string};
+  usage_reported: {windowId: string; organisations: number};
+  peer_found: {peer: string};
+  peer_lost: {peer: string};
+  peer_link_failed: {reason: string};
   command_failed: {code: string; message: string; hint?: string};
 }
 
--- a/daemons/duties/src/usage_duty.ts
+++ b/daemons/duties/src/usage_duty.ts
@@ -1,11 +1,11 @@
 import type {Logger} from '@sardinestile/logger';
-import {runLease} from '@sardinestile/lease';
+import {runLease, type RunLeaseOptions} from '@sardinestile/lease';
 import type {TableService, UsageReceiver} from '@sardinestile/ports';
 import type {Clock} from '@sardinestile/types';
 import {createUsageReporter} from '@sardinestile/usage';
 import {leaseOptions} from './lease_options.js';
 
-/** Time between two looks for windows to report, in milliseconds. */
+/** Time between two looks for windows to report by default, in milliseconds. */
 const REPORT_INTERVAL_MS = 5_000;
 
 const DUTY = 'usage';
@@ -16,6 +16,16 @@
   table: TableService;
   receiver: UsageReceiver;
   clock: Clock;
+  /** Time of day, corrected for steps of the clock. */
+  trueTimeMs?: () => number;
+  /** Length of a window; a minute by default. */
+  windowMs?: number;
+  /** Time after its end at which a window is closed. */
+  closeDelayMs?: number;
+  /** Time between two looks for windows to report. */
+  intervalMs?: number;
+  /** Where the lease differs from the usual one. */
+  lease?: Partial<Pick<RunLeaseOptions, 'durationMs' | 'orderTimeoutMs' | 'tickMs'>>;
   logger: Logger;
 }
 
@@ -29,16 +39,19 @@
   const {table, logger, clock} = options;
   const lease = runLease({
     ...leaseOptions(DUTY, options.instance, logger),
+    ...options.lease,
     table,
     clock,
   });
   const reporter = createUsageReporter({
     table,
     receiver: options.receiver,
-    wallMs: () => clock.wallMs(),
+    wallMs: options.trueTimeMs ?? (() => clock.wallMs()),
     fencingToken: () => lease.fencingToken(),
-    onReported: (windowId, organisation) =>
-      logger.info('usage_reported', {windowId, organisation}),
+    onReported: (windowId, organisations) =>
+      logger.info('usage_reported', {windowId, organisations}),
+    windowMs: options.windowMs,
+    closeDelayMs: options.closeDelayMs,
   });
   let isRunning = false;
   const run = async () => {
@@ -52,7 +65,10 @@
     }
     isRunning = false;
   };
-  const timer = setInterval(() => void run(), REPORT_INTERVAL_MS);
+  const timer = setInterval(
+    () => void run(),
+    options.intervalMs ?? REPORT_INTERVAL_MS,
+  );
   return {
     stop() {
       clearInterval(timer);
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -2,12 +2,20 @@
 import {
   createFreshness,
   createGapDetector,
+  createTrueTime,
   readClocks,
 } from '@sardinestile/freshness';
 import {createFleet, type UpstreamRecord} from '@sardinestile/fleet';
 import type {Logger} from '@sardinestile/logger';
 import type {MetricsRegistry} from '@sardinestile/metrics';
-import type {CallDialect, FeedPage, RecordFeed} from '@sardinestile/ports';
+import {openLedgerLink, type LedgerLink} from '@sardinestile/ledger';
+import type {
+  CallDialect,
+  FeedPage,
+  RecordFeed,
+  TableService,
+  UsageReceiver,
+} from '@sardinestile/ports';
 import {
   createRouteIndex,
   type RouteIndex,
@@ -20,7 +28,9 @@
 import type {GatewayContext} from './gateway_context.js';
 import {createRepeatBudgets} from './repeat_budgets.js';
 import {serveCall} from './serve_call.js';
-import {createUsageCounter} from './usage_counter.js';
+import {createFleetReporter} from './fleet_reporter.js';
+import {startPeerRegistry} from './peer_registry.js';
+import {startUsageDuties} from './usage_duties.js';
 
 /** Longest wait for news of the configuration, in milliseconds. */
 const CONFIG_WAIT_MS = 1_000;
@@ -66,7 +76,14 @@
   retryRatio: number;
   retryWindowMs: number;
   retryAllowance: number;
+  /** Address at which the other gateways reach this one by datagram. */
+  peerAddress: ListenAddress;
+  /** Rows of the system itself. */
+  table: TableService;
+  usageReceiver: UsageReceiver | undefined;
   usageWindowMs: number;
+  /** Time for which a duty is held without renewal. */
+  leaseMs: number;
   /** Time after which a stopping process is killed. */
   stopGraceMs: number;
   clock: Clock;
@@ -93,6 +110,39 @@
     traitsOf: name =>
       routes?.table.services.find(service => service.name === name)?.engine,
   });
+  const link: LedgerLink = await openLedgerLink({
+    instance,
+    address: options.peerAddress,
+    clock,
+    logger,
+    observer: {
+      onNews: (peer, news) => reporter.applyNews(peer, news),
+      onPeerGone: peer => fleet.forgetPlacer(peer, clock.monotonicMs()),
+    },
+  });
+  const reporter = createFleetReporter({instance, fleet, link, clock});
+  const registry = startPeerRegistry({
+    instance,
+    address: options.peerAddress,
+    table: options.table,
+    logger,
+    onAddresses: addresses => link.setAddresses(addresses),
+  });
+  const trueTimeMs = createTrueTime(clock, () =>
+    link.livePeers().map(({wallAheadMs}) => wallAheadMs),
+  );
+  const usage = options.usageReceiver
+    ? startUsageDuties({
+        instance,
+        table: options.table,
+        receiver: options.usageReceiver,
+        clock,
+        trueTimeMs,
+        windowMs: options.usageWindowMs,
+        leaseMs: options.leaseMs,
+        logger,
+      })
+    : undefined;
   const context: GatewayContext = {
     clock,
     dialect: options.dialect,
@@ -105,7 +155,9 @@
       windowMs: options.retryWindowMs,
       allowance: () => options.retryAllowance / ASSUMED_GATEWAYS,
     }),
-    usage: createUsageCounter(options.usageWindowMs),
+    countUsage: organisation =>
+      usage?.source.record(organisation, {promptTokens: 0, outputTokens: 0}),
+    reporter,
     configFreshness,
     limits: {maxKeyAgeMs: options.keyWithdrawalLimitMs - KEY_AGE_MARGIN_MS},
     logger,
@@ -193,7 +245,7 @@
       upstreamFeed.restart();
     }
     fleet.membership.expire(clock.monotonicMs());
-    fleet.prune();
+    fleet.prune(clock.monotonicMs());
   }, TICK_MS);
 
   const isReady = () => {
@@ -239,6 +291,8 @@
       });
       await listener.drain(options.stopGraceMs - STOP_MARGIN_MS);
       clearInterval(tick);
+      await Promise.all([usage?.stop(), registry.leave()]);
+      link.close();
       configFeed.stop();
       upstreamFeed.stop();
       context.connections.close();
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -7,7 +7,7 @@
 import type {Clock} from '@sardinestile/types';
 import type {ConnectionPool} from './connection_pool.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
-import type {UsageCounter} from './usage_counter.js';
+import type {FleetReporter} from './fleet_reporter.js';
 
 /** Limits that the deployment sets. */
 export interface GatewayLimits {
@@ -22,7 +22,10 @@
   fleet: Fleet;
   connections: ConnectionPool;
   budgets: RepeatBudgets;
-  usage: UsageCounter;
+  /** Counts a request that an upstream began for an organisation. */
+  countUsage: (organisation: string) => void;
+  /** Tells this gateway's model and the others what was placed where. */
+  reporter: FleetReporter;
   /** Proof of the age of the configuration. */
   configFreshness: Freshness;
   limits: GatewayLimits;
--- /dev/null
+++ b/daemons/gateway/src/peer_registry.ts
@@ -0,0 +1,89 @@
+import type {PeerAddress} from '@sardinestile/ledger';
+import type {Logger} from '@sardinestile/logger';
+import type {TableService} from '@sardinestile/ports';
+import {z} from 'zod';
+
+/** First key of the gateways' rows, and the first key after them. */
+const PREFIX = 'gateway/';
+const PREFIX_END = 'gateway0';
+
+/** Time between two looks for new gateways, in milliseconds. */
+const REFRESH_MS = 10_000;
+
+/** Time between two tries after a failure, in milliseconds. */
+const RETRY_MS = 1_000;
+
+/** Gateways that are read at most. */
+const MAX_GATEWAYS = 500;
+
+const rowSchema = z.object({host: z.string(), port: z.number().int()});
+
+/** What a registry needs. */
+export interface PeerRegistryOptions {
+  instance: string;
+  address: PeerAddress;
+  table: TableService;
+  logger: Logger;
+  onAddresses: (addresses: PeerAddress[]) => void;
+}
+
+/** This gateway's entry among the others'. */
+export interface PeerRegistry {
+  /** Removes the entry. */
+  leave(): Promise<void>;
+}
+
+/** Registers this gateway and looks for the others from time to time. */
+export function startPeerRegistry(options: PeerRegistryOptions): PeerRegistry {
+  const {instance, address, table, logger, onAddresses} = options;
+  const key = PREFIX + instance;
+  let isRegistered = false;
+  let isLeaving = false;
+  let timer: NodeJS.Timeout | undefined;
+
+  const refresh = async () => {
+    const value = JSON.stringify(address);
+    if (!isRegistered) {
+      await table.transact([{key, value, expectedVersion: null}]);
+      isRegistered = true;
+    }
+    const rows = await table.scan(PREFIX, PREFIX_END, MAX_GATEWAYS);
+    const addresses: PeerAddress[] = [];
+    for (const row of rows) {
+      const decoded = rowSchema.safeParse(JSON.parse(row.value));
+      if (decoded.success) addresses.push(decoded.data);
+      else logger.warn('peer_link_failed', {reason: `bad row ${row.key}`});
+    }
+    if (!isLeaving) onAddresses(addresses);
+  };
+  const run = () => {
+    refresh().then(
+      () => schedule(REFRESH_MS),
+      (error: Error) => {
+        logger.warn('store_failed', {
+          operation: 'look for gateways',
+          reason: error.message,
+        });
+        schedule(RETRY_MS);
+      },
+    );
+  };
+  const schedule = (delayMs: number) => {
+    if (!isLeaving) timer = setTimeout(run, delayMs * (0.8 + 0.4 * Math.random()));
+  };
+  run();
+  return {
+    async leave() {
+      isLeaving = true;
+      clearTimeout(timer);
+      try {
+        await table.transact([{key, value: null, expectedVersion: null}]);
+      } catch (error) {
+        logger.warn('store_failed', {
+          operation: 'remove the entry of this gateway',
+          reason: (error as Error).message,
+        });
+      }
+    },
+  };
+}
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -1,4 +1,4 @@
-import {placeRequest, type Placement} from '@sardinestile/fleet';
+import {placeRequest, type Fleet, type Placement} from '@sardinestile/fleet';
 import type {RouteKind} from '@sardinestile/route_table';
 import type {AttemptOutcome, BufferedAnswer, Call} from './call.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -76,6 +76,8 @@
     promptTokens: facts.promptTokens,
     promptParts: facts.promptParts,
     urgency: priority,
+    targetLatencyMs: call.route.targetLatencyMs,
+    targetGapMs: call.route.targetGapMs,
     triedIds,
   };
   return placeRequest(context.fleet, request, nowMs);
@@ -98,7 +100,7 @@
     placement,
     connection,
     startedAtMs: nowMs,
-    fetchFrom: undefined,
+    fetchFrom: placement.copyFrom?.address,
     giveUpMs: giveUpMs(call, placement),
   };
 }
@@ -115,20 +117,21 @@
   call: Call,
   prepared: PreparedAttempt,
 ): Promise<AttemptOutcome> {
-  const {fleet, clock, logger} = context;
+  const {fleet, clock, logger, reporter} = context;
   const {placement, startedAtMs} = prepared;
   const {upstream, state} = placement;
   const {requestId} = call;
   call.attempts++;
   call.triedIds.add(upstream.id);
-  fleet.recordPlaced(
+  reporter.placed(
     {
       requestId,
       upstreamId: upstream.id,
-      service: call.service,
       promptParts: call.facts.promptParts,
       unreadTokens: placement.unreadTokens,
+      promptTokens: call.facts.promptTokens,
       urgency: call.priority,
+      targetGapMs: call.route.targetGapMs,
     },
     startedAtMs,
   );
@@ -138,20 +141,18 @@
       ? await relayStream(context, call, prepared, {
           onFirstEvent(nowMs) {
             firstEventMs = nowMs - startedAtMs;
-            fleet.recordFirstEvent(upstream.id, requestId, nowMs);
+            reporter.firstEvent(upstream.id, requestId, nowMs);
             countUsage(context, call);
           },
         })
       : await relayAnswer(context, call, prepared);
   const endedAtMs = clock.monotonicMs();
-  fleet.recordEnded(upstream.id, requestId, endedAtMs);
+  reporter.ended(upstream.id, requestId, endedAtMs);
   noteHealth(outcome, placement, endedAtMs);
   if (outcome.kind === 'unknown' || outcome.kind === 'heldAnswer') {
     call.mayHaveRun = true;
   }
-  if (firstEventMs !== undefined && placement.waitMs === 0) {
-    fleet.modelOf(call.service).learn(placement.unreadTokens, firstEventMs);
-  }
+  if (firstEventMs !== undefined) learn(fleet, call, placement, firstEventMs);
   if (outcome.kind === 'heldAnswer' && outcome.answer.status < FIRST_FAILURE_STATUS) {
     countUsage(context, call);
   }
@@ -164,6 +165,7 @@
     status: statusOf(outcome),
     isFreshConnection: prepared.connection.isFresh,
     unreadTokens: placement.unreadTokens,
+    copiedFrom: placement.copyFrom?.id,
     expectedWaitMs: Math.round(placement.waitMs),
     expectedFirstEventMs: Math.round(placement.firstEventMs),
     firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
@@ -173,6 +175,19 @@
   return outcome;
 }
 
+/** Takes what the first event shows of the engine's speed. */
+function learn(
+  fleet: Fleet,
+  call: Call,
+  placement: Placement,
+  firstEventMs: number,
+): void {
+  const {model} = fleet.serviceOf(call.service);
+  const {state, waitMs, unreadTokens, copyFrom} = placement;
+  state.health.recordPace(firstEventMs, placement.firstEventMs);
+  if (waitMs === 0 && !copyFrom) model.learn(unreadTokens, firstEventMs);
+}
+
 function statusOf(outcome: AttemptOutcome): number | undefined {
   if (outcome.kind === 'answered') return outcome.status;
   return outcome.kind === 'heldAnswer' ? outcome.answer.status : undefined;
@@ -181,7 +196,7 @@
 function countUsage(context: GatewayContext, call: Call): void {
   if (call.isCounted || !call.organisation) return;
   call.isCounted = true;
-  context.usage.recordBegan(call.organisation.name, context.clock.wallMs());
+  context.countUsage(call.organisation.name);
 }
 
 function noteHealth(
--- /dev/null
+++ b/daemons/gateway/src/usage_duties.ts
@@ -0,0 +1,81 @@
+import {startUsageDuty} from '@sardinestile/duties';
+import type {Logger} from '@sardinestile/logger';
+import type {TableService, UsageReceiver} from '@sardinestile/ports';
+import type {Clock} from '@sardinestile/types';
+import {createUsageSource, type UsageSource} from '@sardinestile/usage';
+
+/** Time between two writes of this gateway's counts, in milliseconds; a killed gateway loses what it counted since. */
+const FLUSH_INTERVAL_MS = 1_500;
+
+/** Time after its end at which a window is closed, in milliseconds; one flush and its call fit in. */
+const CLOSE_DELAY_MS = 2_600;
+
+/** Time between two looks for windows to report, in milliseconds. */
+const REPORT_INTERVAL_MS = 700;
+
+/** Longest time that a report may be on its way, in milliseconds. */
+const REPORT_TIMEOUT_MS = 1_500;
+
+/** Looks at the lease in each of its terms. */
+const LOOKS_A_TERM = 3;
+
+/** What counting and reporting need. */
+export interface UsageDutiesOptions {
+  instance: string;
+  table: TableService;
+  receiver: UsageReceiver;
+  clock: Clock;
+  trueTimeMs: () => number;
+  windowMs: number;
+  leaseMs: number;
+  logger: Logger;
+}
+
+/** Counts this gateway's usage and, when it holds the lease, reports everyone's. */
+export interface UsageDuties {
+  readonly source: UsageSource;
+  stop(): Promise<void>;
+}
+
+/** Starts to count, and to compete for the duty of reporting. */
+export function startUsageDuties(options: UsageDutiesOptions): UsageDuties {
+  const {instance, table, clock, logger, windowMs, trueTimeMs, leaseMs} = options;
+  const source = createUsageSource({
+    source: `${instance}-${Math.round(clock.wallMs())}`,
+    table,
+    wallMs: trueTimeMs,
+    windowMs,
+  });
+  const flush = () =>
+    source.flush().catch((error: Error) =>
+      logger.warn('store_failed', {
+        operation: 'write usage',
+        reason: error.message,
+      }),
+    );
+  const timer = setInterval(() => void flush(), FLUSH_INTERVAL_MS);
+  const duty = startUsageDuty({
+    instance,
+    table,
+    receiver: options.receiver,
+    clock,
+    logger,
+    trueTimeMs,
+    windowMs,
+    closeDelayMs: CLOSE_DELAY_MS,
+    intervalMs: REPORT_INTERVAL_MS,
+    lease: {
+      durationMs: leaseMs,
+      orderTimeoutMs: REPORT_TIMEOUT_MS,
+      tickMs: leaseMs / LOOKS_A_TERM,
+    },
+  });
+  return {
+    source,
+    async stop() {
+      clearInterval(timer);
+      duty.stop();
+      await flush();
+    },
+  };
+}
--- a/development/platform_clients/src/platform_clients.ts
+++ b/development/platform_clients/src/platform_clients.ts
@@ -103,8 +103,12 @@
         call(z.array(instanceSchema), {method: 'GET', path: '/instances'}),
     },
     usage: {
-      report: async report => {
-        await post('/usage', z.unknown(), report);
+      report: async ({organisations}, isInCharge) => {
+        for (const report of organisations) {
+          if (!isInCharge()) return false;
+          await post('/usage', z.unknown(), report);
+        }
+        return true;
       },
     },
     starter: {
--- /dev/null
+++ b/protocol/ledger/src/index.ts
@@ -0,0 +1,2 @@
+export * from './ledger_codec.js';
+export * from './ledger_link.js';
--- /dev/null
+++ b/protocol/ledger/src/ledger_codec.ts
@@ -0,0 +1,123 @@
+import {z} from 'zod';
+
+/** A request that a gateway placed at an upstream. */
+const placedSchema = z.object({
+  kind: z.literal('placed'),
+  requestId: z.string(),
+  upstreamId: z.string(),
+  parts: z.array(z.object({id: z.string(), tokens: z.number()})),
+  unreadTokens: z.number(),
+  promptTokens: z.number(),
+  urgency: z.number(),
+  targetGapMs: z.number().optional(),
+});
+
+const firstEventSchema = z.object({
+  kind: z.literal('firstEvent'),
+  requestId: z.string(),
+  upstreamId: z.string(),
+});
+
+const endedSchema = z.object({
+  kind: z.literal('ended'),
+  requestId: z.string(),
+  upstreamId: z.string(),
+});
+
+/** News of one request. */
+export const ledgerNewsSchema = z.discriminatedUnion('kind', [
+  placedSchema,
+  firstEventSchema,
+  endedSchema,
+]);
+
+/** News of one request. */
+export type LedgerNews = z.infer<typeof ledgerNewsSchema>;
+
+/** One datagram: who sends it, and its news since the last one. */
+export interface LedgerMessage {
+  instance: string;
+  /** Unix millisecond of the sender's start. */
+  startedAtMs: number;
+  /** The sender's time of day. */
+  wallMs: number;
+  news: LedgerNews[];
+}
+
+/** Letters that stand for the kinds on the wire, where bytes between zones cost. */
+const messageSchema = z.tuple([
+  z.string(),
+  z.number(),
+  z.number(),
+  z.array(z.array(z.union([z.string(), z.number(), z.null()]))),
+]);
+
+/** Encodes a message. */
+export function encodeLedgerMessage(message: LedgerMessage): Buffer {
+  const {instance, startedAtMs, wallMs, news} = message;
+  return Buffer.from(
+    JSON.stringify([instance, startedAtMs, wallMs, news.map(encodeNews)]),
+  );
+}
+
+/** Decodes a message; undefined if it is not one. */
+export function decodeLedgerMessage(bytes: Buffer): LedgerMessage | undefined {
+  const result = messageSchema.safeParse(parseJson(bytes));
+  if (!result.success) return undefined;
+  const [instance, startedAtMs, wallMs, rows] = result.data;
+  const news: LedgerNews[] = [];
+  for (const row of rows) {
+    const decoded = ledgerNewsSchema.safeParse(decodeNews(row));
+    if (!decoded.success) return undefined;
+    news.push(decoded.data);
+  }
+  return {instance, startedAtMs, wallMs, news};
+}
+
+type NewsRow = Array<string | number | null>;
+
+function encodeNews(news: LedgerNews): NewsRow {
+  if (news.kind === 'firstEvent') return ['f', news.requestId, news.upstreamId];
+  if (news.kind === 'ended') return ['e', news.requestId, news.upstreamId];
+  return [
+    'p',
+    news.requestId,
+    news.upstreamId,
+    news.unreadTokens,
+    news.promptTokens,
+    news.urgency,
+    news.targetGapMs ?? null,
+    ...news.parts.flatMap(({id, tokens}) => [id, tokens]),
+  ];
+}
+
+function decodeNews(row: NewsRow): unknown {
+  const [letter, requestId, upstreamId] = row;
+  if (letter === 'f') return {kind: 'firstEvent', requestId, upstreamId};
+  if (letter === 'e') return {kind: 'ended', requestId, upstreamId};
+  const [unreadTokens, promptTokens, urgency, gapMs, ...flat] = row.slice(3);
+  const parts: unknown[] = [];
+  for (let i = 0; i < flat.length; i += 2) {
+    parts.push({id: flat[i], tokens: flat[i + 1]});
+  }
+  return {
+    kind: 'placed',
+    requestId,
+    upstreamId,
+    parts,
+    unreadTokens,
+    promptTokens,
+    urgency,
+    targetGapMs: gapMs ?? undefined,
+  };
+}
+
+function parseJson(bytes: Buffer): unknown {
+  try {
+    return JSON.parse(bytes.toString('utf8'));
+  } catch (error) {
+    // Datagrams may come from anywhere; what is not JSON is no message.
+    if (error instanceof SyntaxError) return undefined;
+    throw error;
+  }
+}
--- /dev/null
+++ b/protocol/ledger/src/ledger_link.ts
@@ -0,0 +1,193 @@
+import {createSocket} from 'node:dgram';
+import type {Logger} from '@sardinestile/logger';
+import type {Clock} from '@sardinestile/types';
+import {
+  decodeLedgerMessage,
+  encodeLedgerMessage,
+  type LedgerMessage,
+  type LedgerNews,
+} from './ledger_codec.js';
+
+/** Longest time that news waits for other news, in milliseconds. */
+const BATCH_MS = 10;
+
+/** Largest payload of a datagram that crosses usual links whole, in bytes. */
+const MAX_DATAGRAM_BYTES = 1_300;
+
+/** Interval of datagrams without news, in milliseconds. */
+const HELLO_INTERVAL_MS = 500;
+
+/** Silence after which a peer counts as gone, in milliseconds. */
+const SILENCE_MS = 2_500;
+
+/** A host and a port. */
+export interface PeerAddress {
+  host: string;
+  port: number;
+}
+
+/** A gateway that was heard lately. */
+export interface LivePeer {
+  instance: string;
+  /** How far its time of day is ahead of ours. */
+  wallAheadMs: number;
+}
+
+/** What the link tells its owner. */
+export interface LedgerObserver {
+  onNews(instance: string, news: LedgerNews): void;
+  /** A peer went silent or started anew. */
+  onPeerGone(instance: string): void;
+}
+
+/** What a link is made of. */
+export interface LedgerLinkOptions {
+  instance: string;
+  address: PeerAddress;
+  clock: Clock;
+  logger: Logger;
+  observer: LedgerObserver;
+}
+
+/** Exchanges news with the other gateways; news may be lost. */
+export interface LedgerLink {
+  /** Sends news to every peer; urgent news go out at once. */
+  send(news: LedgerNews, isUrgent: boolean): void;
+  /** Replaces the addresses that are tried. */
+  setAddresses(addresses: readonly PeerAddress[]): void;
+  livePeers(): LivePeer[];
+  close(): void;
+}
+
+interface Peer {
+  address: PeerAddress;
+  instance: string | undefined;
+  startedAtMs: number;
+  lastHeardMs: number;
+  wallAheadMs: number;
+}
+
+/** Opens a link; rejects if the address is taken. */
+export async function openLedgerLink(
+  options: LedgerLinkOptions,
+): Promise<LedgerLink> {
+  const {instance, address, clock, observer, logger} = options;
+  const startedAtMs = clock.wallMs();
+  const socket = createSocket('udp4');
+  const peers = new Map<string, Peer>();
+  let batch: LedgerNews[] = [];
+  let flushTimer: NodeJS.Timeout | undefined;
+  let isFlushing = false;
+
+  const isLive = (peer: Peer) =>
+    peer.instance !== undefined &&
+    clock.monotonicMs() - peer.lastHeardMs < SILENCE_MS;
+  const peerAt = (peerAddress: PeerAddress) => {
+    const key = `${peerAddress.host}:${peerAddress.port}`;
+    let peer = peers.get(key);
+    if (!peer) {
+      peer = {
+        address: peerAddress,
+        instance: undefined,
+        startedAtMs: 0,
+        lastHeardMs: -Infinity,
+        wallAheadMs: 0,
+      };
+      peers.set(key, peer);
+    }
+    return peer;
+  };
+  const transmit = (news: LedgerNews[], targets: Peer[]) => {
+    const message: LedgerMessage = {
+      instance,
+      startedAtMs,
+      wallMs: Math.round(clock.wallMs()),
+      news,
+    };
+    const bytes = encodeLedgerMessage(message);
+    if (bytes.length > MAX_DATAGRAM_BYTES && news.length > 1) {
+      const half = news.length >> 1;
+      transmit(news.slice(0, half), targets);
+      transmit(news.slice(half), targets);
+      return;
+    }
+    for (const {address: to} of targets) socket.send(bytes, to.port, to.host);
+  };
+  const flush = () => {
+    clearTimeout(flushTimer);
+    flushTimer = undefined;
+    isFlushing = false;
+    const news = batch;
+    batch = [];
+    const targets = [...peers.values()].filter(isLive);
+    if (news.length > 0 && targets.length > 0) transmit(news, targets);
+  };
+  const greet = () => {
+    for (const peer of peers.values()) {
+      if (peer.instance === undefined || isLive(peer)) continue;
+      observer.onPeerGone(peer.instance);
+      logger.info('peer_lost', {peer: peer.instance});
+      peer.instance = undefined;
+    }
+    transmit([], [...peers.values()]);
+  };
+  socket.on('message', (bytes, from) => {
+    const message = decodeLedgerMessage(bytes);
+    if (!message || message.instance === instance) return;
+    const peer = peerAt({host: from.address, port: from.port});
+    if (peer.instance === undefined) {
+      logger.info('peer_found', {peer: message.instance});
+    } else if (peer.startedAtMs !== message.startedAtMs) {
+      observer.onPeerGone(peer.instance);
+    }
+    peer.instance = message.instance;
+    peer.startedAtMs = message.startedAtMs;
+    peer.lastHeardMs = clock.monotonicMs();
+    peer.wallAheadMs = message.wallMs - clock.wallMs();
+    for (const news of message.news) observer.onNews(message.instance, news);
+  });
+  socket.on('error', error =>
+    logger.warn('peer_link_failed', {reason: error.message}),
+  );
+  await new Promise<void>((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind(address.port, address.host, () => {
+      socket.off('error', reject);
+      resolve();
+    });
+  });
+  const hello = setInterval(greet, HELLO_INTERVAL_MS);
+  return {
+    send(news, isUrgent) {
+      batch.push(news);
+      if (isUrgent && !isFlushing) {
+        isFlushing = true;
+        setImmediate(flush);
+        return;
+      }
+      flushTimer ??= setTimeout(flush, BATCH_MS);
+    },
+    setAddresses(addresses) {
+      const wanted = addresses.filter(
+        ({host, port}) => host !== address.host || port !== address.port,
+      );
+      const keys = new Set(wanted.map(({host, port}) => `${host}:${port}`));
+      wanted.forEach(peerAt);
+      for (const [key, peer] of peers) {
+        if (!keys.has(key) && !isLive(peer)) peers.delete(key);
+      }
+      greet();
+    },
+    livePeers: () =>
+      [...peers.values()].flatMap(peer =>
+        isLive(peer) && peer.instance !== undefined
+          ? [{instance: peer.instance, wallAheadMs: peer.wallAheadMs}]
+          : [],
+      ),
+    close() {
+      clearInterval(hello);
+      clearTimeout(flushTimer);
+      socket.close();
+    },
+  };
+}
--- a/routing/fleet/src/fleet.ts
+++ b/routing/fleet/src/fleet.ts
@@ -1,47 +1,55 @@
-import type {PromptPart} from '@sardinestile/ports';
 import type {EngineTraits} from '@sardinestile/route_table';
 import {createEngineModel, type EngineModel} from './engine_model.js';
-import type {UpstreamRecord} from './fleet_types.js';
+import type {PlacedRequest, UpstreamRecord} from './fleet_types.js';
 import {createMembership, type Membership} from './membership.js';
 import {createPrefillQueue, type PrefillQueue} from './prefill_queue.js';
 import {createPromptCache, type PromptCache} from './prompt_cache.js';
+import {createPromptPartition, type PromptPartition} from './prompt_partition.js';
+import {createStreamLoad, type StreamLoad} from './stream_load.js';
 import {createUpstreamHealth, type UpstreamHealth} from './upstream_health.js';
 
 /** Memory that is assumed of an engine whose service names none, in tokens. */
 const DEFAULT_MEMORY_TOKENS = 200_000;
 
+/** Time after which a request without news is believed to have ended, in milliseconds. */
+const MAX_RUN_MS = 20_000;
+
 /** What is believed of one upstream. */
 export interface UpstreamState {
   readonly id: string;
   readonly prefill: PrefillQueue;
+  readonly streams: StreamLoad;
   readonly cache: PromptCache;
   readonly health: UpstreamHealth;
   /** Requests of all gateways that are believed to be there. */
   running: number;
+  /** Tokens of prompts of the requests that are believed to be there. */
+  runningTokens: number;
 }
 
-/** A request that some gateway placed. */
-export interface PlacedRequest {
-  requestId: string;
-  upstreamId: string;
-  service: string;
-  promptParts: readonly PromptPart[];
-  /** Prompt tokens that the engine has to read. */
-  unreadTokens: number;
-  urgency: number;
+/** What is believed of the engines of one service. */
+export interface ServiceState {
+  readonly model: EngineModel;
+  readonly partition: PromptPartition;
 }
 
+/** Who placed a request: this gateway itself or a peer. */
+export type Placer = string;
+
 /** What this gateway believes of all upstreams. */
 export interface Fleet {
   readonly membership: Membership;
   stateOf(record: UpstreamRecord): UpstreamState;
-  modelOf(service: string): EngineModel;
-  recordPlaced(request: PlacedRequest, nowMs: number): void;
+  serviceOf(name: string): ServiceState;
+  traitsOf(service: string): EngineTraits | undefined;
+  recordPlaced(placer: Placer, request: PlacedRequest, nowMs: number): void;
   /** Notes that the request's first event came. */
   recordFirstEvent(upstreamId: string, requestId: string, nowMs: number): void;
   recordEnded(upstreamId: string, requestId: string, nowMs: number): void;
-  /** Forgets upstreams that no longer exist. */
-  prune(): void;
+  /** Forgets what a gateway placed that is gone. */
+  forgetPlacer(placer: Placer, nowMs: number): void;
+  /** Forgets upstreams that no longer exist and requests without news. */
+  prune(nowMs: number): void;
 }
 
 /** What a fleet is made of. */
@@ -50,63 +58,115 @@
   traitsOf: (service: string) => EngineTraits | undefined;
 }
 
+interface RunningRequest {
+  placer: Placer;
+  upstreamId: string;
+  requestId: string;
+  promptTokens: number;
+  placedAtMs: number;
+}
+
 /** Makes a fleet of which nothing is known. */
 export function createFleet(options: FleetOptions): Fleet {
+  const {traitsOf} = options;
   const membership = createMembership();
   const states = new Map<string, UpstreamState>();
-  const models = new Map<string, EngineModel>();
-  /** Upstream of each request that is believed to run. */
-  const placed = new Map<string, string>();
+  const services = new Map<string, ServiceState>();
+  /** Requests that are believed to run, oldest first. */
+  const running = new Map<string, RunningRequest>();
 
   const stateOf = ({id, service}: UpstreamRecord): UpstreamState => {
     let state = states.get(id);
     if (!state) {
-      const memory =
-        options.traitsOf(service)?.memoryTokens ?? DEFAULT_MEMORY_TOKENS;
+      const memory = traitsOf(service)?.memoryTokens ?? DEFAULT_MEMORY_TOKENS;
       state = {
         id,
         prefill: createPrefillQueue(),
+        streams: createStreamLoad(),
         cache: createPromptCache(memory),
         health: createUpstreamHealth(),
         running: 0,
+        runningTokens: 0,
       };
       states.set(id, state);
     }
     return state;
   };
-  const modelOf = (service: string): EngineModel => {
-    let model = models.get(service);
-    if (!model) models.set(service, (model = createEngineModel()));
-    return model;
+  const serviceOf = (name: string): ServiceState => {
+    let service = services.get(name);
+    if (!service) {
+      service = {
+        model: createEngineModel(),
+        partition: createPromptPartition(name),
+      };
+      services.set(name, service);
+    }
+    return service;
+  };
+  const end = (key: string, request: RunningRequest, nowMs: number) => {
+    running.delete(key);
+    const state = states.get(request.upstreamId);
+    if (!state) return;
+    state.prefill.remove(request.requestId, nowMs);
+    state.streams.remove(request.requestId);
+    state.running--;
+    state.runningTokens -= request.promptTokens;
   };
   return {
     membership,
     stateOf,
-    modelOf,
-    recordPlaced(request, nowMs) {
-      const record = membership.get(request.upstreamId);
-      if (!record) return;
+    serviceOf,
+    traitsOf,
+    recordPlaced(placer, request, nowMs) {
+      const {requestId, upstreamId, targetGapMs, promptTokens} = request;
+      const record = membership.get(upstreamId);
+      const key = runKey(upstreamId, requestId);
+      if (!record || running.has(key)) return;
       const state = stateOf(record);
-      const workMs = modelOf(record.service).readMs(request.unreadTokens);
-      state.prefill.add(request.requestId, workMs, request.urgency, nowMs);
+      const {model, partition} = serviceOf(record.service);
+      const workMs = model.readMs(request.unreadTokens);
+      state.prefill.add(requestId, workMs, request.urgency, nowMs);
       state.cache.touch(request.promptParts);
       state.running++;
-      placed.set(`${request.requestId} ${request.upstreamId}`, state.id);
+      state.runningTokens += promptTokens;
+      if (targetGapMs !== undefined) {
+        partition.noteGap(targetGapMs);
+        state.streams.add(requestId, targetGapMs);
+      }
+      if (partition.isLong(workMs)) partition.recordLong(workMs, nowMs);
+      running.set(key, {
+        placer,
+        upstreamId,
+        requestId,
+        promptTokens,
+        placedAtMs: nowMs,
+      });
     },
     recordFirstEvent(upstreamId, requestId, nowMs) {
       states.get(upstreamId)?.prefill.remove(requestId, nowMs);
     },
     recordEnded(upstreamId, requestId, nowMs) {
-      if (!placed.delete(`${requestId} ${upstreamId}`)) return;
-      const state = states.get(upstreamId);
-      if (!state) return;
-      state.prefill.remove(requestId, nowMs);
-      state.running--;
+      const key = runKey(upstreamId, requestId);
+      const request = running.get(key);
+      if (request) end(key, request, nowMs);
+    },
+    forgetPlacer(placer, nowMs) {
+      for (const [key, request] of running) {
+        if (request.placer === placer) end(key, request, nowMs);
+      }
     },
-    prune() {
+    prune(nowMs) {
+      for (const [key, request] of running) {
+        if (nowMs - request.placedAtMs < MAX_RUN_MS) break;
+        end(key, request, nowMs);
+      }
       for (const id of states.keys()) {
         if (!membership.get(id)) states.delete(id);
       }
     },
   };
 }
+
+function runKey(upstreamId: string, requestId: string): string {
+  return `${upstreamId} ${requestId}`;
+}
--- a/routing/fleet/src/fleet_types.ts
+++ b/routing/fleet/src/fleet_types.ts
@@ -33,6 +33,23 @@
   promptParts: readonly PromptPart[];
   /** 0 is first. */
   urgency: number;
+  /** Time to the first event that the caller wants. */
+  targetLatencyMs: number;
+  /** Gap between events that the caller wants; absent unless it is a stream. */
+  targetGapMs?: number;
   /** Upstreams that the request was sent to already. */
   triedIds: ReadonlySet<string>;
 }
+
+/** A request that some gateway placed. */
+export interface PlacedRequest {
+  requestId: string;
+  upstreamId: string;
+  promptParts: readonly PromptPart[];
+  /** Prompt tokens that the engine has to read. */
+  unreadTokens: number;
+  /** Tokens of all parts. */
+  promptTokens: number;
+  urgency: number;
+  targetGapMs?: number;
+}
--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -1,3 +1,4 @@
+export * from './decaying_sum.js';
 export * from './engine_model.js';
 export * from './fleet.js';
 export * from './fleet_types.js';
@@ -5,4 +6,6 @@
 export * from './place_request.js';
 export * from './prefill_queue.js';
 export * from './prompt_cache.js';
+export * from './prompt_partition.js';
+export * from './stream_load.js';
 export * from './upstream_health.js';
--- /dev/null
+++ b/routing/fleet/src/prompt_partition.ts
@@ -0,0 +1,56 @@
+import {hashText, rendezvousWeight} from '@sardinestile/placement';
+import {createDecayingSum} from './decaying_sum.js';
+import type {UpstreamRecord} from './fleet_types.js';
+
+/** Time over which the demand of long prompts is averaged, in milliseconds. */
+const DEMAND_MS = 4_000;
+
+/** Share of their time that engines for long prompts should read. */
+const TARGET_SHARE = 0.5;
+
+/** Part of the wanted gap that reading a prompt may take beside running streams. */
+const PAUSE_SHARE = 0.6;
+
+/**
+ * Divides the engines of a service between long prompts and short ones. Reading
+ * a long prompt pauses every stream at its engine, so that streams whose
+ * callers want short gaps run apart from it.
+ */
+export interface PromptPartition {
+  /** Whether reading takes so long that it makes streams beside it late. */
+  isLong(readMs: number): boolean;
+  /** Notes a gap that callers of the service want. */
+  noteGap(gapMs: number): void;
+  /** Notes a long prompt that was placed. */
+  recordLong(workMs: number, nowMs: number): void;
+  /** Ids of the engines that long prompts go to. */
+  longEngines(
+    records: readonly UpstreamRecord[],
+    nowMs: number,
+  ): ReadonlySet<string>;
+}
+
+/** Makes a partition without demand. */
+export function createPromptPartition(service: string): PromptPartition {
+  const demand = createDecayingSum(DEMAND_MS);
+  const serviceHash = hashText(service);
+  let shortestGapMs = Infinity;
+  return {
+    isLong: readMs => readMs > PAUSE_SHARE * shortestGapMs,
+    noteGap(gapMs) {
+      shortestGapMs = Math.min(shortestGapMs, gapMs);
+    },
+    recordLong: (workMs, nowMs) => demand.add(workMs, nowMs),
+    longEngines(records, nowMs) {
+      const wanted = Math.ceil(demand.rate(nowMs) / TARGET_SHARE);
+      const count = Math.max(1, Math.min(records.length - 1, wanted));
+      const ranked = records
+        .map(({id}) => ({
+          id,
+          weight: rendezvousWeight(serviceHash, hashText(id)),
+        }))
+        .sort((a, b) => b.weight - a.weight);
+      return new Set(ranked.slice(0, count).map(({id}) => id));
+    },
+  };
+}
--- a/state/lease/src/lease.ts
+++ b/state/lease/src/lease.ts
@@ -68,8 +68,11 @@
     isUncertain = false;
     return [{kind: 'write', row, expectedVersion}];
   };
-  const hold = ({row, expectedVersion, sentAt}: PendingWrite) => {
-    term = {row, version: expectedVersion + 1, renewedAt: sentAt};
+  const hold = (
+    {row, expectedVersion, sentAt}: PendingWrite,
+    version = expectedVersion + 1,
+  ) => {
+    term = {row, version, renewedAt: sentAt};
     observation = undefined;
   };
   const loseTerm = () => {
@@ -111,7 +114,7 @@
   ): LeaseCommand[] => {
     pending = undefined;
     if (lease?.row.writerToken === write.row.writerToken) {
-      hold(write);
+      hold(write, lease.version);
       return [];
     }
     const isOwnTerm = term && lease?.row.writerToken === term.row.writerToken;
@@ -135,12 +138,12 @@
       isReading = false;
       return [];
     },
-    written({isCommitted}) {
+    written({isCommitted, version}) {
       const write = pending;
       if (!write) return [];
       pending = undefined;
       if (isCommitted) {
-        hold(write);
+        hold(write, version);
         return [];
       }
       loseTerm();
--- a/state/lease/src/lease_types.ts
+++ b/state/lease/src/lease_types.ts
@@ -38,7 +38,8 @@
 export type LeaseEvent =
   | {kind: 'read'; lease: ReadLease | undefined}
   | {kind: 'readFailed'}
-  | {kind: 'written'; isCommitted: boolean}
+  /** `version` is the row's new one, where the store numbers transactions. */
+  | {kind: 'written'; isCommitted: boolean; version?: number}
   /** The answer to a write was lost; it may have taken effect. */
   | {kind: 'writeUnknown'}
   | {kind: 'timePassed'};
--- a/state/lease/src/run_lease.ts
+++ b/state/lease/src/run_lease.ts
@@ -9,7 +9,7 @@
   type ReadLease,
 } from './lease_types.js';
 
-/** Time between two looks at a lease, in milliseconds. */
+/** Time between two looks at a lease by default, in milliseconds. */
 const TICK_MS = 1_000;
 
 /** Share of the interval by which looks are spread at random. */
@@ -21,6 +21,8 @@
   key: string;
   table: TableService;
   clock: Clock;
+  /** Time between two looks at the lease. */
+  tickMs?: number;
   onAcquired: (fencingToken: number) => void;
   onLost: (fencingToken: number) => void;
 }
@@ -34,7 +36,7 @@
 
 /** Claims and renews a lease over the table service until it is stopped. */
 export function runLease(options: RunLeaseOptions): RunningLease {
-  const {table, clock, key} = options;
+  const {table, clock, key, tickMs = TICK_MS} = options;
   const lease = createLease(options);
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
@@ -71,7 +73,11 @@
     const {expectedVersion} = command;
     notify(
       await table.transact([{key, value, expectedVersion}]).then(
-        ({committed}) => ({kind: 'written' as const, isCommitted: committed}),
+        ({committed, version}) => ({
+          kind: 'written' as const,
+          isCommitted: committed,
+          version,
+        }),
         () => ({kind: 'writeUnknown' as const}),
       ),
     );
@@ -79,7 +85,7 @@
   const tick = () => {
     notify({kind: 'timePassed'});
     const spread = 1 + TICK_JITTER * (2 * Math.random() - 1);
-    timer = setTimeout(tick, TICK_MS * spread);
+    timer = setTimeout(tick, tickMs * spread);
   };
   tick();
   return {
--- a/state/usage/src/usage_keys.ts
+++ b/state/usage/src/usage_keys.ts
@@ -1,17 +1,17 @@
-/** Length of a usage window, in milliseconds. */
+/** Length of a usage window where the platform names none, in milliseconds. */
 export const WINDOW_MS = 60_000;
 
 const WINDOW_DIGITS = 14;
 
 /** Identifies the window that holds a time since the epoch. */
-export function windowIdAt(wallMs: number): string {
-  const startMs = Math.floor(wallMs / WINDOW_MS) * WINDOW_MS;
+export function windowIdAt(wallMs: number, windowMs = WINDOW_MS): string {
+  const startMs = Math.floor(wallMs / windowMs) * windowMs;
   return String(startMs).padStart(WINDOW_DIGITS, '0');
 }
 
 /** End of a window, in milliseconds since the epoch. */
-export function windowEndMs(windowId: string): number {
-  return Number(windowId) + WINDOW_MS;
+export function windowEndMs(windowId: string, windowMs = WINDOW_MS): number {
+  return Number(windowId) + windowMs;
 }
 
 /** Beginning of the keys of all rows that sources write. */
--- a/state/usage/src/usage_reporter.ts
+++ b/state/usage/src/usage_reporter.ts
@@ -12,7 +12,7 @@
 } from './usage_keys.js';
 import {addAllUsage, usageSumsSchema, type UsageSums} from './usage_sums.js';
 
-/** Time after its end at which a window is closed, in milliseconds. */
+/** Time after its end at which a window is closed by default, in milliseconds. */
 const CLOSE_DELAY_MS = 15_000;
 
 /** Rows that one read of a window's sums returns at most. */
@@ -30,9 +30,13 @@
   table: TableService;
   receiver: UsageReceiver;
   wallMs: () => number;
+  /** Length of a window; a minute by default. */
+  windowMs?: number;
+  /** Time after its end at which a window is closed. */
+  closeDelayMs?: number;
   /** The fencing token if this process is in charge in this synchronous step. */
   fencingToken: () => number | undefined;
-  onReported: (windowId: string, organisation: string) => void;
+  onReported: (windowId: string, organisations: number) => void;
 }
 
 /** Closes, seals and reports windows while this process is in charge. */
@@ -45,7 +49,8 @@
 export function createUsageReporter(
   options: UsageReporterOptions,
 ): UsageReporter {
-  const {table, receiver} = options;
+  const {table, receiver, windowMs} = options;
+  const closeDelayMs = options.closeDelayMs ?? CLOSE_DELAY_MS;
 
   /** Makes this process the reporter of record, or gives undefined. */
   const takeOver = async () => {
@@ -58,7 +63,7 @@
     if (known.fencingToken > fencingToken) return undefined;
     return {state: {...known, fencingToken}, version: row?.version ?? 0};
   };
-  /** Moves the reporter's row on; false if another process is in charge. */
+  /** Moves the reporter's row on; undefined if another process is in charge. */
   const advance = async (
     state: ReporterRow,
     version: number,
@@ -69,8 +74,10 @@
       value: JSON.stringify(state),
       expectedVersion: version,
     };
-    const {committed} = await table.transact([write, ...extra]);
-    return committed;
+    const outcome = await table.transact([write, ...extra]);
+    return outcome.committed
+      ? {version: outcome.version ?? version + 1}
+      : undefined;
   };
   const closeWindow = async (windowId: string) => {
     const key = closedKey(windowId);
@@ -100,31 +107,40 @@
     const key = sealKey(windowId);
     const sealed = await table.get(key);
     if (sealed) {
-      const isInCharge = await advance(state, version);
-      return isInCharge ? parseSums(sealed.value) : undefined;
+      const row = await advance(state, version);
+      return row && {...row, sums: parseSums(sealed.value)};
     }
     const sums = await sumWindow(windowId);
     const value = JSON.stringify(sums);
     const seal = {key, value, expectedVersion: 0};
-    const isInCharge = await advance(state, version, [seal]);
-    return isInCharge ? sums : undefined;
+    const row = await advance(state, version, [seal]);
+    return row && {...row, sums};
   };
   const sendReports = async (windowId: string, sums: UsageSums) => {
-    for (const [organisation, usage] of Object.entries(sums)) {
-      if (options.fencingToken() === undefined) return false;
-      await receiver.report({windowId, organisation, ...usage});
-      options.onReported(windowId, organisation);
-    }
-    return true;
+    const organisations = Object.entries(sums).map(([organisation, usage]) => ({
+      windowId,
+      organisation,
+      ...usage,
+    }));
+    // The token is read in the step that sends.
+    const fencingToken = options.fencingToken();
+    if (fencingToken === undefined) return false;
+    const isAccepted = await receiver.report(
+      {windowId, organisations, fencingToken},
+      () => options.fencingToken() !== undefined,
+    );
+    if (isAccepted) options.onReported(windowId, organisations.length);
+    return isAccepted;
   };
   const reportWindow = async (windowId: string): Promise<boolean> => {
     if (!(await closeWindow(windowId))) return false;
     const reporter = await takeOver();
     if (!reporter) return false;
     const {state, version} = reporter;
-    const sums = await sealWindow(windowId, state, version);
-    if (!sums || !(await sendReports(windowId, sums))) return false;
-    return advance({...state, reportedUntil: windowId}, version + 1);
+    const sealed = await sealWindow(windowId, state, version);
+    if (!sealed || !(await sendReports(windowId, sealed.sums))) return false;
+    const next = {...state, reportedUntil: windowId};
+    return (await advance(next, sealed.version)) !== undefined;
   };
   /** The oldest window that has usage; undefined if there is none. */
   const oldestWindow = async (): Promise<string | undefined> => {
@@ -136,10 +152,11 @@
     if (!reporter) return undefined;
     const {reportedUntil} = reporter.state;
     const windowId = reportedUntil
-      ? windowIdAt(windowEndMs(reportedUntil))
+      ? windowIdAt(windowEndMs(reportedUntil, windowMs), windowMs)
       : await oldestWindow();
     if (windowId === undefined) return undefined;
-    const isDue = windowEndMs(windowId) + CLOSE_DELAY_MS <= options.wallMs();
+    const isDue =
+      windowEndMs(windowId, windowMs) + closeDelayMs <= options.wallMs();
     return isDue ? windowId : undefined;
   };
   return {
--- a/state/usage/src/usage_source.ts
+++ b/state/usage/src/usage_source.ts
@@ -8,6 +8,8 @@
   source: string;
   table: TableService;
   wallMs: () => number;
+  /** Length of a window; a minute by default. */
+  windowMs?: number;
 }
 
 /** Sums the usage of one process and writes it in batches. */
@@ -57,9 +59,9 @@
     const write = {key, value, expectedVersion: rowVersion};
     const check = {key: closedKey(windowId), expectedVersion: 0};
     try {
-      const {committed} = await table.transact([write], [check]);
+      const {committed, version} = await table.transact([write], [check]);
       if (committed) {
-        window.rowVersion = rowVersion + 1;
+        window.rowVersion = version ?? rowVersion + 1;
         return;
       }
     } catch (error) {
@@ -75,12 +77,12 @@
     const row = await table.get(sumsKey(windowId, source));
     const stored = row ? (JSON.parse(row.value) as UsageSums) : {};
     windows.delete(windowId);
-    const current = windowOf(windowIdAt(options.wallMs()));
+    const current = windowOf(windowIdAt(options.wallMs(), options.windowMs));
     addAllUsage(current.sums, subtractUsage(window.sums, stored));
     current.isDirty = true;
   };
   const flushAll = async () => {
-    const currentId = windowIdAt(options.wallMs());
+    const currentId = windowIdAt(options.wallMs(), options.windowMs);
     for (const [windowId, window] of [...windows]) {
       if (window.isDirty) await flushWindow(windowId, window);
       else if (windowId !== currentId) windows.delete(windowId);
@@ -88,7 +90,7 @@
   };
   return {
     record(organisation, {promptTokens, outputTokens}) {
-      const window = windowOf(windowIdAt(options.wallMs()));
+      const window = windowOf(windowIdAt(options.wallMs(), options.windowMs));
       const usage = {requests: 1, promptTokens, outputTokens};
       addUsage(window.sums, organisation, usage);
       window.isDirty = true;
--- a/testing/faults/src/protocols/usage_protocol.ts
+++ b/testing/faults/src/protocols/usage_protocol.ts
@@ -96,7 +96,12 @@
     process,
     reporter: createUsageReporter({
       table: process.table,
-      receiver: {report: async report => void reports.push(report)},
+      receiver: {
+        report: async ({organisations}) => {
+          reports.push(...organisations);
+          return true;
+        },
+      },
       wallMs: () => world.nowMs,
       fencingToken: () => self.token,
       onReported: () => {},
