fix(gateway): rank by organisation then route; end kept connections on leaving

Change: ranks order by organisation, then route; connections end with the answer, idle ones after three seconds, later requests are refused as not run.

--- a/daemons/gateway/src/call.ts
+++ b/daemons/gateway/src/call.ts
@@ -11,8 +11,8 @@
   route: Route;
   service: string;
   organisation: KeyHolder | undefined;
-  /** Tier; 0 is the most urgent. */
-  priority: number;
+  /** Rank among all requests; 0 is the most urgent. */
+  urgency: number;
   configVersion: number;
   body: Buffer | null;
   arrivedAtMs: number;
--- a/daemons/gateway/src/caller_listener.ts
+++ b/daemons/gateway/src/caller_listener.ts
@@ -21,6 +21,9 @@
 /** Time without requests after which a leaving listener closes, in milliseconds. */
 const QUIET_MS = 1_200;
 
+/** Time for which a leaving listener takes requests, in milliseconds; balancers need two seconds to notice. */
+const STILL_TAKING_MS = 3_000;
+
 /** Interval at which a leaving listener looks whether it is quiet, in milliseconds. */
 const QUIET_CHECK_INTERVAL_MS = 100;
 
@@ -42,9 +45,11 @@
 export interface CallerListener {
   applyLimits(limits: CallerLimits): void;
   readonly openRequests: number;
+  /** Whether requests that arrive now could not be finished before the stop. */
+  readonly isClosing: boolean;
   /**
-   * Lets each connection end with its next answer, serves on, and closes once
-   * no request came for a while or the time is over.
+   * Lets each connection end with its next answer, serves on, then closes idle
+   * connections, and ends once no request is open or the time is over.
    */
   drain(limitMs: number): Promise<void>;
 }
@@ -54,6 +59,7 @@
   options: CallerListenerOptions,
 ): Promise<CallerListener> {
   let isLeaving = false;
+  let leavingSinceMs = Infinity;
   let openRequests = 0;
   let lastRequestMs = performance.now();
   const server = createServer(
@@ -70,6 +76,8 @@
       void options.handler(request, response).finally(() => {
         openRequests--;
         lastRequestMs = performance.now();
+        // An answer that began before the leaving promised to keep its connection.
+        if (isLeaving) endAfter(response);
       });
     },
   );
@@ -83,14 +91,20 @@
     get openRequests() {
       return openRequests;
     },
+    get isClosing() {
+      return performance.now() - leavingSinceMs > STILL_TAKING_MS;
+    },
     drain(limitMs) {
       isLeaving = true;
-      lastRequestMs = performance.now();
-      const endMs = lastRequestMs + limitMs;
+      leavingSinceMs = performance.now();
+      const endMs = leavingSinceMs + limitMs;
       return new Promise(resolve => {
         const timer = setInterval(() => {
           const nowMs = performance.now();
-          const isQuiet = openRequests === 0 && nowMs - lastRequestMs > QUIET_MS;
+          const isPastTaking = nowMs - leavingSinceMs > STILL_TAKING_MS;
+          if (isPastTaking) server.closeIdleConnections();
+          const isQuiet =
+            isPastTaking && openRequests === 0 && nowMs - lastRequestMs > QUIET_MS;
           if (!isQuiet && nowMs < endMs) return;
           clearInterval(timer);
           server.close();
@@ -102,6 +116,14 @@
   };
 }
 
+/** Closes a connection once the answer on it was sent whole. */
+function endAfter(response: ServerResponse): void {
+  const {socket} = response;
+  if (!socket) return;
+  if (response.writableFinished) socket.end();
+  else response.once('finish', () => socket.end());
+}
+
 function listen(
   server: Server,
   {host, port}: CallerListenerOptions,
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -162,6 +162,7 @@
     limits: {maxKeyAgeMs: options.keyWithdrawalLimitMs - KEY_AGE_MARGIN_MS},
     logger,
     metrics,
+    isClosing: () => listener.isClosing,
     routes: () => routes,
   };
   const listener = await startCallerListener({
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -31,6 +31,8 @@
   limits: GatewayLimits;
   logger: Logger;
   metrics: MetricsRegistry;
+  /** Whether requests that arrive now could not be finished before the stop. */
+  isClosing: () => boolean;
   /** The configuration in force; undefined before the first. */
   routes: () => RouteIndex | undefined;
 }
--- a/daemons/gateway/src/prepare_attempt.ts
+++ b/daemons/gateway/src/prepare_attempt.ts
@@ -32,7 +32,7 @@
       deadlineMs: Math.min(call.deadlineAtMs, call.endAtMs) - startedAtMs,
       upstreamId: placement.upstream.id,
       organisation: call.organisation?.name,
-      urgency: call.route.hasPromptParts ? call.priority : undefined,
+      urgency: call.route.hasPromptParts ? call.urgency : undefined,
       resumeAfter: isResumed ? call.lastEventId : undefined,
       fetchFrom,
     }),
--- a/daemons/gateway/src/refuse.ts
+++ b/daemons/gateway/src/refuse.ts
@@ -24,6 +24,7 @@
     status: 502,
     message: 'the upstream failed; the request may have run',
   },
+  shuttingDown: {status: 503, message: 'this instance is leaving'},
   timedOut: {status: 504, message: 'the request was not answered in time'},
   timedOutUnsent: {
     status: 503,
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -70,12 +70,12 @@
 }
 
 function place(context: GatewayContext, call: Call, nowMs: number) {
-  const {facts, service, priority, triedIds} = call;
+  const {facts, service, urgency, triedIds} = call;
   const request = {
     service,
     promptTokens: facts.promptTokens,
     promptParts: facts.promptParts,
-    urgency: priority,
+    urgency,
     targetLatencyMs: call.route.targetLatencyMs,
     targetGapMs: call.route.targetGapMs,
     triedIds,
@@ -130,7 +130,7 @@
       promptParts: call.facts.promptParts,
       unreadTokens: placement.unreadTokens,
       promptTokens: call.facts.promptTokens,
-      urgency: call.priority,
+      urgency: call.urgency,
       targetGapMs: call.route.targetGapMs,
     },
     startedAtMs,
--- a/daemons/gateway/src/serve_call.ts
+++ b/daemons/gateway/src/serve_call.ts
@@ -28,6 +28,10 @@
     refuse(context, base, 'notReady', {retryAfterMs: STALE_RETRY_AFTER_MS});
     return;
   }
+  if (context.isClosing()) {
+    refuse(context, base, 'shuttingDown', {retryAfterMs: STALE_RETRY_AFTER_MS});
+    return;
+  }
   const body = await readBody(request, index.table.limits.maxBodyBytes);
   if (body.kind === 'cut') return;
   if (body.kind === 'tooLarge') {
@@ -68,7 +72,7 @@
     route,
     service: chooseTarget(route, requestId ?? ''),
     organisation,
-    priority: organisation?.priority ?? route.priority,
+    urgency: current.urgencyOf(route, organisation),
     configVersion: current.table.version,
     body: body.body,
     arrivedAtMs,
--- a/routing/route_table/src/match_route.ts
+++ b/routing/route_table/src/match_route.ts
@@ -1,5 +1,6 @@
 import {hashText} from '@sardinestile/placement';
 import type {KeyHolder, Route, RouteTable} from './route_table_schema.js';
+import {createUrgencyRanks, type UrgencyRanks} from './urgency_ranks.js';
 
 /** Answers look-ups in one version of the routes. */
 export interface RouteIndex {
@@ -8,6 +9,8 @@
   match(host: string, path: string): Route | undefined;
   /** The organisation that holds a key. */
   holderOf(key: string): KeyHolder | undefined;
+  /** Rank of a request in an upstream's queue; 0 is first. */
+  urgencyOf: UrgencyRanks;
 }
 
 /** Builds the look-ups of one version. */
@@ -30,6 +33,7 @@
       return prefixes && longestPrefix(prefixes, stripQuery(path));
     },
     holderOf: key => holders.get(key),
+    urgencyOf: createUrgencyRanks(table),
   };
 }
 
