fix(gateway): take an answer without a length as cut when its connection was reset

Ruled out: answers with a length or in chunks (undici rejects those). Change: the pool notes a reset of its socket and the attempt fails.

--- a/daemons/gateway/src/attempt.ts
+++ b/daemons/gateway/src/attempt.ts
@@ -71,6 +71,11 @@
       },
       onResponseEnd() {
         if (!finish()) return;
+        if (connection.wasReset()) {
+          const reason = 'the connection was reset within the answer';
+          handlers.onFailure({isSent, reason});
+          return;
+        }
         connection.release();
         handlers.onEnd();
       },
--- a/daemons/gateway/src/caller_listener.ts
+++ b/daemons/gateway/src/caller_listener.ts
@@ -52,6 +52,8 @@
    * connections, and ends once no request is open or the time is over.
    */
   drain(limitMs: number): Promise<void>;
+  /** Closes every connection at once. */
+  close(): void;
 }
 
 /** Starts to listen for callers; rejects if the address is taken. */
@@ -94,6 +96,10 @@
     get isClosing() {
       return performance.now() - leavingSinceMs > STILL_TAKING_MS;
     },
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
     drain(limitMs) {
       isLeaving = true;
       leavingSinceMs = performance.now();
@@ -104,11 +110,11 @@
           const isPastTaking = nowMs - leavingSinceMs > STILL_TAKING_MS;
           if (isPastTaking) server.closeIdleConnections();
           const isQuiet =
-            isPastTaking && openRequests === 0 && nowMs - lastRequestMs > QUIET_MS;
+            isPastTaking &&
+            openRequests === 0 &&
+            nowMs - lastRequestMs > QUIET_MS;
           if (!isQuiet && nowMs < endMs) return;
           clearInterval(timer);
-          server.close();
-          server.closeIdleConnections();
           resolve();
         }, QUIET_CHECK_INTERVAL_MS);
       });
--- a/daemons/gateway/src/connection_pool.ts
+++ b/daemons/gateway/src/connection_pool.ts
@@ -18,6 +18,11 @@
   readonly client: Client;
   /** Whether it has carried no request yet. */
   readonly isFresh: boolean;
+  /**
+   * Whether it was reset. undici takes what came before as a whole answer if the
+   * answer has no length.
+   */
+  wasReset(): boolean;
   /** Gives it back for another request, if it is still open. */
   release(): void;
   destroy(): void;
@@ -36,6 +41,7 @@
 interface PooledConnection {
   client: Client;
   isOpen: boolean;
+  wasReset: boolean;
   uses: number;
 }
 
@@ -65,20 +71,25 @@
     void connection.client.destroy();
   };
   const open = (address: string, pool: AddressPool) => {
+    const connection: Omit<PooledConnection, 'client'> = {
+      isOpen: true,
+      wasReset: false,
+      uses: 0,
+    };
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      connect: connectSocket,
+      connect: createConnector(() => (connection.wasReset = true)),
     });
-    const connection: PooledConnection = {client, isOpen: true, uses: 0};
+    const pooled: PooledConnection = Object.assign(connection, {client});
     pool.open++;
     onOpened(address);
-    client.on('disconnect', () => discard(pool, connection));
-    client.on('connectionError', () => discard(pool, connection));
-    return connection;
+    client.on('disconnect', () => discard(pool, pooled));
+    client.on('connectionError', () => discard(pool, pooled));
+    return pooled;
   };
   return {
     acquire(address, limit) {
@@ -91,6 +102,7 @@
       return {
         client: taken.client,
         isFresh,
+        wasReset: () => taken.wasReset,
         release() {
           if (taken.isOpen && !taken.client.destroyed) pool.idle.push(taken);
         },
@@ -122,25 +134,25 @@
 }
 
 /** Connects within the timeout; undici's own timer is too coarse for it. */
-const connectSocket: buildConnector.connector = (
-  {hostname, port},
-  callback,
-) => {
-  const socket = connect({host: hostname, port: Number(port), noDelay: true});
-  const timer = setTimeout(() => {
-    const message = `no connection within ${CONNECT_TIMEOUT_MS} ms`;
-    socket.destroy(new Error(message));
-  }, CONNECT_TIMEOUT_MS);
-  const onConnect = () => {
-    clearTimeout(timer);
-    socket.off('error', onError);
-    socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS);
-    callback(null, socket);
+function createConnector(onReset: () => void): buildConnector.connector {
+  return ({hostname, port}, callback) => {
+    const socket = connect({host: hostname, port: Number(port), noDelay: true});
+    const timer = setTimeout(() => {
+      const message = `no connection within ${CONNECT_TIMEOUT_MS} ms`;
+      socket.destroy(new Error(message));
+    }, CONNECT_TIMEOUT_MS);
+    const onConnect = () => {
+      clearTimeout(timer);
+      socket.off('error', onError);
+      socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS);
+      callback(null, socket);
+    };
+    const onError = (error: Error) => {
+      clearTimeout(timer);
+      callback(error, null);
+    };
+    socket.once('connect', onConnect);
+    socket.once('error', onError);
+    socket.on('error', onReset);
   };
-  const onError = (error: Error) => {
-    clearTimeout(timer);
-    callback(error, null);
-  };
-  socket.once('connect', onConnect);
-  socket.once('error', onError);
-};
+}
--- a/daemons/gateway/src/follow_feed.ts
+++ b/daemons/gateway/src/follow_feed.ts
@@ -69,7 +69,9 @@
         pauseMs = MIN_PAUSE_MS;
       } catch (error) {
         if (isStopped || current !== epoch) return;
-        observer.onFailure(error instanceof Error ? error.message : String(error));
+        observer.onFailure(
+          error instanceof Error ? error.message : String(error),
+        );
         await pause(pauseMs * (0.5 + Math.random()));
         pauseMs = Math.min(MAX_PAUSE_MS, 2 * pauseMs);
       }
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -95,6 +95,8 @@
 export interface Gateway {
   /** Stops without cutting a request. */
   stop(): Promise<void>;
+  /** Closes every connection at once. */
+  close(): Promise<void>;
   /** Reads again what the gateway believes. */
   reload(): void;
 }
@@ -216,7 +218,10 @@
       onPage: applyConfiguration,
       onProof: sentAt => configFreshness.prove(sentAt),
       onFailure: reason =>
-        logger.warn('store_failed', {operation: 'follow configuration', reason}),
+        logger.warn('store_failed', {
+          operation: 'follow configuration',
+          reason,
+        }),
     },
   });
   const upstreamFeed = followFeed({
@@ -271,6 +276,18 @@
       })),
     );
   }
+  const close = async () => {
+    isStopping = true;
+    clearInterval(tick);
+    listener.close();
+    await Promise.all([usage?.stop(), registry.leave()]);
+    link.close();
+    configFeed.stop();
+    upstreamFeed.stop();
+    context.connections.close();
+    sideServers.forEach(server => server.close());
+    logger.info('process_stopped', {instance});
+  };
   logger.info('process_started', {
     role: 'gateway',
     instance,
@@ -291,15 +308,9 @@
         openRequests: listener.openRequests,
       });
       await listener.drain(options.stopGraceMs - STOP_MARGIN_MS);
-      clearInterval(tick);
-      await Promise.all([usage?.stop(), registry.leave()]);
-      link.close();
-      configFeed.stop();
-      upstreamFeed.stop();
-      context.connections.close();
-      sideServers.forEach(server => server.close());
-      logger.info('process_stopped', {instance});
+      await close();
     },
+    close,
   };
 }
 
--- a/daemons/gateway/src/peer_registry.ts
+++ b/daemons/gateway/src/peer_registry.ts
@@ -69,7 +69,8 @@
     );
   };
   const schedule = (delayMs: number) => {
-    if (!isLeaving) timer = setTimeout(run, delayMs * (0.8 + 0.4 * Math.random()));
+    if (!isLeaving)
+      timer = setTimeout(run, delayMs * (0.8 + 0.4 * Math.random()));
   };
   run();
   return {
--- a/daemons/gateway/src/read_body.ts
+++ b/daemons/gateway/src/read_body.ts
@@ -2,9 +2,7 @@
 
 /** What came of reading a body. */
 export type ReadBody =
-  | {kind: 'whole'; body: Buffer | null}
-  | {kind: 'tooLarge'}
-  | {kind: 'cut'};
+  {kind: 'whole'; body: Buffer | null} | {kind: 'tooLarge'} | {kind: 'cut'};
 
 /** Reads a request's body up to a limit. */
 export function readBody(
@@ -28,7 +26,11 @@
     });
     request.on('end', () => {
       const body =
-        size === 0 ? null : chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+        size === 0
+          ? null
+          : chunks.length === 1
+            ? chunks[0]
+            : Buffer.concat(chunks);
       resolve({kind: 'whole', body});
     });
     request.on('close', () => resolve({kind: 'cut'}));
--- a/daemons/gateway/src/refuse.ts
+++ b/daemons/gateway/src/refuse.ts
@@ -15,7 +15,10 @@
     status: 503,
     message: 'the request could not be served within its target',
   },
-  noUpstream: {status: 503, message: 'no upstream of the service can be reached'},
+  noUpstream: {
+    status: 503,
+    message: 'no upstream of the service can be reached',
+  },
   budgetSpent: {
     status: 503,
     message: 'the upstream refused and the retry budget is spent',
--- a/daemons/gateway/src/relay_answer.ts
+++ b/daemons/gateway/src/relay_answer.ts
@@ -46,7 +46,10 @@
           headers = answerHeader;
           if (isOwnAnswer(context, call, headers)) return;
           attempt.abort();
-          settle({kind: 'unknown', reason: 'the answer is for another request'});
+          settle({
+            kind: 'unknown',
+            reason: 'the answer is for another request',
+          });
         },
         onData(chunk) {
           if (isPassing) {
@@ -70,14 +73,16 @@
             return;
           }
           const body = Buffer.concat(chunks);
-          const answer = {status, headers: dialect.callerHeaders(headers), body};
+          const answer = {
+            status,
+            headers: dialect.callerHeaders(headers),
+            body,
+          };
           settle({kind: 'heldAnswer', answer});
         },
         onFailure({isSent, reason}) {
           if (isPassing) call.response.destroy();
-          settle(
-            isSent ? {kind: 'unknown', reason} : {kind: 'notRun', reason},
-          );
+          settle(isSent ? {kind: 'unknown', reason} : {kind: 'notRun', reason});
         },
       },
     );
@@ -105,4 +110,3 @@
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
-
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/relay_stream.ts
@@ -128,10 +128,17 @@
             settle({kind: 'notRun', reason: `upstream refused: ${status}`});
           } else if (!isStream()) {
             const body = Buffer.concat(failureBody);
-            const answer = {status, headers: dialect.callerHeaders(headers), body};
+            const answer = {
+              status,
+              headers: dialect.callerHeaders(headers),
+              body,
+            };
             settle({kind: 'heldAnswer', answer});
           } else if (splitter.hasPartial || !hasEvents) {
-            settle({kind: 'unknown', reason: 'the stream ended within an event'});
+            settle({
+              kind: 'unknown',
+              reason: 'the stream ended within an event',
+            });
           } else {
             response.end();
             settle({kind: 'answered', status});
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -153,7 +153,10 @@
     call.mayHaveRun = true;
   }
   if (firstEventMs !== undefined) learn(fleet, call, placement, firstEventMs);
-  if (outcome.kind === 'heldAnswer' && outcome.answer.status < FIRST_FAILURE_STATUS) {
+  if (
+    outcome.kind === 'heldAnswer' &&
+    outcome.answer.status < FIRST_FAILURE_STATUS
+  ) {
     countUsage(context, call);
   }
   logger.info('attempt_ended', {
@@ -168,7 +171,8 @@
     copiedFrom: placement.copyFrom?.id,
     expectedWaitMs: Math.round(placement.waitMs),
     expectedFirstEventMs: Math.round(placement.firstEventMs),
-    firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
+    firstEventMs:
+      firstEventMs === undefined ? undefined : Math.round(firstEventMs),
     durationMs: Math.round(endedAtMs - startedAtMs),
     slowness: Number(state.health.slowness.toFixed(2)),
   });
--- a/daemons/gateway/src/serve_call.ts
+++ b/daemons/gateway/src/serve_call.ts
@@ -105,7 +105,8 @@
     interrupt('callerLeft');
   };
   call.response.once('close', onClose);
-  const leftMs = Math.min(call.endAtMs, call.deadlineAtMs) - context.clock.monotonicMs();
+  const leftMs =
+    Math.min(call.endAtMs, call.deadlineAtMs) - context.clock.monotonicMs();
   const timer = setTimeout(() => interrupt('timeout'), Math.max(0, leftMs));
   try {
     if (!call.response.destroyed) await runCall(context, call);
--- a/daemons/gateway/src/usage_duties.ts
+++ b/daemons/gateway/src/usage_duties.ts
@@ -39,7 +39,8 @@
 
 /** Starts to count, and to compete for the duty of reporting. */
 export function startUsageDuties(options: UsageDutiesOptions): UsageDuties {
-  const {instance, table, clock, logger, windowMs, trueTimeMs, leaseMs} = options;
+  const {instance, table, clock, logger, windowMs, trueTimeMs, leaseMs} =
+    options;
   const source = createUsageSource({
     source: `${instance}-${Math.round(clock.wallMs())}`,
     table,
--- a/routing/fleet/src/engine_model.ts
+++ b/routing/fleet/src/engine_model.ts
@@ -69,7 +69,10 @@
       const spread = weight * sumXx - sumX * sumX;
       if (spread <= 0) return;
       const slope = (weight * sumXy - sumX * sumY) / spread;
-      msPerToken = Math.min(MAX_MS_PER_TOKEN, Math.max(MIN_MS_PER_TOKEN, slope));
+      msPerToken = Math.min(
+        MAX_MS_PER_TOKEN,
+        Math.max(MIN_MS_PER_TOKEN, slope),
+      );
       const intercept = (sumY - msPerToken * sumX) / weight;
       baseMs = Math.min(MAX_BASE_MS, Math.max(0, intercept));
     },
--- a/routing/fleet/src/fleet.ts
+++ b/routing/fleet/src/fleet.ts
@@ -4,7 +4,10 @@
 import {createMembership, type Membership} from './membership.js';
 import {createPrefillQueue, type PrefillQueue} from './prefill_queue.js';
 import {createPromptCache, type PromptCache} from './prompt_cache.js';
-import {createPromptPartition, type PromptPartition} from './prompt_partition.js';
+import {
+  createPromptPartition,
+  type PromptPartition,
+} from './prompt_partition.js';
 import {createStreamLoad, type StreamLoad} from './stream_load.js';
 import {createUpstreamHealth, type UpstreamHealth} from './upstream_health.js';
 
--- a/routing/fleet/src/membership.ts
+++ b/routing/fleet/src/membership.ts
@@ -91,7 +91,10 @@
     },
     expire(nowMs) {
       for (const [id, untilMs] of lapsedUntilMs) {
-        const limitMs = Math.max(untilMs, lastFailureAtMs + REGISTRATION_GRACE_MS);
+        const limitMs = Math.max(
+          untilMs,
+          lastFailureAtMs + REGISTRATION_GRACE_MS,
+        );
         if (nowMs < limitMs) continue;
         lapsedUntilMs.delete(id);
         records.delete(id);
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -181,7 +181,11 @@
   const tokens = holder.tokens - cachedTokens;
   if (tokens < MIN_COPY_TOKENS) return none;
   const bits = tokens * traits.bytesPerToken * 8;
-  return {from: holder.record, tokens, timeMs: bits / (traits.transferMbps * 1000)};
+  return {
+    from: holder.record,
+    tokens,
+    timeMs: bits / (traits.transferMbps * 1000),
+  };
 }
 
 /** Likelihood that a request is late, 0 to 1; rises around its target. */
--- /dev/null
+++ b/testing/hosting/src/index.ts
@@ -0,0 +1,2 @@
+export * from './hosted_world.js';
+export * from './raw_call.js';
