fix(gateway): leave an answer without a length without one

Cause: engines also break off answers without a length by an orderly close, which looks like their end; given a length by the gateway, a short answer was framed as whole (MIXED). Ruled out: resets (fixed before); the trace shows end without error. Change: such answers end with the caller's connection too.

--- a/daemons/gateway/src/call.ts
+++ b/daemons/gateway/src/call.ts
@@ -54,4 +54,6 @@
   status: number;
   headers: Record<string, string | string[]>;
   body: Buffer;
+  /** Whether it had no length and ended with its connection. */
+  isUnframed: boolean;
 }
--- a/daemons/gateway/src/relay_answer.ts
+++ b/daemons/gateway/src/relay_answer.ts
@@ -1,6 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {startAttempt} from './attempt.js';
 import type {AttemptOutcome, Call} from './call.js';
+import {isUnframed, leaveUnframed} from './answer_framing.js';
 import type {GatewayContext} from './gateway_context.js';
 import {
   attemptRequest,
@@ -32,6 +33,7 @@
       resolve(outcome);
     };
     const passOn = () => {
+      if (isUnframed(headers)) leaveUnframed(call.response);
       call.response.writeHead(status, answerHeaders(context, headers));
       for (const chunk of chunks) call.response.write(chunk);
       chunks = [];
@@ -77,6 +79,7 @@
             status,
             headers: dialect.callerHeaders(headers),
             body,
+            isUnframed: isUnframed(headers),
           };
           settle({kind: 'heldAnswer', answer});
         },
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/relay_stream.ts
@@ -2,6 +2,7 @@
 import {startAttempt} from './attempt.js';
 import type {AttemptOutcome, Call} from './call.js';
 import {createEventSplitter} from './event_splitter.js';
+import {isUnframed, leaveUnframed} from './answer_framing.js';
 import type {GatewayContext} from './gateway_context.js';
 import {
   attemptRequest,
@@ -63,6 +64,7 @@
     const isStream = () => status >= 200 && status < 300;
     const startResponse = () => {
       if (response.headersSent) return;
+      if (isUnframed(headers)) leaveUnframed(response);
       response.writeHead(status, dialect.callerHeaders(headers));
     };
     /** Returns why the event cannot follow, or undefined. */
@@ -132,6 +134,7 @@
               status,
               headers: dialect.callerHeaders(headers),
               body,
+              isUnframed: isUnframed(headers),
             };
             settle({kind: 'heldAnswer', answer});
           } else if (splitter.hasPartial || !hasEvents) {
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -1,5 +1,6 @@
 import {placeRequest, type Fleet, type Placement} from '@sardinestile/fleet';
 import type {RouteKind} from '@sardinestile/route_table';
+import {leaveUnframed} from './answer_framing.js';
 import type {AttemptOutcome, BufferedAnswer, Call} from './call.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
@@ -232,7 +233,12 @@
   }
   if (heldAnswer) {
     const {status, headers, body} = heldAnswer;
-    response.writeHead(status, {...headers, 'content-length': body.length});
+    if (heldAnswer.isUnframed) {
+      leaveUnframed(response);
+      response.writeHead(status, headers);
+    } else {
+      response.writeHead(status, {...headers, 'content-length': body.length});
+    }
     response.end(body);
     return;
   }
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -31,6 +31,8 @@
   | {kind: 'silent'}
   /** Answers without a length and resets the connection within the answer. */
   | {kind: 'resetUnframed'}
+  /** Answers without a length and closes the connection. */
+  | {kind: 'unframed'; body: string}
   /** Announces more bytes than it sends. */
   | {kind: 'truncate'}
   /** Sends another request's answer. */
@@ -136,6 +138,12 @@
     response.write('half of the ans');
     setTimeout(() => request.socket.resetAndDestroy(), 30);
   },
+  unframed({body}, {response, stamp}) {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+    response.writeHead(200, stamp);
+    response.end(body);
+  },
   truncate(_behaviour, {request, response, stamp}) {
     response.writeHead(200, {...stamp, 'content-length': 100});
     response.write('half');
--- a/testing/hosting/src/raw_call.ts
+++ b/testing/hosting/src/raw_call.ts
@@ -72,7 +72,8 @@
   if (headers['transfer-encoding'] === 'chunked') {
     return {status, headers, ...dechunk(rest)};
   }
-  const length = Number(headers['content-length'] ?? 0);
+  // Without a length the answer ends with the connection.
+  const length = Number(headers['content-length'] ?? Infinity);
   return {status, headers, body: rest, isWhole: rest.length >= length};
 }
 
--- a/testing/hosting/test/answers_test.ts
+++ b/testing/hosting/test/answers_test.ts
@@ -94,6 +94,16 @@
     }
   });
 
+  it('gives an answer without a length none of its own', async () => {
+    behaveFirst({kind: 'unframed', body: 'perhaps whole'});
+    const headers = keyed('f1');
+    const answer = await front.call({path: PATHS.idempotent, headers});
+    expect(answer.body).toEqual('perhaps whole');
+    expect(answer.headers['content-length']).toEqual(undefined);
+    expect(answer.headers['transfer-encoding']).toEqual(undefined);
+    expect(answer.headers.connection).toEqual('close');
+  });
+
   it('keeps a second answer from the next request', async () => {
     behaveFirst({kind: 'extra'});
     const headers = keyed('d1');
