fix(gateway): close usage windows sooner and keep a stop within its grace

Cause: a window was closed 2.6 s after its end, so that outages which began meanwhile made its report late; a stop waited for a store that was away and was killed at the end of the grace. Change: counts are written right after the end of a window, which closes after 1.2 s; a leaving gateway writes first and does not wait long at the end.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -53,6 +53,9 @@
 /** Time before the end of the grace period at which the last connections are closed, in milliseconds. */
 const STOP_MARGIN_MS = 500;
 
+/** Time for the last writes of a stopping gateway, in milliseconds. */
+const LAST_WRITE_MS = 300;
+
 /** Largest header block that is read, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
 
@@ -280,7 +283,8 @@
     isStopping = true;
     clearInterval(tick);
     listener.close();
-    await Promise.all([usage?.stop(), registry.leave()]);
+    await usage?.stop();
+    registry.stop();
     link.close();
     configFeed.stop();
     upstreamFeed.stop();
@@ -307,13 +311,19 @@
         instance,
         openRequests: listener.openRequests,
       });
+      void usage?.flush();
+      void registry.leave();
       await listener.drain(options.stopGraceMs - STOP_MARGIN_MS);
-      await close();
+      await Promise.race([close(), pause(LAST_WRITE_MS)]);
     },
     close,
   };
 }
 
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 function serveText(
   {host, port}: ListenAddress,
   render: () => {status: number; text: string},
--- a/daemons/gateway/src/peer_registry.ts
+++ b/daemons/gateway/src/peer_registry.ts
@@ -31,6 +31,7 @@
 export interface PeerRegistry {
   /** Removes the entry. */
   leave(): Promise<void>;
+  stop(): void;
 }
 
 /** Registers this gateway and looks for the others from time to time. */
@@ -72,11 +73,15 @@
     if (!isLeaving)
       timer = setTimeout(run, delayMs * (0.8 + 0.4 * Math.random()));
   };
+  const stop = () => {
+    isLeaving = true;
+    clearTimeout(timer);
+  };
   run();
   return {
+    stop,
     async leave() {
-      isLeaving = true;
-      clearTimeout(timer);
+      stop();
       try {
         await table.transact([{key, value: null, expectedVersion: null}]);
       } catch (error) {
--- a/daemons/gateway/src/usage_duties.ts
+++ b/daemons/gateway/src/usage_duties.ts
@@ -7,11 +7,14 @@
 /** Time between two writes of this gateway's counts, in milliseconds; a killed gateway loses what it counted since. */
 const FLUSH_INTERVAL_MS = 1_500;
 
-/** Time after its end at which a window is closed, in milliseconds; one flush and its call fit in. */
-const CLOSE_DELAY_MS = 2_600;
+/** Time after the end of a window at which its last counts are written, in milliseconds. */
+const FLUSH_DELAY_MS = 60;
+
+/** Time after its end at which a window is closed, in milliseconds; the last write and a retry of it fit in. */
+const CLOSE_DELAY_MS = 1_200;
 
 /** Time between two looks for windows to report, in milliseconds. */
-const REPORT_INTERVAL_MS = 700;
+const REPORT_INTERVAL_MS = 400;
 
 /** Longest time that a report may be on its way, in milliseconds. */
 const REPORT_TIMEOUT_MS = 1_500;
@@ -34,6 +37,8 @@
 /** Counts this gateway's usage and, when it holds the lease, reports everyone's. */
 export interface UsageDuties {
   readonly source: UsageSource;
+  /** Writes the counts so far. */
+  flush(): Promise<void>;
   stop(): Promise<void>;
 }
 
@@ -54,7 +59,16 @@
         reason: error.message,
       }),
     );
-  const timer = setInterval(() => void flush(), FLUSH_INTERVAL_MS);
+  let timer: NodeJS.Timeout;
+  const schedule = () => {
+    const toEndMs = windowMs - (trueTimeMs() % windowMs) + FLUSH_DELAY_MS;
+    const delayMs = Math.min(FLUSH_INTERVAL_MS, toEndMs);
+    timer = setTimeout(() => {
+      void flush();
+      schedule();
+    }, delayMs);
+  };
+  schedule();
   const duty = startUsageDuty({
     instance,
     table,
@@ -73,8 +87,9 @@
   });
   return {
     source,
+    flush,
     async stop() {
-      clearInterval(timer);
+      clearTimeout(timer);
       duty.stop();
       await flush();
     },
