feat(gateway): peers prove the configuration and store usage for one that the store turns away

Ruled out: waiting longer (keys withdrawn meanwhile); datagrams (a frozen process could read an old one as new). Change: such a gateway asks a live peer, dating the proof by its own question, and has it store whole sums, of which the larger ones are kept.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -80,6 +80,8 @@
   peer_found: {peer: string};
   peer_lost: {peer: string};
   peer_link_failed: {reason: string};
+  peer_failed: {operation: string; reason: string};
+  upstream_rejected: {upstream: string; reason: string};
   command_failed: {code: string; message: string; hint?: string};
 }
 
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -3,7 +3,6 @@
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {CallDialect} from '@sardinestile/ports';
 import type {RouteIndex} from '@sardinestile/route_table';
-import type {Freshness} from '@sardinestile/freshness';
 import type {Clock} from '@sardinestile/types';
 import type {ConnectionPool} from './connection_pool.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
@@ -26,8 +25,8 @@
   countUsage: (organisation: string) => void;
   /** Tells this gateway's model and the others what was placed where. */
   reporter: FleetReporter;
-  /** Proof of the age of the configuration. */
-  configFreshness: Freshness;
+  /** Upper bound of the time since the configuration was known to be the newest. */
+  configAgeMs: () => number;
   limits: GatewayLimits;
   logger: Logger;
   metrics: MetricsRegistry;
--- a/daemons/gateway/src/index.ts
+++ b/daemons/gateway/src/index.ts
@@ -1,1 +1,2 @@
 export * from './gateway.js';
+export * from './gateway_options.js';
--- a/daemons/gateway/src/serve_call.ts
+++ b/daemons/gateway/src/serve_call.ts
@@ -48,8 +48,7 @@
   const isKeyed = !route.isOpen && current.table.keyHolders !== undefined;
   const organisation = isKeyed ? holderOf(current, facts.key) : undefined;
   if (isKeyed) {
-    const now = readClocks(context.clock);
-    const ageMs = context.configFreshness.ageMs(now);
+    const ageMs = context.configAgeMs();
     if (ageMs > context.limits.maxKeyAgeMs) {
       refuse(context, {...base, route}, 'keysStale', {
         retryAfterMs: STALE_RETRY_AFTER_MS,
--- a/daemons/gateway/src/usage_duties.ts
+++ b/daemons/gateway/src/usage_duties.ts
@@ -1,6 +1,7 @@
 import {startUsageDuty} from '@sardinestile/duties';
 import type {Logger} from '@sardinestile/logger';
 import type {TableService, UsageReceiver} from '@sardinestile/ports';
+import type {RelayedUsage} from '@sardinestile/peer';
 import type {Clock} from '@sardinestile/types';
 import {createUsageSource, type UsageSource} from '@sardinestile/usage';
 
@@ -31,6 +32,8 @@
   trueTimeMs: () => number;
   windowMs: number;
   leaseMs: number;
+  /** Has a peer store counts; rejects if none could. */
+  relay: (usage: RelayedUsage) => Promise<void>;
   logger: Logger;
 }
 
@@ -46,19 +49,33 @@
 export function startUsageDuties(options: UsageDutiesOptions): UsageDuties {
   const {instance, table, clock, logger, windowMs, trueTimeMs, leaseMs} =
     options;
+  const sourceName = `${instance}-${Math.round(clock.wallMs())}`;
   const source = createUsageSource({
-    source: `${instance}-${Math.round(clock.wallMs())}`,
+    source: sourceName,
     table,
     wallMs: trueTimeMs,
     windowMs,
   });
-  const flush = () =>
-    source.flush().catch((error: Error) =>
-      logger.warn('store_failed', {
-        operation: 'write usage',
-        reason: error.message,
-      }),
-    );
+  /** Has peers store what the store did not take from this gateway. */
+  const relayUnsaved = async () => {
+    for (const {windowId, sums} of source.unsaved()) {
+      await options.relay({source: sourceName, windowId, sums});
+    }
+  };
+  const flush = async () => {
+    try {
+      await source.flush();
+    } catch (error) {
+      const reason = (error as Error).message;
+      logger.warn('store_failed', {operation: 'write usage', reason});
+      await relayUnsaved().catch((relayError: Error) =>
+        logger.warn('store_failed', {
+          operation: 'relay usage',
+          reason: relayError.message,
+        }),
+      );
+    }
+  };
   let timer: NodeJS.Timeout;
   const schedule = () => {
     const toEndMs = windowMs - (trueTimeMs() % windowMs) + FLUSH_DELAY_MS;
--- a/development/hosting_stand_ins/src/store_stand_in.ts
+++ b/development/hosting_stand_ins/src/store_stand_in.ts
@@ -45,7 +45,7 @@
       const endMs =
         performance.now() + Number(url.searchParams.get('wait_ms') ?? 0);
       const answer = () => {
-        if (request.socket.destroyed) return;
+        if (response.headersSent || request.socket.destroyed) return;
         const rows = state.changes(table, after);
         const leftMs = endMs - performance.now();
         if (!rows) {
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -29,6 +29,7 @@
 /** A gateway that was heard lately. */
 export interface LivePeer {
   instance: string;
+  address: PeerAddress;
   /** How far its time of day is ahead of ours. */
   wallAheadMs: number;
 }
@@ -181,7 +182,13 @@
     livePeers: () =>
       [...peers.values()].flatMap(peer =>
         isLive(peer) && peer.instance !== undefined
-          ? [{instance: peer.instance, wallAheadMs: peer.wallAheadMs}]
+          ? [
+              {
+                instance: peer.instance,
+                address: peer.address,
+                wallAheadMs: peer.wallAheadMs,
+              },
+            ]
           : [],
       ),
     close() {
--- a/state/usage/src/index.ts
+++ b/state/usage/src/index.ts
@@ -3,3 +3,4 @@
 export * from './usage_source.js';
 export * from './usage_sums.js';
 export * from './read_sealed_usage.js';
+export * from './store_relayed_usage.js';
--- a/state/usage/src/usage_source.ts
+++ b/state/usage/src/usage_source.ts
@@ -20,6 +20,8 @@
   ): void;
   /** Writes what is not stored yet; what cannot be written stays for later. */
   flush(): Promise<void>;
+  /** Sums that the store is not known to hold yet, by window. */
+  unsaved(): Array<{windowId: string; sums: UsageSums}>;
   /** Organisations whose usage is not stored yet, by window. */
   dump(): Array<{windowId: string; organisations: number}>;
 }
@@ -100,6 +102,10 @@
       running ??= flushAll().finally(() => (running = undefined));
       return running;
     },
+    unsaved: () =>
+      [...windows]
+        .filter(([, {isDirty}]) => isDirty)
+        .map(([windowId, {sums}]) => ({windowId, sums})),
     dump: () =>
       [...windows].map(([windowId, window]) => ({
         windowId,
