feat(gateway): decisions in logs, counters and gauges; partition known from the start

Cause: logs named only attempts; the partition of engines learned gaps from streams and its demand rose over four seconds, so that cold starts mixed long prompts and short gaps. Change: one line for each decision, a writer that never blocks, budgets of lines, metrics with bounded series; gaps come from the routes in force and the demand is unbiased from the first prompt; shared limits are divided by the most gateways heard.

--- a/cli/sardinestile/src/platform_wiring.ts
+++ b/cli/sardinestile/src/platform_wiring.ts
@@ -13,7 +13,7 @@
 } from '@sardinestile/adapter_platform';
 import {SardinestileError} from '@sardinestile/errors';
 import {startGateway} from '@sardinestile/gateway';
-import {createLogger} from '@sardinestile/logger';
+import {createBoundedLogger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
 import {createSystemClock} from '@sardinestile/types';
 
@@ -48,7 +48,19 @@
       hint: 'Run the gateway in a role that serves callers.',
     });
   }
-  const store = createStoreClient(settings.store.address);
+  const metrics = createMetricsRegistry();
+  const store = createStoreClient(
+    settings.store.address,
+    (operation, outcome, durationMs) => {
+      metrics.increment('sardinestile_store_calls_total', {operation, outcome});
+      // Waits for changes last as long as they were asked to.
+      metrics.recordMs(
+        'sardinestile_store_call_seconds',
+        {operation},
+        durationMs,
+      );
+    },
+  );
   const calls = settings.dutyApi && createDutyCalls(settings.dutyApi.address);
   const gateway = await startGateway({
     ...settings,
@@ -76,8 +88,8 @@
     configuration: createConfigurationFeed(store),
     upstreams: createUpstreamFeed(store),
     clock: createSystemClock(),
-    logger: createLogger({level: 'info'}),
-    metrics: createMetricsRegistry(),
+    logger: createBoundedLogger({level: 'info'}),
+    metrics,
   });
   process.on('SIGHUP', () => gateway.reload());
   await new Promise<void>(resolve => {
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -46,26 +46,60 @@
     reason?: string;
     configVersion?: number;
   };
+  log_suppressed: {suppressedEvent: string; lines: number};
+  log_dropped: {lines: number};
   call_failed: {reason: string};
-  caller_left: {requestId: string; route: string; attempts: number};
-  attempt_ended: {
+  call_admitted: {
+    requestId: string;
+    route: string;
+    service: string;
+    organisation?: string;
+    /** Rank among all requests; 0 is the most urgent. */
+    urgency: number;
+    deadlineMs: number;
+    configVersion: number;
+    /** Bound of the time since that version was known to be the newest. */
+    configAgeMs?: number;
+  };
+  attempt_started: {
     requestId: string;
-    upstream: string;
     attempt: number;
-    outcome: string;
-    reason?: string;
-    status?: number;
+    upstream: string;
     isFreshConnection: boolean;
-    /** Prompt tokens that the engine was believed to have to read. */
+    /** Prompt tokens that the engine is believed to have to read. */
     unreadTokens: number;
-    /** Engine that cached parts were copied from. */
+    /** Engine that cached parts are copied from. */
     copiedFrom?: string;
     expectedWaitMs: number;
     expectedFirstEventMs: number;
+    /** Requests that are believed to run there. */
+    running: number;
+    /** How many times longer than expected the upstream is believed to take. */
+    slowness: number;
+    errorRate: number;
+    /** Last event that the caller has. */
+    resumeAfter?: number;
+  };
+  attempt_ended: {
+    requestId: string;
+    attempt: number;
+    upstream: string;
+    outcome: string;
+    reason?: string;
+    status?: number;
+    firstEventMs?: number;
+    lastEventId?: number;
+    durationMs: number;
+  };
+  call_ended: {
+    requestId: string;
+    route: string;
+    organisation?: string;
+    outcome: string;
+    status?: number;
+    attempts: number;
     firstEventMs?: number;
     durationMs: number;
-    /** How many times longer than expected the upstream was believed to take. */
-    slowness: number;
   };
   config_rejected: {reason: string};
   process_stood_still: {gapMs: number};
--- a/core/metrics/src/metrics_registry.ts
+++ b/core/metrics/src/metrics_registry.ts
@@ -31,15 +31,16 @@
   return {
     increment(name, labels, by = 1) {
       const series = seriesOf(counters, name);
-      const key = formatLabels(labels);
+      const key = keyFor(series, labels);
       series.set(key, (series.get(key) ?? 0) + by);
     },
     setGauge(name, labels, value) {
-      seriesOf(gauges, name).set(formatLabels(labels), value);
+      const series = seriesOf(gauges, name);
+      series.set(keyFor(series, labels), value);
     },
     recordMs(name, labels, durationMs) {
       const series = seriesOf(summaries, name);
-      const key = formatLabels(labels);
+      const key = keyFor(series, labels);
       let summary = series.get(key);
       if (!summary) {
         summary = createSummary();
@@ -58,6 +59,18 @@
   };
 }
 
+/** Series of one family; further label values share the last one. */
+const MAX_SERIES = 1_000;
+
+/** Labels of the series that takes what is beyond the limit. */
+const OVERFLOW_LABELS = 'overflow="true"';
+
+function keyFor<T>(series: ReadonlyMap<string, T>, labels: Labels): string {
+  const key = formatLabels(labels);
+  const hasRoom = series.has(key) || series.size < MAX_SERIES;
+  return hasRoom ? key : OVERFLOW_LABELS;
+}
+
 function seriesOf<T>(families: Map<string, Map<string, T>>, name: string) {
   let series = families.get(name);
   if (!series) {
--- a/core/ports/src/record_feed.ts
+++ b/core/ports/src/record_feed.ts
@@ -23,8 +23,5 @@
 export interface RecordFeed<T> {
   readAll(): Promise<FeedPage<T>>;
   /** Resolves with the changes after a version, without any after `waitMs`. */
-  waitForChanges(
-    afterVersion: number,
-    waitMs: number,
-  ): Promise<FeedChanges<T>>;
+  waitForChanges(afterVersion: number, waitMs: number): Promise<FeedChanges<T>>;
 }
--- a/daemons/gateway/src/call.ts
+++ b/daemons/gateway/src/call.ts
@@ -29,6 +29,7 @@
   isCounted: boolean;
   /** Last event that the caller got. */
   lastEventId: number | undefined;
+  firstEventAtMs: number | undefined;
   isGone: boolean;
   /** Called when the caller has left or the answer is due. */
   onInterrupt: ((reason: InterruptReason) => void) | undefined;
@@ -45,6 +46,8 @@
   | {kind: 'heldAnswer'; answer: BufferedAnswer}
   /** The request has not run there, and will not. */
   | {kind: 'notRun'; reason: string}
+  /** Not a byte of the request left; it counts as no attempt. */
+  | {kind: 'notSent'; reason: string}
   /** The request may have run; its answer is lost or incomplete. */
   | {kind: 'unknown'; reason: string}
   | {kind: 'interrupted'; reason: InterruptReason};
--- /dev/null
+++ b/daemons/gateway/src/call_records.ts
@@ -0,0 +1,132 @@
+import type {AttemptOutcome, Call} from './call.js';
+import type {GatewayContext} from './gateway_context.js';
+import type {PreparedAttempt} from './prepare_attempt.js';
+
+/** What is known of an attempt at its end. */
+export interface EndedAttempt {
+  prepared: PreparedAttempt;
+  outcome: AttemptOutcome;
+  firstEventMs: number | undefined;
+  durationMs: number;
+}
+
+/** Records that a call was admitted to its route, and by what. */
+export function recordAdmission(context: GatewayContext, call: Call): void {
+  const {route, organisation, configVersion} = call;
+  context.logger.info('call_admitted', {
+    requestId: call.requestId,
+    route: route.name,
+    service: call.service,
+    organisation: organisation?.name,
+    urgency: call.urgency,
+    deadlineMs: Math.round(call.deadlineAtMs - call.arrivedAtMs),
+    configVersion,
+    configAgeMs: roundAge(context.configAgeMs()),
+  });
+}
+
+/** Records which upstream was chosen, and what was expected there. */
+export function recordAttemptStart(
+  context: GatewayContext,
+  call: Call,
+  {placement, connection}: PreparedAttempt,
+): void {
+  const {upstream, state} = placement;
+  const {health} = state;
+  context.logger.info('attempt_started', {
+    requestId: call.requestId,
+    attempt: call.attempts,
+    upstream: upstream.id,
+    isFreshConnection: connection.isFresh,
+    unreadTokens: placement.unreadTokens,
+    copiedFrom: placement.copyFrom?.id,
+    expectedWaitMs: Math.round(placement.waitMs),
+    expectedFirstEventMs: Math.round(placement.firstEventMs),
+    running: state.running,
+    slowness: round2(health.slowness),
+    errorRate: round2(health.errorRate),
+    resumeAfter: call.attempts > 1 ? call.lastEventId : undefined,
+  });
+}
+
+/** Records what came of an attempt. */
+export function recordAttemptEnd(
+  {logger, metrics}: GatewayContext,
+  call: Call,
+  {prepared, outcome, firstEventMs, durationMs}: EndedAttempt,
+): void {
+  const {service} = call;
+  metrics.increment('sardinestile_attempts_total', {
+    service,
+    outcome: outcome.kind,
+  });
+  if (firstEventMs !== undefined) {
+    metrics.recordMs(
+      'sardinestile_first_event_seconds',
+      {service},
+      firstEventMs,
+    );
+  }
+  logger.info('attempt_ended', {
+    requestId: call.requestId,
+    attempt: call.attempts,
+    upstream: prepared.placement.upstream.id,
+    outcome: outcome.kind,
+    reason: 'reason' in outcome ? outcome.reason : undefined,
+    status: statusOf(outcome),
+    firstEventMs: firstEventMs && Math.round(firstEventMs),
+    lastEventId: call.lastEventId,
+    durationMs: Math.round(durationMs),
+  });
+}
+
+/** Records the end of a call, however it came. */
+export function recordCallEnd(
+  {logger, metrics, clock}: GatewayContext,
+  call: Call,
+): void {
+  const {response, route, organisation} = call;
+  const durationMs = clock.monotonicMs() - call.arrivedAtMs;
+  const outcome = outcomeOf(call);
+  const status = response.headersSent ? response.statusCode : undefined;
+  metrics.increment('sardinestile_calls_total', {
+    route: route.name,
+    organisation: organisation?.name ?? '',
+    outcome,
+  });
+  metrics.recordMs(
+    'sardinestile_call_seconds',
+    {route: route.name},
+    durationMs,
+  );
+  logger.info('call_ended', {
+    requestId: call.requestId,
+    route: route.name,
+    organisation: organisation?.name,
+    outcome,
+    status,
+    attempts: call.attempts,
+    firstEventMs:
+      call.firstEventAtMs && Math.round(call.firstEventAtMs - call.arrivedAtMs),
+    durationMs: Math.round(durationMs),
+  });
+}
+
+function outcomeOf({isGone, response}: Call): string {
+  if (isGone) return 'callerLeft';
+  if (!response.headersSent || response.destroyed) return 'brokenOff';
+  return response.statusCode < 400 ? 'served' : 'failed';
+}
+
+function statusOf(outcome: AttemptOutcome): number | undefined {
+  if (outcome.kind === 'answered') return outcome.status;
+  return outcome.kind === 'heldAnswer' ? outcome.answer.status : undefined;
+}
+
+function roundAge(ageMs: number): number | undefined {
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+}
+
+function round2(value: number): number {
+  return Number(value.toFixed(2));
+}
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -8,7 +8,9 @@
 import {createConfigView} from './config_view.js';
 import {createConnectionPool} from './connection_pool.js';
 import {createFleetReporter} from './fleet_reporter.js';
+import {createGatewayCount} from './gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
+import {refreshGauges} from './gauges.js';
 import type {GatewayOptions} from './gateway_options.js';
 import {createPeerCalls} from './peer_calls.js';
 import {startPeerRegistry} from './peer_registry.js';
@@ -27,9 +29,6 @@
 /** Margin before the limit on the age of keys, in milliseconds. */
 const KEY_AGE_MARGIN_MS = 400;
 
-/** Gateways that may share the allowance of second sends. */
-const ASSUMED_GATEWAYS = 8;
-
 /** Time before the end of the grace period at which the last connections are closed, in milliseconds. */
 const STOP_MARGIN_MS = 500;
 
@@ -62,9 +61,8 @@
     askPeer: haveVersion => peers.askConfig(haveVersion),
   });
   const fleet = createFleet({
-    traitsOf: name =>
-      config.routes()?.table.services.find(service => service.name === name)
-        ?.engine,
+    traitsOf: name => config.routes()?.service(name)?.engine,
+    shortestGapMs: name => config.routes()?.shortestGapMs(name) ?? Infinity,
   });
   const link: LedgerLink = await openLedgerLink({
     instance,
@@ -101,6 +99,7 @@
       logger,
     });
   const maxKeyAgeMs = options.keyWithdrawalLimitMs - KEY_AGE_MARGIN_MS;
+  const gateways = createGatewayCount();
   const context: GatewayContext = {
     clock,
     dialect: options.dialect,
@@ -111,11 +110,12 @@
     budgets: createRepeatBudgets({
       ratio: options.retryRatio,
       windowMs: options.retryWindowMs,
-      allowance: () => options.retryAllowance / ASSUMED_GATEWAYS,
+      allowance: () => options.retryAllowance / gateways.value,
     }),
     countUsage: organisation =>
       usage?.source.record(organisation, {promptTokens: 0, outputTokens: 0}),
     reporter,
+    gatewayCount: () => gateways.value,
     configAgeMs: () => config.ageMs(),
     limits: {maxKeyAgeMs},
     logger,
@@ -162,6 +162,7 @@
       config.invalidate();
       upstreams.reread();
     }
+    gateways.observe(link.livePeers().length);
     config.askPeersIfStale();
     fleet.membership.expire(clock.monotonicMs());
     fleet.prune(clock.monotonicMs());
@@ -182,7 +183,7 @@
     textServers.push(
       await startTextServer(options.metricsAddress, () => ({
         status: 200,
-        text: metrics.render(),
+        text: renderMetrics(context),
       })),
     );
   }
@@ -227,6 +228,11 @@
   };
 }
 
+function renderMetrics(context: GatewayContext): string {
+  refreshGauges(context);
+  return context.metrics.render();
+}
+
 function formatAddress({host, port}: {host: string; port: number}): string {
   return `${host}:${port}`;
 }
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -25,6 +25,8 @@
   countUsage: (organisation: string) => void;
   /** Tells this gateway's model and the others what was placed where. */
   reporter: FleetReporter;
+  /** Gateways that share what is limited for all of them. */
+  gatewayCount: () => number;
   /** Upper bound of the time since the configuration was known to be the newest. */
   configAgeMs: () => number;
   limits: GatewayLimits;
--- /dev/null
+++ b/daemons/gateway/src/gauges.ts
@@ -0,0 +1,47 @@
+import type {UpstreamState} from '@sardinestile/fleet';
+import type {GatewayContext} from './gateway_context.js';
+
+/** Sets the gauges of what the gateway believes now; called for each scrape. */
+export function refreshGauges(context: GatewayContext): void {
+  const {metrics, fleet, connections, budgets, clock} = context;
+  const nowMs = clock.monotonicMs();
+  const table = context.routes()?.table;
+  metrics.setGauge('sardinestile_config_version', {}, table?.version ?? 0);
+  metrics.setGauge(
+    'sardinestile_config_age_seconds',
+    {},
+    context.configAgeMs() / 1000,
+  );
+  metrics.setGauge('sardinestile_gateways', {}, context.gatewayCount());
+  const {open, idle} = connections.counts();
+  metrics.setGauge('sardinestile_connections_open', {}, open);
+  metrics.setGauge('sardinestile_connections_idle', {}, idle);
+  for (const {name} of table?.services ?? []) {
+    const records = fleet.membership.usableOf(name);
+    const states = records.map(record => fleet.stateOf(record));
+    const sum = (value: (state: UpstreamState) => number) =>
+      states.reduce((total, state) => total + value(state), 0);
+    const labels = {service: name};
+    metrics.setGauge('sardinestile_upstreams', labels, records.length);
+    metrics.setGauge(
+      'sardinestile_upstreams_resting',
+      labels,
+      sum(({health}) => (health.isUsable(nowMs) ? 0 : 1)),
+    );
+    metrics.setGauge(
+      'sardinestile_requests_running',
+      labels,
+      sum(({running}) => running),
+    );
+    metrics.setGauge(
+      'sardinestile_prefill_waiting_seconds',
+      labels,
+      sum(({prefill}) => prefill.totalMs(nowMs)) / 1000,
+    );
+    metrics.setGauge(
+      'sardinestile_repeats_left',
+      labels,
+      budgets.of(name).left(nowMs),
+    );
+  }
+}
--- a/daemons/gateway/src/refuse.ts
+++ b/daemons/gateway/src/refuse.ts
@@ -19,10 +19,7 @@
     status: 503,
     message: 'no upstream of the service can be reached',
   },
-  budgetSpent: {
-    status: 503,
-    message: 'the upstream refused and the retry budget is spent',
-  },
+  notTaken: {status: 503, message: 'no upstream took the request'},
   upstreamFailed: {
     status: 502,
     message: 'the upstream failed; the request may have run',
--- a/daemons/gateway/src/relay_answer.ts
+++ b/daemons/gateway/src/relay_answer.ts
@@ -85,7 +85,7 @@
         },
         onFailure({isSent, reason}) {
           if (isPassing) call.response.destroy();
-          settle(isSent ? {kind: 'unknown', reason} : {kind: 'notRun', reason});
+          settle({kind: isSent ? 'unknown' : 'notSent', reason});
         },
       },
     );
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/relay_stream.ts
@@ -148,7 +148,7 @@
           }
         },
         onFailure({isSent, reason}) {
-          settle(isSent ? {kind: 'unknown', reason} : {kind: 'notRun', reason});
+          settle({kind: isSent ? 'unknown' : 'notSent', reason});
         },
       },
     );
--- /dev/null
+++ b/daemons/gateway/src/run_attempt.ts
@@ -0,0 +1,121 @@
+import type {Fleet, Placement} from '@sardinestile/fleet';
+import type {AttemptOutcome, Call} from './call.js';
+import {recordAttemptEnd, recordAttemptStart} from './call_records.js';
+import type {GatewayContext} from './gateway_context.js';
+import type {PreparedAttempt} from './prepare_attempt.js';
+import {relayAnswer} from './relay_answer.js';
+import {relayStream} from './relay_stream.js';
+
+/** Status from which an upstream's answer says that it failed. */
+export const FIRST_FAILURE_STATUS = 500;
+
+/** Sends a call to the upstream that was chosen, and learns from what comes of it. */
+export async function runAttempt(
+  context: GatewayContext,
+  call: Call,
+  prepared: PreparedAttempt,
+): Promise<AttemptOutcome> {
+  const {fleet, clock, reporter} = context;
+  const {placement, startedAtMs} = prepared;
+  const {id: upstreamId} = placement.upstream;
+  const {requestId} = call;
+  call.attempts++;
+  call.triedIds.add(upstreamId);
+  reporter.placed(
+    {
+      requestId,
+      upstreamId,
+      promptParts: call.facts.promptParts,
+      unreadTokens: placement.unreadTokens,
+      promptTokens: call.facts.promptTokens,
+      urgency: call.urgency,
+      targetGapMs: call.route.targetGapMs,
+    },
+    startedAtMs,
+  );
+  recordAttemptStart(context, call, prepared);
+  let firstEventMs: number | undefined;
+  const outcome =
+    call.route.kind === 'stream'
+      ? await relayStream(context, call, prepared, {
+          onFirstEvent(nowMs) {
+            firstEventMs = nowMs - startedAtMs;
+            call.firstEventAtMs ??= nowMs;
+            reporter.firstEvent(upstreamId, requestId, nowMs);
+            countUsage(context, call);
+          },
+        })
+      : await relayAnswer(context, call, prepared);
+  const endedAtMs = clock.monotonicMs();
+  reporter.ended(upstreamId, requestId, endedAtMs);
+  noteHealth(outcome, placement, endedAtMs);
+  if (firstEventMs !== undefined) learn(fleet, call, placement, firstEventMs);
+  noteOutcome(context, call, outcome);
+  const durationMs = endedAtMs - startedAtMs;
+  recordAttemptEnd(context, call, {
+    prepared,
+    outcome,
+    firstEventMs,
+    durationMs,
+  });
+  return outcome;
+}
+
+/** Notes whether the call may have run, and whether it counts as used. */
+function noteOutcome(
+  context: GatewayContext,
+  call: Call,
+  outcome: AttemptOutcome,
+): void {
+  if (outcome.kind === 'notSent') call.attempts--;
+  if (outcome.kind === 'unknown' || outcome.kind === 'heldAnswer') {
+    call.mayHaveRun = true;
+  }
+  const isServed =
+    outcome.kind === 'heldAnswer' &&
+    outcome.answer.status < FIRST_FAILURE_STATUS;
+  if (isServed) countUsage(context, call);
+}
+
+/** Takes what the first event shows of the engine's speed. */
+function learn(
+  fleet: Fleet,
+  call: Call,
+  placement: Placement,
+  firstEventMs: number,
+): void {
+  const {model} = fleet.serviceOf(call.service);
+  const {state, waitMs, unreadTokens, copyFrom} = placement;
+  state.health.recordPace(firstEventMs, placement.firstEventMs);
+  if (waitMs === 0 && !copyFrom) model.learn(unreadTokens, firstEventMs);
+}
+
+function countUsage(context: GatewayContext, call: Call): void {
+  if (call.isCounted || !call.organisation) return;
+  call.isCounted = true;
+  context.countUsage(call.organisation.name);
+}
+
+function noteHealth(
+  outcome: AttemptOutcome,
+  {state}: Placement,
+  nowMs: number,
+): void {
+  const {health} = state;
+  const handlers: Readonly<Record<AttemptOutcome['kind'], () => void>> = {
+    answered: () => health.recordSuccess(),
+    heldAnswer() {
+      const isFailure =
+        outcome.kind === 'heldAnswer' &&
+        outcome.answer.status >= FIRST_FAILURE_STATUS;
+      if (isFailure) health.recordError();
+      else health.recordSuccess();
+    },
+    unknown: () => health.recordUnreachable(nowMs),
+    notRun: () => health.recordUnreachable(nowMs),
+    notSent: () => health.recordUnreachable(nowMs),
+    // Says nothing about the upstream.
+    interrupted: () => undefined,
+  };
+  handlers[outcome.kind]();
+}
--- a/daemons/gateway/src/serve_call.ts
+++ b/daemons/gateway/src/serve_call.ts
@@ -2,6 +2,7 @@
 import {elapsedMs, readClocks} from '@sardinestile/freshness';
 import {chooseTarget, type RouteIndex} from '@sardinestile/route_table';
 import type {Call, InterruptReason} from './call.js';
+import {recordAdmission, recordCallEnd} from './call_records.js';
 import type {GatewayContext} from './gateway_context.js';
 import {readBody} from './read_body.js';
 import {refuse} from './refuse.js';
@@ -82,6 +83,7 @@
     mayHaveRun: false,
     isCounted: false,
     lastEventId: facts.lastEventId,
+    firstEventAtMs: undefined,
     isGone: false,
     onInterrupt: undefined,
   };
@@ -108,8 +110,10 @@
     Math.min(call.endAtMs, call.deadlineAtMs) - context.clock.monotonicMs();
   const timer = setTimeout(() => interrupt('timeout'), Math.max(0, leftMs));
   try {
+    recordAdmission(context, call);
     if (!call.response.destroyed) await runCall(context, call);
   } finally {
+    recordCallEnd(context, call);
     clearTimeout(timer);
     call.response.off('close', onClose);
   }
--- a/routing/fleet/src/decaying_sum.ts
+++ b/routing/fleet/src/decaying_sum.ts
@@ -1,3 +1,6 @@
+/** Shortest time over which a rate is taken, in milliseconds. */
+const MIN_AGE_MS = 500;
+
 /** A sum whose parts lose weight with time. */
 export interface DecayingSum {
   add(value: number, nowMs: number): void;
@@ -9,6 +12,7 @@
 export function createDecayingSum(timeConstantMs: number): DecayingSum {
   let sum = 0;
   let atMs = 0;
+  let firstAtMs: number | undefined;
   const decay = (nowMs: number) => {
     sum *= Math.exp(-Math.max(0, nowMs - atMs) / timeConstantMs);
     atMs = nowMs;
@@ -16,11 +20,16 @@
   return {
     add(value, nowMs) {
       decay(nowMs);
+      firstAtMs ??= nowMs;
       sum += value;
     },
     rate(nowMs) {
       decay(nowMs);
-      return sum / timeConstantMs;
+      if (firstAtMs === undefined) return 0;
+      // Before the time constant is over, the weights do not add up to one yet.
+      const ageMs = Math.max(MIN_AGE_MS, nowMs - firstAtMs);
+      const weight = 1 - Math.exp(-ageMs / timeConstantMs);
+      return sum / (timeConstantMs * weight);
     },
   };
 }
--- a/routing/fleet/src/fleet.ts
+++ b/routing/fleet/src/fleet.ts
@@ -59,6 +59,8 @@
 export interface FleetOptions {
   /** Traits of a service's engines in the configuration in force. */
   traitsOf: (service: string) => EngineTraits | undefined;
+  /** Shortest gap between events that callers of a service want; infinite without any. */
+  shortestGapMs: (service: string) => number;
 }
 
 interface RunningRequest {
@@ -100,7 +102,9 @@
     if (!service) {
       service = {
         model: createEngineModel(),
-        partition: createPromptPartition(name),
+        partition: createPromptPartition(name, () =>
+          options.shortestGapMs(name),
+        ),
       };
       services.set(name, service);
     }
@@ -133,7 +137,6 @@
       state.running++;
       state.runningTokens += promptTokens;
       if (targetGapMs !== undefined) {
-        partition.noteGap(targetGapMs);
         state.streams.add(requestId, targetGapMs);
       }
       if (partition.isLong(workMs)) partition.recordLong(workMs, nowMs);
--- a/routing/fleet/src/prompt_partition.ts
+++ b/routing/fleet/src/prompt_partition.ts
@@ -19,8 +19,6 @@
 export interface PromptPartition {
   /** Whether reading takes so long that it makes streams beside it late. */
   isLong(readMs: number): boolean;
-  /** Notes a gap that callers of the service want. */
-  noteGap(gapMs: number): void;
   /** Notes a long prompt that was placed. */
   recordLong(workMs: number, nowMs: number): void;
   /** Ids of the engines that long prompts go to. */
@@ -30,16 +28,18 @@
   ): ReadonlySet<string>;
 }
 
-/** Makes a partition without demand. */
-export function createPromptPartition(service: string): PromptPartition {
+/**
+ * Makes a partition without demand. `shortestGapMs` is the shortest gap that
+ * callers of the service want.
+ */
+export function createPromptPartition(
+  service: string,
+  shortestGapMs: () => number,
+): PromptPartition {
   const demand = createDecayingSum(DEMAND_MS);
   const serviceHash = hashText(service);
-  let shortestGapMs = Infinity;
   return {
-    isLong: readMs => readMs > PAUSE_SHARE * shortestGapMs,
-    noteGap(gapMs) {
-      shortestGapMs = Math.min(shortestGapMs, gapMs);
-    },
+    isLong: readMs => readMs > PAUSE_SHARE * shortestGapMs(),
     recordLong: (workMs, nowMs) => demand.add(workMs, nowMs),
     longEngines(records, nowMs) {
       const wanted = Math.ceil(demand.rate(nowMs) / TARGET_SHARE);
--- a/routing/route_table/src/match_route.ts
+++ b/routing/route_table/src/match_route.ts
@@ -1,5 +1,10 @@
 import {hashText} from '@sardinestile/placement';
-import type {KeyHolder, Route, RouteTable} from './route_table_schema.js';
+import type {
+  KeyHolder,
+  Route,
+  RoutedService,
+  RouteTable,
+} from './route_table_schema.js';
 import {createUrgencyRanks, type UrgencyRanks} from './urgency_ranks.js';
 
 /** Answers look-ups in one version of the routes. */
@@ -9,6 +14,9 @@
   match(host: string, path: string): Route | undefined;
   /** The organisation that holds a key. */
   holderOf(key: string): KeyHolder | undefined;
+  service(name: string): RoutedService | undefined;
+  /** Shortest gap between events that callers of a service want; infinite without any. */
+  shortestGapMs(service: string): number;
   /** Rank of a request in an upstream's queue; 0 is first. */
   urgencyOf: UrgencyRanks;
 }
@@ -26,6 +34,8 @@
   for (const holder of table.keyHolders ?? []) {
     for (const key of holder.keys) holders.set(key, holder);
   }
+  const services = new Map(table.services.map(s => [s.name, s]));
+  const gaps = shortestGaps(table);
   return {
     table,
     match(host, path) {
@@ -33,6 +43,8 @@
       return prefixes && longestPrefix(prefixes, stripQuery(path));
     },
     holderOf: key => holders.get(key),
+    service: name => services.get(name),
+    shortestGapMs: service => gaps.get(service) ?? Infinity,
     urgencyOf: createUrgencyRanks(table),
   };
 }
@@ -54,6 +66,17 @@
   return first.service;
 }
 
+function shortestGaps({routes}: RouteTable): Map<string, number> {
+  const gaps = new Map<string, number>();
+  for (const {targets, targetGapMs} of routes) {
+    if (targetGapMs === undefined) continue;
+    for (const {service} of targets) {
+      gaps.set(service, Math.min(targetGapMs, gaps.get(service) ?? Infinity));
+    }
+  }
+  return gaps;
+}
+
 /** Looks up each prefix of the path that ends with a slash, longest first. */
 function longestPrefix(
   prefixes: ReadonlyMap<string, Route>,
