fix(fleet): copy only parts that an engine has read

Cause: a part counted as held from the moment its first request was placed, so that copies were asked of engines that had not read it, and it was read again. Change: a part can be copied once a request with it got its first event.

--- a/routing/fleet/src/fleet.ts
+++ b/routing/fleet/src/fleet.ts
@@ -1,3 +1,4 @@
+import type {PromptPart} from '@sardinestile/ports';
 import type {EngineTraits} from '@sardinestile/route_table';
 import {createEngineModel, type EngineModel} from './engine_model.js';
 import type {PlacedRequest, UpstreamRecord} from './fleet_types.js';
@@ -68,6 +69,7 @@
   upstreamId: string;
   requestId: string;
   promptTokens: number;
+  promptParts: readonly PromptPart[];
   placedAtMs: number;
 }
 
@@ -145,11 +147,16 @@
         upstreamId,
         requestId,
         promptTokens,
+        promptParts: request.promptParts,
         placedAtMs: nowMs,
       });
     },
     recordFirstEvent(upstreamId, requestId, nowMs) {
-      states.get(upstreamId)?.prefill.remove(requestId, nowMs);
+      const state = states.get(upstreamId);
+      const request = running.get(runKey(upstreamId, requestId));
+      if (!state || !request) return;
+      state.prefill.remove(requestId, nowMs);
+      state.cache.confirm(request.promptParts);
     },
     recordEnded(upstreamId, requestId, nowMs) {
       const key = runKey(upstreamId, requestId);
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -111,7 +111,7 @@
   const ownTokens = Math.max(0, request.promptTokens - sharedTokens);
   let holder: PlacementContext['holder'];
   records.forEach((record, i) => {
-    const tokens = states[i].cache.cachedTokens(shared);
+    const tokens = states[i].cache.readTokens(shared);
     if (!states[i].health.isUsable(nowMs)) return;
     if (tokens > (holder?.tokens ?? 0)) holder = {record, tokens};
   });
