feat(admission): refuse by predicted wait; keep places for short prompts

Cause: bursts beyond the engines queued every long prompt for one to two seconds, so that all were late, and the engine for short prompts ran out of places when another one crashed. Ruled out: queueing longer (late requests take the same engine time). Change: a request whose predicted wait passes what its caller wants is refused at once with a time to return; engines for short prompts are kept by the places that they need. Tests play the load on virtual engines.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import {serveCall} from './serve_call.js';
 import {startTextServer} from './text_server.js';
 import {createUpstreamView} from './upstream_view.js';
+import {createUsualWork} from './usual_work.js';
 import {startUsageDuties} from './usage_duties.js';
 
 /** Interval of the housekeeping, in milliseconds. */
@@ -112,6 +113,7 @@
       windowMs: options.retryWindowMs,
       allowance: () => options.retryAllowance / gateways.value,
     }),
+    usualWork: createUsualWork(),
     countUsage: organisation =>
       usage?.source.record(organisation, {promptTokens: 0, outputTokens: 0}),
     reporter,
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -6,6 +6,7 @@
 import type {Clock} from '@sardinestile/types';
 import type {ConnectionPool} from './connection_pool.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
+import type {UsualWork} from './usual_work.js';
 import type {FleetReporter} from './fleet_reporter.js';
 
 /** Limits that the deployment sets. */
@@ -21,6 +22,7 @@
   fleet: Fleet;
   connections: ConnectionPool;
   budgets: RepeatBudgets;
+  usualWork: UsualWork;
   /** Counts a request that an upstream began for an organisation. */
   countUsage: (organisation: string) => void;
   /** Tells this gateway's model and the others what was placed where. */
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -1,9 +1,11 @@
+import {decideAdmission} from '@sardinestile/admission';
 import {placeRequest, type Placement} from '@sardinestile/fleet';
 import type {RouteKind} from '@sardinestile/route_table';
 import type {BufferedAnswer, Call} from './call.js';
 import {endInterrupted, finishCall} from './finish_call.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
+import {refuse} from './refuse.js';
 import {FIRST_FAILURE_STATUS, runAttempt} from './run_attempt.js';
 
 /** Fewest connections that a gateway may open to one upstream. */
@@ -47,6 +49,13 @@
     }
     const placement = place(context, call, nowMs);
     if (!placement) break;
+    if (call.attempts === 0) {
+      const decision = admit(context, call, placement, nowMs);
+      if (decision.kind === 'refuse') {
+        refuseOverload(context, call, placement, decision.retryAfterMs);
+        return;
+      }
+    }
     const prepared = prepare(context, call, placement, nowMs);
     if (!prepared) {
       reason = `no connection to ${placement.upstream.id} is free`;
@@ -92,6 +101,36 @@
   return placeRequest(context.fleet, request, nowMs);
 }
 
+function admit(
+  context: GatewayContext,
+  call: Call,
+  {waitMs, firstEventMs}: Placement,
+  nowMs: number,
+) {
+  const workMs = firstEventMs - waitMs;
+  return decideAdmission({
+    waitMs,
+    workMs,
+    usualWorkMs: context.usualWork.observe(call.route.name, workMs),
+    targetLatencyMs: call.route.targetLatencyMs,
+    timeLeftMs: Math.min(call.endAtMs, call.deadlineAtMs) - nowMs,
+  });
+}
+
+function refuseOverload(
+  context: GatewayContext,
+  call: Call,
+  {waitMs, firstEventMs, upstream}: Placement,
+  retryAfterMs: number,
+): void {
+  refuse(context, call, 'overloaded', {
+    retryAfterMs,
+    reason:
+      `${upstream.id} would begin after ${Math.round(waitMs)} ms ` +
+      `and answer after ${Math.round(firstEventMs)} ms`,
+  });
+}
+
 function prepare(
   context: GatewayContext,
   call: Call,
--- a/routing/fleet/src/fleet.ts
+++ b/routing/fleet/src/fleet.ts
@@ -66,10 +66,12 @@
 
 interface RunningRequest {
   placer: Placer;
+  service: string;
   upstreamId: string;
   requestId: string;
   promptTokens: number;
   promptParts: readonly PromptPart[];
+  isLong: boolean;
   placedAtMs: number;
 }
 
@@ -114,6 +116,9 @@
   };
   const end = (key: string, request: RunningRequest, nowMs: number) => {
     running.delete(key);
+    if (!request.isLong) {
+      serviceOf(request.service).partition.countShort(-1);
+    }
     const state = states.get(request.upstreamId);
     if (!state) return;
     state.prefill.remove(request.requestId, nowMs);
@@ -141,13 +146,17 @@
       if (targetGapMs !== undefined) {
         state.streams.add(requestId, targetGapMs);
       }
-      if (partition.isLong(workMs)) partition.recordLong(workMs, nowMs);
+      const isLong = partition.isLong(workMs);
+      if (isLong) partition.recordLong(workMs, nowMs);
+      else partition.countShort(1);
       running.set(key, {
         placer,
+        service: record.service,
         upstreamId,
         requestId,
         promptTokens,
         promptParts: request.promptParts,
+        isLong,
         placedAtMs: nowMs,
       });
     },
--- a/routing/fleet/src/prompt_partition.ts
+++ b/routing/fleet/src/prompt_partition.ts
@@ -8,6 +8,9 @@
 /** Share of their time that engines for long prompts should read. */
 const TARGET_SHARE = 0.5;
 
+/** Share of their places that engines for short prompts should have taken. */
+const SHORT_PLACES_SHARE = 0.7;
+
 /** Part of the wanted gap that reading a prompt may take beside running streams. */
 const PAUSE_SHARE = 0.6;
 
@@ -19,6 +22,8 @@
 export interface PromptPartition {
   /** Whether reading takes so long that it makes streams beside it late. */
   isLong(readMs: number): boolean;
+  /** Notes that a request with a short prompt began or ended. */
+  countShort(by: 1 | -1): void;
   /** Notes a long prompt that was placed. */
   recordLong(workMs: number, nowMs: number): void;
   /** Ids of the engines that long prompts go to. */
@@ -38,12 +43,21 @@
 ): PromptPartition {
   const demand = createDecayingSum(DEMAND_MS);
   const serviceHash = hashText(service);
+  let shortRunning = 0;
   return {
     isLong: readMs => readMs > PAUSE_SHARE * shortestGapMs(),
+    countShort(by) {
+      shortRunning += by;
+    },
     recordLong: (workMs, nowMs) => demand.add(workMs, nowMs),
     longEngines(records, nowMs) {
       const wanted = Math.ceil(demand.rate(nowMs) / TARGET_SHARE);
-      const count = Math.max(1, Math.min(records.length - 1, wanted));
+      const places = records[0]?.places ?? 1;
+      const forShort = Math.max(
+        1,
+        Math.ceil(shortRunning / (SHORT_PLACES_SHARE * places)),
+      );
+      const count = Math.max(1, Math.min(records.length - forShort, wanted));
       const ranked = records
         .map(({id}) => ({
           id,
--- a/routing/fleet/test/placement_under_load_test.ts
+++ b/routing/fleet/test/placement_under_load_test.ts
@@ -1,6 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
+  placeAdmitted,
   placeByFleet,
   placeLeastLoaded,
   playLoad,
@@ -79,6 +80,14 @@
     });
   });
 
+  it('refusing at once serves more in time when the load is beyond the engines', () => {
+    const overload = [{...LONG, perSecond: 60}, SHORT];
+    const admitted = play(overload, placeAdmitted);
+    const queued = play(overload, placeByFleet);
+    expect(admitted.long > 2 * queued.long).toEqual(true);
+    expect(admitted.short > queued.short).toEqual(true);
+  });
+
   it('a burst of long prompts at twice the rate leaves the urgent streams on time', () => {
     const burst = [{...LONG, perSecond: 24}, SHORT];
     const placed = play(burst, placeByFleet);
--- a/routing/fleet/test/virtual_engines.ts
+++ b/routing/fleet/test/virtual_engines.ts
@@ -1,3 +1,4 @@
+import {decideAdmission} from '@sardinestile/admission';
 import {createSeededRandom} from '@sardinestile/types';
 import {
   createFleet,
@@ -13,6 +14,9 @@
 const CHUNK_TOKENS = 1_024;
 const TOKENS_PER_EVENT = 4;
 
+/** Time that callers wait. */
+const PATIENCE_MS = 5_000;
+
 /** Attention: a chunk takes longer the more of its prompt was read before. */
 const MS_PER_MILLION_PAIRS = 0.7;
 
@@ -37,17 +41,31 @@
   rereadTokens: number;
 }
 
-/** Chooses an engine for a request. */
+/** Chooses an engine for a request; undefined refuses it. */
 export type Placer = (
   fleet: Fleet,
   request: PlacementRequest,
   nowMs: number,
-) => string;
+) => string | undefined;
 
 /** The placement under test. */
 export const placeByFleet: Placer = (fleet, request, nowMs) =>
   placeRequest(fleet, request, nowMs)!.upstream.id;
 
+/** The same with refusals at once by the predicted wait. */
+export const placeAdmitted: Placer = (fleet, request, nowMs) => {
+  const {upstream, waitMs, firstEventMs} = placeRequest(fleet, request, nowMs)!;
+  const workMs = firstEventMs - waitMs;
+  const {kind} = decideAdmission({
+    waitMs,
+    workMs,
+    usualWorkMs: workMs,
+    targetLatencyMs: request.targetLatencyMs,
+    timeLeftMs: PATIENCE_MS,
+  });
+  return kind === 'admit' ? upstream.id : undefined;
+};
+
 /** Baseline: the engine with the fewest requests. */
 export const placeLeastLoaded: Placer = (fleet, request) =>
   fleet.membership
@@ -118,12 +136,13 @@
         promptParts,
         triedIds: new Set<string>(),
       };
+      const result = served.get(kind.name)!;
+      result.asked++;
       const upstreamId = place(fleet, request, nowMs);
+      if (upstreamId === undefined) continue;
       const engine = engines.find(candidate => candidate.id === upstreamId)!;
       const isCached = engine.cached.has(part);
       const unreadTokens = kind.ownTokens + (isCached ? 0 : kind.sharedTokens);
-      const result = served.get(kind.name)!;
-      result.asked++;
       if (!isCached && everRead.has(part))
         result.rereadTokens += kind.sharedTokens;
       everRead.add(part);
--- /dev/null
+++ b/scheduling/admission/src/index.ts
@@ -0,0 +1,1 @@
+export * from './decide_admission.js';
