--- a/daemons/gateway/src/call_records.ts
+++ b/daemons/gateway/src/call_records.ts
@@ -29,7 +29,7 @@
 export function recordAttemptStart(
   context: GatewayContext,
   call: Call,
-  {placement, connection}: PreparedAttempt,
+  {placement, connection, startedAtMs}: PreparedAttempt,
 ): void {
   const {upstream, state} = placement;
   const {health} = state;
@@ -44,7 +44,7 @@
     expectedFirstEventMs: Math.round(placement.firstEventMs),
     running: state.running,
     slowness: round2(health.slowness),
-    errorRate: round2(health.errorRate),
+    errorRate: round2(health.errorRate(startedAtMs)),
     resumeAfter: call.attempts > 1 ? call.lastEventId : undefined,
   });
 }
--- a/daemons/gateway/src/fleet_reporter.ts
+++ b/daemons/gateway/src/fleet_reporter.ts
@@ -6,7 +6,13 @@
 export interface FleetReporter {
   placed(request: PlacedRequest, nowMs: number): void;
   firstEvent(upstreamId: string, requestId: string, nowMs: number): void;
-  ended(upstreamId: string, requestId: string, nowMs: number): void;
+  /** `hasFailed` is undefined where the end says nothing about the upstream. */
+  ended(
+    upstreamId: string,
+    requestId: string,
+    hasFailed: boolean | undefined,
+    nowMs: number,
+  ): void;
   /** Takes news of another gateway. */
   applyNews(peer: string, news: LedgerNews): void;
 }
@@ -40,8 +46,13 @@
       ),
     firstEvent: (_peer, {upstreamId, requestId}) =>
       fleet.recordFirstEvent(upstreamId, requestId, clock.monotonicMs()),
-    ended: (_peer, {upstreamId, requestId}) =>
-      fleet.recordEnded(upstreamId, requestId, clock.monotonicMs()),
+    ended(_peer, {upstreamId, requestId, hasFailed}) {
+      const nowMs = clock.monotonicMs();
+      fleet.recordEnded(upstreamId, requestId, nowMs);
+      if (hasFailed !== undefined) {
+        fleet.recordPeerOutcome(upstreamId, hasFailed, nowMs);
+      }
+    },
   };
   return {
     placed(request, nowMs) {
@@ -64,9 +75,9 @@
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
       link.send({kind: 'firstEvent', requestId, upstreamId}, false);
     },
-    ended(upstreamId, requestId, nowMs) {
+    ended(upstreamId, requestId, hasFailed, nowMs) {
       fleet.recordEnded(upstreamId, requestId, nowMs);
-      link.send({kind: 'ended', requestId, upstreamId}, false);
+      link.send({kind: 'ended', requestId, upstreamId, hasFailed}, false);
     },
     applyNews(peer, news) {
       (handlers[news.kind] as (peer: string, news: LedgerNews) => void)(
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -189,7 +189,10 @@
       })),
     );
   }
+  let isClosed = false;
   const close = async () => {
+    if (isClosed) return;
+    isClosed = true;
     isStopping = true;
     clearInterval(tick);
     listener.close();
--- a/daemons/gateway/src/run_attempt.ts
+++ b/daemons/gateway/src/run_attempt.ts
@@ -47,7 +47,7 @@
         })
       : await relayAnswer(context, call, prepared);
   const endedAtMs = clock.monotonicMs();
-  reporter.ended(upstreamId, requestId, endedAtMs);
+  reporter.ended(upstreamId, requestId, hasFailed(outcome), endedAtMs);
   noteHealth(outcome, placement, endedAtMs);
   if (firstEventMs !== undefined) learn(fleet, call, placement, firstEventMs);
   noteOutcome(context, call, outcome);
@@ -96,26 +96,23 @@
   context.countUsage(call.organisation.name);
 }
 
+/** What an outcome says about the upstream; undefined if nothing. */
+function hasFailed(outcome: AttemptOutcome): boolean | undefined {
+  if (outcome.kind === 'interrupted') return undefined;
+  if (outcome.kind === 'answered') return false;
+  if (outcome.kind !== 'heldAnswer') return true;
+  return outcome.answer.status >= FIRST_FAILURE_STATUS;
+}
+
 function noteHealth(
   outcome: AttemptOutcome,
   {state}: Placement,
   nowMs: number,
 ): void {
   const {health} = state;
-  const handlers: Readonly<Record<AttemptOutcome['kind'], () => void>> = {
-    answered: () => health.recordSuccess(),
-    heldAnswer() {
-      const isFailure =
-        outcome.kind === 'heldAnswer' &&
-        outcome.answer.status >= FIRST_FAILURE_STATUS;
-      if (isFailure) health.recordError();
-      else health.recordSuccess();
-    },
-    unknown: () => health.recordUnreachable(nowMs),
-    notRun: () => health.recordUnreachable(nowMs),
-    notSent: () => health.recordUnreachable(nowMs),
-    // Says nothing about the upstream.
-    interrupted: () => undefined,
-  };
-  handlers[outcome.kind]();
+  const failed = hasFailed(outcome);
+  if (failed === undefined) return;
+  if (!failed) health.recordSuccess(nowMs);
+  else if (outcome.kind === 'heldAnswer') health.recordError(nowMs);
+  else health.recordUnreachable(nowMs);
 }
--- a/protocol/ledger/src/ledger_codec.ts
+++ b/protocol/ledger/src/ledger_codec.ts
@@ -22,6 +22,8 @@
   kind: z.literal('ended'),
   requestId: z.string(),
   upstreamId: z.string(),
+  /** Absent where the end says nothing about the upstream. */
+  hasFailed: z.boolean().optional(),
 });
 
 /** News of one request. */
@@ -78,7 +80,15 @@
 
 function encodeNews(news: LedgerNews): NewsRow {
   if (news.kind === 'firstEvent') return ['f', news.requestId, news.upstreamId];
-  if (news.kind === 'ended') return ['e', news.requestId, news.upstreamId];
+  if (news.kind === 'ended') {
+    const {requestId, upstreamId, hasFailed} = news;
+    return [
+      'e',
+      requestId,
+      upstreamId,
+      hasFailed === undefined ? null : +hasFailed,
+    ];
+  }
   return [
     'p',
     news.requestId,
@@ -94,7 +104,10 @@
 function decodeNews(row: NewsRow): unknown {
   const [letter, requestId, upstreamId] = row;
   if (letter === 'f') return {kind: 'firstEvent', requestId, upstreamId};
-  if (letter === 'e') return {kind: 'ended', requestId, upstreamId};
+  if (letter === 'e') {
+    const hasFailed = row[3] === null ? undefined : row[3] === 1;
+    return {kind: 'ended', requestId, upstreamId, hasFailed};
+  }
   const [unreadTokens, promptTokens, urgency, gapMs, ...flat] = row.slice(3);
   const parts: unknown[] = [];
   for (let i = 0; i < flat.length; i += 2) {
--- a/routing/fleet/src/fleet.ts
+++ b/routing/fleet/src/fleet.ts
@@ -50,6 +50,8 @@
   /** Notes that the request's first event came. */
   recordFirstEvent(upstreamId: string, requestId: string, nowMs: number): void;
   recordEnded(upstreamId: string, requestId: string, nowMs: number): void;
+  /** Notes what came of a request of another gateway. */
+  recordPeerOutcome(upstreamId: string, isError: boolean, nowMs: number): void;
   /** Forgets what a gateway placed that is gone. */
   forgetPlacer(placer: Placer, nowMs: number): void;
   /** Forgets upstreams that no longer exist and requests without news. */
@@ -172,6 +174,9 @@
       const request = running.get(key);
       if (request) end(key, request, nowMs);
     },
+    recordPeerOutcome(upstreamId, isError, nowMs) {
+      states.get(upstreamId)?.health.recordPeerOutcome(isError, nowMs);
+    },
     forgetPlacer(placer, nowMs) {
       for (const [key, request] of running) {
         if (request.placer === placer) end(key, request, nowMs);
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -21,8 +21,8 @@
 /** Cost of each request that runs at the upstream already, in milliseconds. */
 const RUNNING_COST_MS = 1;
 
-/** Cost of an upstream that fails every request, in milliseconds. */
-const ERROR_COST_MS = 3_000;
+/** Cost of a request that fails, in milliseconds of waiting; more than of a late one. */
+const ERROR_COST_MS = 1_200;
 
 /** Cost of the other side of the partition of long and short prompts, in milliseconds. */
 const CROSSING_COST_MS = 250;
@@ -135,7 +135,7 @@
 ): Candidate {
   const {request, service, sharedTokens, nowMs} = context;
   const {model} = service;
-  const {slowness, errorRate} = state.health;
+  const {slowness} = state.health;
   const cachedTokens = state.cache.cachedTokens(request.promptParts);
   const copy = copyTo(context, upstream, cachedTokens);
   const unreadTokens = Math.max(
@@ -156,7 +156,7 @@
     crossingCost(context, upstream) +
     fullnessCost(context, upstream, state) +
     RUNNING_COST_MS * state.running +
-    ERROR_COST_MS * errorRate ** 2;
+    ERROR_COST_MS * state.health.errorRate(nowMs);
   return {
     upstream,
     state,
--- a/routing/fleet/src/upstream_health.ts
+++ b/routing/fleet/src/upstream_health.ts
@@ -8,6 +8,12 @@
 /** Weight of one answer in the error rate. */
 const ERROR_RATE_WEIGHT = 0.12;
 
+/** The same where another gateway saw the answer; its path there may be at fault. */
+const PEER_ERROR_RATE_WEIGHT = 0.06;
+
+/** Time after which the error rate has fallen to 37% without requests, in milliseconds. */
+const ERROR_RATE_DECAY_MS = 6_000;
+
 /** Weight of one sample in the slowness of an upstream. */
 const SLOWNESS_WEIGHT = 0.2;
 
@@ -19,12 +25,14 @@
   /** Whether requests may go there now. */
   isUsable(nowMs: number): boolean;
   /** Share of recent requests that it failed, 0 to 1. */
-  readonly errorRate: number;
+  errorRate(nowMs: number): number;
   /** How many times longer than expected it takes; at least 1. */
   readonly slowness: number;
-  recordSuccess(): void;
+  recordSuccess(nowMs: number): void;
   /** Notes an answer that says the upstream failed the request. */
-  recordError(): void;
+  recordError(nowMs: number): void;
+  /** Notes what came of another gateway's request. */
+  recordPeerOutcome(isError: boolean, nowMs: number): void;
   /** Notes that it could not be reached or broke off. */
   recordUnreachable(nowMs: number): void;
   recordPace(actualMs: number, expectedMs: number): void;
@@ -36,29 +44,35 @@
   let restUntilMs = 0;
   let restMs = MIN_REST_MS;
   let errorRate = 0;
+  let errorRateAtMs = 0;
   let slowness = 1;
-  const blend = (isError: boolean) => {
-    errorRate += ERROR_RATE_WEIGHT * ((isError ? 1 : 0) - errorRate);
+  const decay = (nowMs: number) => {
+    const ageMs = Math.max(0, nowMs - errorRateAtMs);
+    errorRate *= Math.exp(-ageMs / ERROR_RATE_DECAY_MS);
+    errorRateAtMs = nowMs;
+    return errorRate;
+  };
+  const blend = (isError: boolean, weight: number, nowMs: number) => {
+    decay(nowMs);
+    errorRate += weight * ((isError ? 1 : 0) - errorRate);
   };
   return {
     isUsable: nowMs => nowMs >= restUntilMs,
-    get errorRate() {
-      return errorRate;
-    },
+    errorRate: decay,
     get slowness() {
       return slowness;
     },
-    recordSuccess() {
+    recordSuccess(nowMs) {
       failures = 0;
       restMs = MIN_REST_MS;
-      blend(false);
-    },
-    recordError() {
-      blend(true);
+      blend(false, ERROR_RATE_WEIGHT, nowMs);
     },
+    recordError: nowMs => blend(true, ERROR_RATE_WEIGHT, nowMs),
+    recordPeerOutcome: (isError, nowMs) =>
+      blend(isError, PEER_ERROR_RATE_WEIGHT, nowMs),
     recordUnreachable(nowMs) {
       failures++;
-      blend(true);
+      blend(true, ERROR_RATE_WEIGHT, nowMs);
       if (failures < FAILURES_TO_REST) return;
       restUntilMs = nowMs + restMs;
       restMs = Math.min(MAX_REST_MS, 2 * restMs);
