perf(gateway): fewer calls to the store

Change: calls for upstreams are paced by the time in which a drain must be known, those for the configuration by the limit on withdrawn keys; three gateways compete for a duty; the reporter knows when nothing is due.

--- a/daemons/duties/src/usage_duty.ts
+++ b/daemons/duties/src/usage_duty.ts
@@ -25,7 +25,12 @@
   /** Time between two looks for windows to report. */
   intervalMs?: number;
   /** Where the lease differs from the usual one. */
-  lease?: Partial<Pick<RunLeaseOptions, 'durationMs' | 'orderTimeoutMs' | 'tickMs'>>;
+  lease?: Partial<
+    Pick<
+      RunLeaseOptions,
+      'durationMs' | 'orderTimeoutMs' | 'tickMs' | 'isCandidate'
+    >
+  >;
   logger: Logger;
 }
 
--- a/daemons/gateway/src/config_view.ts
+++ b/daemons/gateway/src/config_view.ts
@@ -14,11 +14,8 @@
 import type {Clock} from '@sardinestile/types';
 import {followFeed} from './follow_feed.js';
 
-/** Longest wait for news of the configuration, in milliseconds. */
-const WAIT_MS = 1_000;
-
-/** Age of the view from which peers are asked, in milliseconds; the store is asked each second. */
-const ASK_PEERS_AGE_MS = 1_600;
+/** Age of the view from which peers are asked, in waits; the store is asked once in each. */
+const ASK_PEERS_AGE_WAITS = 1.5;
 
 /** The configuration that this gateway believes to be in force. */
 export interface ConfigView {
@@ -41,6 +38,8 @@
 /** What a view follows. */
 export interface ConfigViewOptions {
   feed: RecordFeed<RouteTable>;
+  /** Longest wait of one call; a proof of the view is as old as the wait. */
+  waitMs: number;
   clock: Clock;
   logger: Logger;
   /** Asks some peer; rejects if none can answer. */
@@ -50,6 +49,7 @@
 /** Follows the configuration; its version only rises. */
 export function createConfigView(options: ConfigViewOptions): ConfigView {
   const {clock, logger} = options;
+  const askPeersAgeMs = ASK_PEERS_AGE_WAITS * options.waitMs;
   const freshness = createFreshness();
   let routes: RouteIndex | undefined;
   const subscribers: Array<(table: RouteTable) => void> = [];
@@ -64,7 +64,7 @@
   const feed = followFeed({
     feed: options.feed,
     clock,
-    waitMs: WAIT_MS,
+    waitMs: options.waitMs,
     observer: {
       onPage({entries}) {
         for (const {value, findings} of entries) {
@@ -108,7 +108,7 @@
       if (routes) onApplied(routes.table);
     },
     askPeersIfStale() {
-      if (isAsking || ageMs() < ASK_PEERS_AGE_MS) return;
+      if (isAsking || ageMs() < askPeersAgeMs) return;
       isAsking = true;
       ask()
         .catch((error: Error) =>
--- a/daemons/gateway/src/follow_feed.ts
+++ b/daemons/gateway/src/follow_feed.ts
@@ -22,6 +22,8 @@
   clock: Clock;
   /** Longest wait of one call, in milliseconds; a proof is as old as the wait. */
   waitMs: number;
+  /** Shortest time between two calls; changes meanwhile come together. */
+  minIntervalMs?: number;
   observer: FeedObserver<T>;
 }
 
@@ -34,7 +36,7 @@
 
 /** Follows a feed until it is stopped; reads it whole at first and after lost history. */
 export function followFeed<T>(options: FollowFeedOptions<T>): FollowedFeed {
-  const {feed, clock, observer} = options;
+  const {feed, clock, observer, minIntervalMs = 0} = options;
   let isStopped = false;
   let version: number | undefined;
   let pauseMs = MIN_PAUSE_MS;
@@ -64,9 +66,12 @@
   };
   const run = async (current: number) => {
     while (!isStopped && current === epoch) {
+      const startedMs = clock.monotonicMs();
       try {
         await step(current);
         pauseMs = MIN_PAUSE_MS;
+        const tookMs = clock.monotonicMs() - startedMs;
+        if (tookMs < minIntervalMs) await pause(minIntervalMs - tookMs);
       } catch (error) {
         if (isStopped || current !== epoch) return;
         observer.onFailure(
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -36,6 +36,12 @@
 /** Time for the last writes of a stopping gateway, in milliseconds. */
 const LAST_WRITE_MS = 300;
 
+/** Gateways that compete for a duty; others follow when these are silent. */
+const DUTY_CANDIDATES = 3;
+
+/** Proofs of the configuration within the time in which a withdrawn key must stop. */
+const PROOFS_PER_KEY_LIMIT = 4;
+
 /** Largest header block that is read, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
 
@@ -57,6 +63,7 @@
   const peers = createPeerCalls(peerClient, () => link);
   const config = createConfigView({
     feed: options.configuration,
+    waitMs: options.keyWithdrawalLimitMs / PROOFS_PER_KEY_LIMIT,
     clock,
     logger,
     askPeer: haveVersion => peers.askConfig(haveVersion),
@@ -96,6 +103,7 @@
       trueTimeMs,
       windowMs: options.usageWindowMs,
       leaseMs: options.leaseMs,
+      isCandidate: () => isAmongFirst(instance, link.livePeers()),
       relay: relayed => peers.relayUsage(relayed),
       logger,
     });
@@ -137,6 +145,7 @@
   config.subscribe(({limits}) => listener.applyLimits(limits));
   const upstreams = createUpstreamView({
     feed: options.upstreams,
+    drainLimitMs: options.drainLimitMs,
     fleet,
     clock,
     logger,
@@ -233,6 +242,15 @@
   };
 }
 
+/** Whether few enough live peers come before this instance by name. */
+function isAmongFirst(
+  instance: string,
+  peers: ReadonlyArray<{instance: string}>,
+): boolean {
+  const before = peers.filter(peer => peer.instance < instance).length;
+  return before < DUTY_CANDIDATES;
+}
+
 function renderMetrics(context: GatewayContext): string {
   refreshGauges(context);
   return context.metrics.render();
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -35,6 +35,8 @@
   leaseMs: number;
   /** Time after its withdrawal from which a key must not work. */
   keyWithdrawalLimitMs: number;
+  /** Time after which a leaving upstream must get no new request. */
+  drainLimitMs: number;
   /** Second sends that are allowed in a window, as a share of the requests. */
   retryRatio: number;
   retryWindowMs: number;
--- a/daemons/gateway/src/upstream_view.ts
+++ b/daemons/gateway/src/upstream_view.ts
@@ -4,6 +4,12 @@
 import type {Clock} from '@sardinestile/types';
 import {followFeed} from './follow_feed.js';
 
+/**
+ * Calls within the time in which a leaving upstream must be known. Every
+ * heartbeat is a change, so that calls without a pause would never wait.
+ */
+const CALLS_PER_DRAIN_LIMIT = 3.2;
+
 /** Longest wait for news of the upstreams, in milliseconds. */
 const WAIT_MS = 2_000;
 
@@ -21,6 +27,8 @@
   fleet: Fleet;
   clock: Clock;
   logger: Logger;
+  /** Time after which a leaving upstream must get no new request. */
+  drainLimitMs: number;
   /** Called when upstreams may have come or gone. */
   onChanged: () => void;
 }
@@ -34,6 +42,7 @@
     feed: options.feed,
     clock,
     waitMs: WAIT_MS,
+    minIntervalMs: options.drainLimitMs / CALLS_PER_DRAIN_LIMIT,
     observer: {
       onPage(page, isWhole) {
         const nowMs = clock.monotonicMs();
--- a/daemons/gateway/src/usage_duties.ts
+++ b/daemons/gateway/src/usage_duties.ts
@@ -32,6 +32,8 @@
   trueTimeMs: () => number;
   windowMs: number;
   leaseMs: number;
+  /** Whether this gateway is one of the few that compete for the duty. */
+  isCandidate: () => boolean;
   /** Has a peer store counts; rejects if none could. */
   relay: (usage: RelayedUsage) => Promise<void>;
   logger: Logger;
@@ -100,6 +102,7 @@
       durationMs: leaseMs,
       orderTimeoutMs: REPORT_TIMEOUT_MS,
       tickMs: leaseMs / LOOKS_A_TERM,
+      isCandidate: options.isCandidate,
     },
   });
   return {
--- a/state/lease/src/run_lease.ts
+++ b/state/lease/src/run_lease.ts
@@ -21,6 +21,8 @@
   key: string;
   table: TableService;
   clock: Clock;
+  /** Whether this process would claim the lease now; always by default. */
+  isCandidate?: () => boolean;
   /** Time between two looks at the lease. */
   tickMs?: number;
   onAcquired: (fencingToken: number) => void;
@@ -83,7 +85,8 @@
     );
   };
   const tick = () => {
-    notify({kind: 'timePassed'});
+    const isIdle = heldToken === undefined && options.isCandidate?.() === false;
+    if (!isIdle) notify({kind: 'timePassed'});
     const spread = 1 + TICK_JITTER * (2 * Math.random() - 1);
     timer = setTimeout(tick, tickMs * spread);
   };
--- a/state/usage/src/usage_reporter.ts
+++ b/state/usage/src/usage_reporter.ts
@@ -52,6 +52,9 @@
   const {table, receiver, windowMs} = options;
   const closeDelayMs = options.closeDelayMs ?? CLOSE_DELAY_MS;
 
+  /** Before this time no window is due, as far as is known. */
+  let nothingDueUntilMs = -Infinity;
+
   /** Makes this process the reporter of record, or gives undefined. */
   const takeOver = async () => {
     const fencingToken = options.fencingToken();
@@ -148,6 +151,7 @@
     return row?.key.slice(SUMS_PREFIX.length).split('/')[0];
   };
   const nextWindow = async (): Promise<string | undefined> => {
+    if (options.wallMs() < nothingDueUntilMs) return undefined;
     const reporter = await takeOver();
     if (!reporter) return undefined;
     const {reportedUntil} = reporter.state;
@@ -155,9 +159,10 @@
       ? windowIdAt(windowEndMs(reportedUntil, windowMs), windowMs)
       : await oldestWindow();
     if (windowId === undefined) return undefined;
-    const isDue =
-      windowEndMs(windowId, windowMs) + closeDelayMs <= options.wallMs();
-    return isDue ? windowId : undefined;
+    const dueMs = windowEndMs(windowId, windowMs) + closeDelayMs;
+    if (dueMs <= options.wallMs()) return windowId;
+    nothingDueUntilMs = dueMs;
+    return undefined;
   };
   return {
     async run() {
--- a/testing/hosting/src/hosted_world.ts
+++ b/testing/hosting/src/hosted_world.ts
@@ -43,6 +43,7 @@
 /** Bounds of the tests' deployment, shorter than any real one. */
 export interface HostedBounds {
   keyWithdrawalLimitMs: number;
+  drainLimitMs: number;
   stopGraceMs: number;
   usageWindowMs: number;
   leaseMs: number;
@@ -50,6 +51,7 @@
 
 const DEFAULT_BOUNDS: HostedBounds = {
   keyWithdrawalLimitMs: 3_000,
+  drainLimitMs: 2_000,
   stopGraceMs: 8_000,
   usageWindowMs: 2_000,
   leaseMs: 1_000,
