test: a randomized soak of real gateway processes; explain, settings check, settings that change

Change: testing/soak runs the bundled gateways as processes before stand-ins, kills, stops, freezes and restarts them, harms their paths to the store and their upstreams, withdraws keys and checks what callers and upstreams saw. sardinestile explain prints a request's story; settings files are followed and bad ones leave the last good one in force; a test keeps the platform's names in its adapter.

--- /dev/null
+++ b/cli/sardinestile/src/commands/settings_command.ts
@@ -0,0 +1,20 @@
+import {readFile} from 'node:fs/promises';
+import {parseSettings} from '@sardinestile/adapter_platform';
+import {command, positional, string, subcommands} from 'cmd-ts';
+
+const checkCommand = command({
+  name: 'check',
+  description: "Check a process's settings file without starting it.",
+  args: {file: positional({type: string, displayName: 'file'})},
+  handler: async ({file}) => {
+    parseSettings(await readFile(file, 'utf8'), file);
+    process.stdout.write(`${file}: no findings\n`);
+  },
+});
+
+/** `sardinestile settings`. */
+export const settingsCommand = subcommands({
+  name: 'settings',
+  description: 'Settings of a process on the platform.',
+  cmds: {check: checkCommand},
+});
--- a/cli/sardinestile/src/exit_code.ts
+++ b/cli/sardinestile/src/exit_code.ts
@@ -8,6 +8,7 @@
   textRefused: 3,
   versionConflict: 4,
   unreachable: 5,
+  notFound: 6,
 } as const;
 
 /** Exit code for each error code. */
@@ -17,7 +18,7 @@
   VERSION_CONFLICT: EXIT_CODES.versionConflict,
   STORE_UNAVAILABLE: EXIT_CODES.unreachable,
   PEER_UNAVAILABLE: EXIT_CODES.unreachable,
-  NOT_FOUND: EXIT_CODES.failed,
+  NOT_FOUND: EXIT_CODES.notFound,
   UNAUTHORIZED: EXIT_CODES.failed,
   INVALID_REQUEST: EXIT_CODES.usage,
 };
--- a/cli/sardinestile/src/platform_wiring.ts
+++ b/cli/sardinestile/src/platform_wiring.ts
@@ -9,10 +9,10 @@
   parseSettings,
   platformDialect,
   SETTINGS_PATH_VARIABLE,
-  type PlatformSettings,
 } from '@sardinestile/adapter_platform';
 import {SardinestileError} from '@sardinestile/errors';
 import {startGateway} from '@sardinestile/gateway';
+import {followSettings} from './follow_settings.js';
 import {createBoundedLogger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
 import {createSystemClock} from '@sardinestile/types';
@@ -24,22 +24,22 @@
 /** Port of the metrics, after the first port for peers. */
 const METRICS_PORT_OFFSET = 1;
 
-/** Reads the settings file of a process on the platform. */
-export function readPlatformSettings(): PlatformSettings {
+/** Path of the settings file. */
+function settingsPath(): string {
   const path = process.env[SETTINGS_PATH_VARIABLE];
-  if (path === undefined) {
-    throw new SardinestileError({
-      code: 'SETTINGS_INVALID',
-      message: `${SETTINGS_PATH_VARIABLE} is not set`,
-      hint: 'Set it to the path of the settings file.',
-    });
-  }
-  return parseSettings(readFileSync(path, 'utf8'), path);
+  if (path !== undefined) return path;
+  throw new SardinestileError({
+    code: 'SETTINGS_INVALID',
+    message: `${SETTINGS_PATH_VARIABLE} is not set`,
+    hint: 'Set it to the path of the settings file.',
+  });
 }
 
 /** Puts a gateway on the platform together, and runs it until a signal. */
 export async function runPlatformGateway(): Promise<void> {
-  const settings = readPlatformSettings();
+  const path = settingsPath();
+  const settings = parseSettings(readFileSync(path, 'utf8'), path);
+  const logger = createBoundedLogger({level: 'info'});
   const {callerAddress} = settings;
   if (!callerAddress) {
     throw new SardinestileError({
@@ -88,14 +88,23 @@
     configuration: createConfigurationFeed(store),
     upstreams: createUpstreamFeed(store),
     clock: createSystemClock(),
-    logger: createBoundedLogger({level: 'info'}),
+    logger,
     metrics,
   });
-  process.on('SIGHUP', () => gateway.reload());
+  const followed = followSettings({
+    path,
+    logger,
+    onChanged(changed) {
+      store.redirect(changed.store.address);
+      gateway.reload(changed);
+    },
+  });
+  process.on('SIGHUP', () => followed.look());
   await new Promise<void>(resolve => {
     process.once('SIGTERM', () => resolve());
     process.once('SIGINT', () => resolve());
   });
+  followed.stop();
   await gateway.stop();
   await calls?.close();
   await store.close();
--- a/cli/sardinestile/src/run_command.ts
+++ b/cli/sardinestile/src/run_command.ts
@@ -2,6 +2,8 @@
 import {createLogger} from '@sardinestile/logger';
 import {runSafely, subcommands} from 'cmd-ts';
 import {configCommand} from './commands/config_commands.js';
+import {explainCommand} from './commands/explain_command.js';
+import {settingsCommand} from './commands/settings_command.js';
 import {
   agentCommand,
   devCommand,
@@ -29,6 +31,8 @@
     drain: drainCommand,
     state: stateCommand,
     usage: usageCommand,
+    explain: explainCommand,
+    settings: settingsCommand,
   },
 });
 
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -102,6 +102,8 @@
     durationMs: number;
   };
   config_rejected: {reason: string};
+  settings_reloaded: {path: string; changed: string};
+  settings_rejected: {path: string; reason: string};
   process_stood_still: {gapMs: number};
   session_opened: {peer: string};
   session_closed: {peer: string; reason: string};
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -11,7 +11,7 @@
 import {createGatewayCount} from './gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
 import {refreshGauges} from './gauges.js';
-import type {GatewayOptions} from './gateway_options.js';
+import type {DeploymentLimits, GatewayOptions} from './gateway_options.js';
 import {createPeerCalls} from './peer_calls.js';
 import {startPeerRegistry} from './peer_registry.js';
 import {createRepeatBudgets} from './repeat_budgets.js';
@@ -51,8 +51,8 @@
   stop(): Promise<void>;
   /** Closes every connection at once. */
   close(): Promise<void>;
-  /** Reads again what the gateway believes. */
-  reload(): void;
+  /** Puts limits of the deployment in force and reads again what the gateway believes. */
+  reload(limits: DeploymentLimits): void;
 }
 
 /** Starts a gateway; resolves when it listens. */
@@ -107,7 +107,8 @@
       relay: relayed => peers.relayUsage(relayed),
       logger,
     });
-  const maxKeyAgeMs = options.keyWithdrawalLimitMs - KEY_AGE_MARGIN_MS;
+  let deployment: DeploymentLimits = options;
+  const maxKeyAgeMs = () => deployment.keyWithdrawalLimitMs - KEY_AGE_MARGIN_MS;
   const gateways = createGatewayCount();
   const context: GatewayContext = {
     clock,
@@ -117,9 +118,9 @@
       metrics.increment('sardinestile_upstream_connections_total', {address}),
     ),
     budgets: createRepeatBudgets({
-      ratio: options.retryRatio,
-      windowMs: options.retryWindowMs,
-      allowance: () => options.retryAllowance / gateways.value,
+      ratio: () => deployment.retryRatio,
+      windowMs: () => deployment.retryWindowMs,
+      allowance: () => deployment.retryAllowance / gateways.value,
     }),
     usualWork: createUsualWork(),
     countUsage: organisation =>
@@ -127,7 +128,7 @@
     reporter,
     gatewayCount: () => gateways.value,
     configAgeMs: () => config.ageMs(),
-    limits: {maxKeyAgeMs},
+    maxKeyAgeMs,
     logger,
     metrics,
     isClosing: () => listener.isClosing,
@@ -180,7 +181,7 @@
   }, TICK_MS);
 
   const isReady = () =>
-    !isStopping && upstreams.isKnown && config.ageMs() <= maxKeyAgeMs;
+    !isStopping && upstreams.isKnown && config.ageMs() <= maxKeyAgeMs();
   const textServers: Server[] = [];
   if (options.readinessAddress) {
     textServers.push(
@@ -225,7 +226,8 @@
       : '',
   });
   return {
-    reload() {
+    reload(limits) {
+      deployment = limits;
       config.reread();
       upstreams.reread();
     },
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -9,12 +9,6 @@
 import type {UsualWork} from './usual_work.js';
 import type {FleetReporter} from './fleet_reporter.js';
 
-/** Limits that the deployment sets. */
-export interface GatewayLimits {
-  /** Age of the keys' view beyond which keyed routes are not served. */
-  maxKeyAgeMs: number;
-}
-
 /** What serving a call needs; one per process. */
 export interface GatewayContext {
   clock: Clock;
@@ -31,7 +25,8 @@
   gatewayCount: () => number;
   /** Upper bound of the time since the configuration was known to be the newest. */
   configAgeMs: () => number;
-  limits: GatewayLimits;
+  /** Age of the keys' view beyond which keyed routes are not served. */
+  maxKeyAgeMs: () => number;
   logger: Logger;
   metrics: MetricsRegistry;
   /** Whether requests that arrive now could not be finished before the stop. */
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -16,8 +16,19 @@
   port: number;
 }
 
+/** Limits of the deployment that may change while a gateway runs. */
+export interface DeploymentLimits {
+  /** Time after its withdrawal from which a key must not work. */
+  keyWithdrawalLimitMs: number;
+  /** Second sends that are allowed in a window, as a share of the requests. */
+  retryRatio: number;
+  retryWindowMs: number;
+  /** Second sends that are allowed in a window beyond the share, fleet-wide. */
+  retryAllowance: number;
+}
+
 /** What a gateway is made of. */
-export interface GatewayOptions {
+export interface GatewayOptions extends DeploymentLimits {
   instance: string;
   callerAddress: ListenAddress;
   readinessAddress: ListenAddress | undefined;
@@ -33,15 +44,8 @@
   usageWindowMs: number;
   /** Time for which a duty is held without renewal. */
   leaseMs: number;
-  /** Time after its withdrawal from which a key must not work. */
-  keyWithdrawalLimitMs: number;
   /** Time after which a leaving upstream must get no new request. */
   drainLimitMs: number;
-  /** Second sends that are allowed in a window, as a share of the requests. */
-  retryRatio: number;
-  retryWindowMs: number;
-  /** Second sends that are allowed in a window beyond the share, fleet-wide. */
-  retryAllowance: number;
   /** Time after which a stopping process is killed. */
   stopGraceMs: number;
   clock: Clock;
--- a/daemons/gateway/src/repeat_budgets.ts
+++ b/daemons/gateway/src/repeat_budgets.ts
@@ -7,8 +7,8 @@
 
 /** How much may be sent again, fleet-wide. */
 export interface RepeatBudgetsOptions {
-  ratio: number;
-  windowMs: number;
+  ratio: () => number;
+  windowMs: () => number;
   /** This gateway's part of what is allowed beyond the ratio. */
   allowance: () => number;
 }
--- a/daemons/gateway/src/serve_call.ts
+++ b/daemons/gateway/src/serve_call.ts
@@ -50,7 +50,7 @@
   const organisation = isKeyed ? holderOf(current, facts.key) : undefined;
   if (isKeyed) {
     const ageMs = context.configAgeMs();
-    if (ageMs > context.limits.maxKeyAgeMs) {
+    if (ageMs > context.maxKeyAgeMs()) {
       refuse(context, {...base, route}, 'keysStale', {
         retryAfterMs: STALE_RETRY_AFTER_MS,
         reason: `the view of the keys is ${Math.round(ageMs)} ms old`,
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -14,6 +14,8 @@
   url: string;
   headers: IncomingHttpHeaders;
   body: Buffer;
+  /** Whether the upstream began to work on it. */
+  hasRun: boolean;
   /** Whether its connection was closed before the answer was whole. */
   wasCut: boolean;
 }
@@ -101,6 +103,7 @@
     url: request.url ?? '',
     headers: request.headers,
     body: Buffer.concat(chunks),
+    hasRun: false,
     wasCut: false,
   };
 }
@@ -195,6 +198,7 @@
   response: ServerResponse,
 ): void {
   const behaviour = upstream.behave(entry);
+  entry.hasRun = behaviour.kind !== 'refuse' && behaviour.kind !== 'misdirect';
   const stamp = {
     'request-id': entry.requestId,
     'response-stamp': `${upstream.id}.${entry.requestId}`,
--- a/routing/placement/src/repeat_budget.ts
+++ b/routing/placement/src/repeat_budget.ts
@@ -14,8 +14,8 @@
 /** What a budget allows. */
 export interface RepeatBudgetOptions {
   /** Second sends allowed for each request of the window. */
-  ratio: number;
-  windowMs: number;
+  ratio: () => number;
+  windowMs: () => number;
   /** Second sends allowed in a window beyond the ratio. */
   allowance: () => number;
 }
@@ -26,7 +26,7 @@
   const requestTimes: number[] = [];
   const repeatTimes: number[] = [];
   const expire = (nowMs: number) => {
-    const oldestMs = nowMs - windowMs;
+    const oldestMs = nowMs - windowMs();
     while (requestTimes.length > 0 && requestTimes[0] <= oldestMs) {
       requestTimes.shift();
     }
@@ -36,7 +36,7 @@
   };
   const left = (nowMs: number) => {
     expire(nowMs);
-    const allowed = ratio * requestTimes.length + allowance();
+    const allowed = ratio() * requestTimes.length + allowance();
     return Math.floor(USED_SHARE * allowed) - repeatTimes.length;
   };
   return {
--- /dev/null
+++ b/testing/soak/src/index.ts
@@ -0,0 +1,1 @@
+export * from './run_soak.js';
--- /dev/null
+++ b/testing/soak/src/main.ts
@@ -0,0 +1,40 @@
+import {parseArgs} from 'node:util';
+import {runSoak} from './run_soak.js';
+
+const {values} = parseArgs({
+  options: {
+    seed: {type: 'string', default: '1'},
+    seeds: {type: 'string', default: '1'},
+    gateways: {type: 'string', default: '4'},
+    upstreams: {type: 'string', default: '5'},
+    seconds: {type: 'string', default: '15'},
+    rate: {type: 'string', default: '60'},
+    quiet: {type: 'boolean', default: false},
+  },
+});
+
+let failed = 0;
+for (let i = 0; i < Number(values.seeds); i++) {
+  const seed = Number(values.seed) + i;
+  const result = await runSoak({
+    seed,
+    gateways: Number(values.gateways),
+    upstreams: Number(values.upstreams),
+    lengthMs: Number(values.seconds) * 1_000,
+    callsPerSecond: Number(values.rate),
+    say: line => {
+      if (!values.quiet) process.stdout.write(`${line}\n`);
+    },
+  });
+  const {calls, served, broken, directory} = result;
+  const verdict = broken.length === 0 ? 'kept' : `BROKEN: ${broken[0]}`;
+  process.stdout.write(
+    `seed ${seed}: ${calls} calls, ${served} served, ${verdict}\n`,
+  );
+  if (broken.length === 0) continue;
+  failed++;
+  process.stdout.write(
+    `${broken.length} broken promise(s); logs in ${directory}\n`,
+  );
+}
+process.exit(failed === 0 ? 0 : 1);
