--- a/scheduling/admission/src/decide_admission.ts
+++ b/scheduling/admission/src/decide_admission.ts
@@ -4,10 +4,7 @@
 /** Part of the wanted latency that predictions may be wrong by. */
 const PREDICTION_SLACK = 0.1;
 
-/** Shortest time after which callers are asked to return, in milliseconds; a round trip and a decision. */
-const MIN_RETRY_AFTER_MS = 50;
-
-/** Part of its time that a caller who will be late anyway stays away, so that the burst is over. */
+/** Part of its time that a refused caller stays away, so that the burst is over. */
 const LATE_RETURN_SHARE = 0.2;
 
 /** What is expected of a request at the best upstream. */
@@ -43,16 +40,11 @@
   const allowedMs = Math.max(MIN_WAIT_SHARE * targetLatencyMs, onTimeWaitMs);
   const isInTime = waitMs + workMs < timeLeftMs;
   if (waitMs <= allowedMs && isInTime) return {kind: 'admit'};
-  return {
-    kind: 'refuse',
-    retryAfterMs: Math.round(returnTime(request, allowedMs)),
-  };
-}
-
-/** When the caller has the best chance: on time if it can be, else after the burst. */
-function returnTime(request: AdmissionRequest, allowedMs: number): number {
-  const {waitMs, workMs, targetLatencyMs, timeLeftMs} = request;
-  const drainMs = Math.max(MIN_RETRY_AFTER_MS, waitMs - allowedMs);
-  if (drainMs + workMs <= targetLatencyMs) return drainMs;
-  return Math.max(drainMs, LATE_RETURN_SHARE * timeLeftMs);
+  // The queue gets shorter no faster than the caller's time to be on time, so
+  // that a return within it would only meet the same queue.
+  const retryAfterMs = Math.max(
+    waitMs - allowedMs,
+    LATE_RETURN_SHARE * timeLeftMs,
+  );
+  return {kind: 'refuse', retryAfterMs: Math.round(retryAfterMs)};
 }
