feat(fleet): groups of gateways and upstreams in large fleets

Cause: every gateway told every other one what it placed, so that what a gateway hears grew with the fleet. Change: more than 32 gateways divide into groups of equal size, each with its part of every service's upstreams; shared limits count the whole fleet.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import type {Server} from 'node:http';
-import {createFleet} from '@sardinestile/fleet';
+import {assignGroup, createFleet, selectGroup} from '@sardinestile/fleet';
 import {createGapDetector, createTrueTime} from '@sardinestile/freshness';
 import {openLedgerLink, type LedgerLink} from '@sardinestile/ledger';
 import {createPeerClient, startPeerServer} from '@sardinestile/peer';
@@ -83,12 +83,20 @@
     },
   });
   const reporter = createFleetReporter({instance, fleet, link, clock});
+  const gateways = createGatewayCount();
   const registry = startPeerRegistry({
     instance,
     address: peerAddress,
     table,
     logger,
-    onAddresses: addresses => link.setAddresses(addresses),
+    onGateways(registered) {
+      const names = registered.map(gateway => gateway.instance);
+      const group = assignGroup(instance, names);
+      const mine = selectGroup(registered, peer => peer.instance, group);
+      gateways.observe(registered.length, mine.length);
+      fleet.joinGroup(group);
+      link.setAddresses(mine.map(peer => peer.address));
+    },
   });
   const trueTimeMs = createTrueTime(clock, () =>
     link.livePeers().map(({wallAheadMs}) => wallAheadMs),
@@ -109,7 +117,6 @@
     });
   let deployment: DeploymentLimits = options;
   const maxKeyAgeMs = () => deployment.keyWithdrawalLimitMs - KEY_AGE_MARGIN_MS;
-  const gateways = createGatewayCount();
   const context: GatewayContext = {
     clock,
     dialect: options.dialect,
@@ -120,13 +127,13 @@
     budgets: createRepeatBudgets({
       ratio: () => deployment.retryRatio,
       windowMs: () => deployment.retryWindowMs,
-      allowance: () => deployment.retryAllowance / gateways.value,
+      allowance: () => deployment.retryAllowance / gateways.inFleet,
     }),
     usualWork: createUsualWork(),
     countUsage: organisation =>
       usage?.source.record(organisation, {promptTokens: 0, outputTokens: 0}),
     reporter,
-    gatewayCount: () => gateways.value,
+    gateways,
     configAgeMs: () => config.ageMs(),
     maxKeyAgeMs,
     logger,
@@ -174,7 +181,6 @@
       config.invalidate();
       upstreams.reread();
     }
-    gateways.observe(link.livePeers().length);
     config.askPeersIfStale();
     fleet.membership.expire(clock.monotonicMs());
     fleet.prune(clock.monotonicMs());
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -7,6 +7,7 @@
 import type {ConnectionPool} from './connection_pool.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
 import type {UsualWork} from './usual_work.js';
+import type {GatewayCount} from './gateway_count.js';
 import type {FleetReporter} from './fleet_reporter.js';
 
 /** What serving a call needs; one per process. */
@@ -22,7 +23,7 @@
   /** Tells this gateway's model and the others what was placed where. */
   reporter: FleetReporter;
   /** Gateways that share what is limited for all of them. */
-  gatewayCount: () => number;
+  gateways: GatewayCount;
   /** Upper bound of the time since the configuration was known to be the newest. */
   configAgeMs: () => number;
   /** Age of the keys' view beyond which keyed routes are not served. */
--- a/daemons/gateway/src/gateway_count.ts
+++ b/daemons/gateway/src/gateway_count.ts
@@ -1,23 +1,30 @@
-/** Gateways that are reckoned with before the others were heard. */
+/** Gateways that are reckoned with before the others are known. */
 const MIN_GATEWAYS = 4;
 
 /** How many gateways share what is limited for all of them. */
 export interface GatewayCount {
-  /** Takes the number of peers that are alive now. */
-  observe(livePeers: number): void;
-  /** Most gateways that were alive at once; it never shrinks, since a partition hides peers that go on. */
-  readonly value: number;
+  /** Takes the numbers of gateways that are registered now. */
+  observe(inFleet: number, inGroup: number): void;
+  /** Most gateways that were registered at once; it never shrinks, since an entry may lapse before its gateway ends. */
+  readonly inFleet: number;
+  /** The same of this gateway's group. */
+  readonly inGroup: number;
 }
 
-/** Makes a count before any peer was heard. */
+/** Makes a count before any other gateway is known. */
 export function createGatewayCount(): GatewayCount {
-  let value = MIN_GATEWAYS;
+  let fleet = MIN_GATEWAYS;
+  let group = MIN_GATEWAYS;
   return {
-    observe(livePeers) {
-      value = Math.max(value, livePeers + 1);
+    observe(inFleet, inGroup) {
+      fleet = Math.max(fleet, inFleet);
+      group = Math.max(group, inGroup);
     },
-    get value() {
-      return value;
+    get inFleet() {
+      return fleet;
+    },
+    get inGroup() {
+      return group;
     },
   };
 }
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -12,7 +12,7 @@
     {},
     context.configAgeMs() / 1000,
   );
-  metrics.setGauge('sardinestile_gateways', {}, context.gatewayCount());
+  metrics.setGauge('sardinestile_gateways', {}, context.gateways.inFleet);
   const {open, idle} = connections.counts();
   metrics.setGauge('sardinestile_connections_open', {}, open);
   metrics.setGauge('sardinestile_connections_idle', {}, idle);
--- a/daemons/gateway/src/peer_registry.ts
+++ b/daemons/gateway/src/peer_registry.ts
@@ -18,13 +18,19 @@
 
 const rowSchema = z.object({host: z.string(), port: z.number().int()});
 
+/** A gateway that is registered. */
+export interface RegisteredGateway {
+  instance: string;
+  address: PeerAddress;
+}
+
 /** What a registry needs. */
 export interface PeerRegistryOptions {
   instance: string;
   address: PeerAddress;
   table: TableService;
   logger: Logger;
-  onAddresses: (addresses: PeerAddress[]) => void;
+  onGateways: (gateways: RegisteredGateway[]) => void;
 }
 
 /** This gateway's entry among the others'. */
@@ -36,7 +42,7 @@
 
 /** Registers this gateway and looks for the others from time to time. */
 export function startPeerRegistry(options: PeerRegistryOptions): PeerRegistry {
-  const {instance, address, table, logger, onAddresses} = options;
+  const {instance, address, table, logger, onGateways} = options;
   const key = PREFIX + instance;
   let isRegistered = false;
   let isLeaving = false;
@@ -49,13 +55,15 @@
       isRegistered = true;
     }
     const rows = await table.scan(PREFIX, PREFIX_END, MAX_GATEWAYS);
-    const addresses: PeerAddress[] = [];
+    const gateways: RegisteredGateway[] = [];
     for (const row of rows) {
       const decoded = rowSchema.safeParse(JSON.parse(row.value));
-      if (decoded.success) addresses.push(decoded.data);
-      else logger.warn('peer_link_failed', {reason: `bad row ${row.key}`});
+      if (decoded.success) {
+        const name = row.key.slice(PREFIX.length);
+        gateways.push({instance: name, address: decoded.data});
+      } else logger.warn('peer_link_failed', {reason: `bad row ${row.key}`});
     }
-    if (!isLeaving) onAddresses(addresses);
+    if (!isLeaving) onGateways(gateways);
   };
   const run = () => {
     refresh().then(
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -141,7 +141,8 @@
   const limit = Math.max(
     MIN_CONNECTIONS,
     Math.floor(
-      (service?.maxConnections ?? DEFAULT_CONNECTIONS) / context.gatewayCount(),
+      (service?.maxConnections ?? DEFAULT_CONNECTIONS) /
+        context.gateways.inGroup,
     ),
   );
   const {address} = placement.upstream;
--- a/routing/fleet/src/fleet.ts
+++ b/routing/fleet/src/fleet.ts
@@ -1,6 +1,7 @@
 import type {PromptPart} from '@sardinestile/ports';
 import type {EngineTraits} from '@sardinestile/route_table';
 import {createEngineModel, type EngineModel} from './engine_model.js';
+import {ONE_GROUP, selectGroup, type GroupAssignment} from './fleet_groups.js';
 import type {PlacedRequest, UpstreamRecord} from './fleet_types.js';
 import {createMembership, type Membership} from './membership.js';
 import {createPrefillQueue, type PrefillQueue} from './prefill_queue.js';
@@ -46,6 +47,10 @@
   stateOf(record: UpstreamRecord): UpstreamState;
   serviceOf(name: string): ServiceState;
   traitsOf(service: string): EngineTraits | undefined;
+  /** Upstreams of a service that this gateway's group uses. */
+  upstreamsOf(service: string): readonly UpstreamRecord[];
+  /** Puts this gateway into a group of a large fleet. */
+  joinGroup(group: GroupAssignment): void;
   recordPlaced(placer: Placer, request: PlacedRequest, nowMs: number): void;
   /** Notes that the request's first event came. */
   recordFirstEvent(upstreamId: string, requestId: string, nowMs: number): void;
@@ -86,6 +91,21 @@
   /** Requests that are believed to run, oldest first. */
   const running = new Map<string, RunningRequest>();
 
+  let group = ONE_GROUP;
+  /** Upstreams of the group, by the list that they were selected from. */
+  let selected = new WeakMap<
+    readonly UpstreamRecord[],
+    readonly UpstreamRecord[]
+  >();
+  const upstreamsOf = (service: string) => {
+    const all = membership.usableOf(service);
+    let mine = selected.get(all);
+    if (!mine) {
+      mine = selectGroup(all, ({id}) => id, group);
+      selected.set(all, mine);
+    }
+    return mine;
+  };
   const stateOf = ({id, service}: UpstreamRecord): UpstreamState => {
     let state = states.get(id);
     if (!state) {
@@ -133,6 +153,12 @@
     stateOf,
     serviceOf,
     traitsOf,
+    upstreamsOf,
+    joinGroup(next) {
+      if (next.index === group.index && next.count === group.count) return;
+      group = next;
+      selected = new WeakMap();
+    },
     recordPlaced(placer, request, nowMs) {
       const {requestId, upstreamId, targetGapMs, promptTokens} = request;
       const record = membership.get(upstreamId);
--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -1,6 +1,7 @@
 export * from './decaying_sum.js';
 export * from './engine_model.js';
 export * from './fleet.js';
+export * from './fleet_groups.js';
 export * from './fleet_types.js';
 export * from './membership.js';
 export * from './place_request.js';
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -82,9 +82,7 @@
   request: PlacementRequest,
   nowMs: number,
 ): Placement | undefined {
-  const records = fleet.membership
-    .usableOf(request.service)
-    .filter(({id}) => !request.triedIds.has(id));
+  const records = untriedUpstreams(fleet, request);
   const states = records.map(record => fleet.stateOf(record));
   const context = createContext(fleet, request, records, states, nowMs);
   const hasUsable = states.some(({health}) => health.isUsable(nowMs));
@@ -98,6 +96,17 @@
   return best;
 }
 
+/** The group's upstreams that the request was not sent to; all others once there is none. */
+function untriedUpstreams(
+  fleet: Fleet,
+  {service, triedIds}: PlacementRequest,
+): UpstreamRecord[] {
+  const isUntried = ({id}: UpstreamRecord) => !triedIds.has(id);
+  const mine = fleet.upstreamsOf(service).filter(isUntried);
+  if (mine.length > 0) return mine;
+  return fleet.membership.usableOf(service).filter(isUntried);
+}
+
 function createContext(
   fleet: Fleet,
   request: PlacementRequest,
--- /dev/null
+++ b/routing/fleet/test/fleet_groups_test.ts
@@ -0,0 +1,62 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {assignGroup, selectGroup} from '../src/index.js';
+
+const namesTo = (count: number, prefix: string) =>
+  Array.from({length: count}, (_, i) => `${prefix}-${i}`);
+
+/** Sizes of all groups of a fleet. */
+function groupSizes(names: readonly string[]): number[] {
+  const sizes = new Map<number, number>();
+  for (const name of names) {
+    const {index} = assignGroup(name, names);
+    sizes.set(index, (sizes.get(index) ?? 0) + 1);
+  }
+  return [...sizes.values()];
+}
+
+describe('groups of a large fleet', () => {
+  it('leave a fleet of thirty gateways whole', () => {
+    const names = namesTo(30, 'front');
+    expect(assignGroup('front-7', names)).toEqual({index: 0, count: 1});
+  });
+
+  it('are of equal size and bounded, however large the fleet is', () => {
+    for (const count of [33, 100, 300, 420]) {
+      const sizes = groupSizes(namesTo(count, 'front'));
+      expect(Math.max(...sizes) <= 32).toEqual(true);
+      expect(Math.max(...sizes) - Math.min(...sizes) <= 1).toEqual(true);
+    }
+  });
+
+  it('divide all upstreams, each to one group', () => {
+    const upstreams = namesTo(1_000, 'i');
+    const seen = new Set<string>();
+    for (let index = 0; index < 14; index++) {
+      const mine = selectGroup(upstreams, name => name, {index, count: 14});
+      expect(Math.abs(mine.length - 1_000 / 14) < 1).toEqual(true);
+      mine.forEach(name => seen.add(name));
+    }
+    expect(seen.size).toEqual(1_000);
+  });
+
+  it('move few upstreams when one leaves', () => {
+    const before = namesTo(1_000, 'i');
+    const after = before.filter(name => name !== 'i-500');
+    let moved = 0;
+    for (let index = 0; index < 14; index++) {
+      const group = {index, count: 14};
+      const old = new Set(selectGroup(before, name => name, group));
+      moved += selectGroup(after, name => name, group).filter(
+        name => !old.has(name),
+      ).length;
+    }
+    expect(moved <= 14).toEqual(true);
+  });
+
+  it('share upstreams that are fewer than the groups', () => {
+    const few = namesTo(3, 'i');
+    const mine = selectGroup(few, name => name, {index: 2, count: 14});
+    expect(mine.length).toEqual(3);
+  });
+});
--- a/testing/hosting/test/store_faults_test.ts
+++ b/testing/hosting/test/store_faults_test.ts
@@ -39,12 +39,19 @@
   const serves = async (front: HostedGateway, id: string) =>
     (await statusOf(front, PATHS.idempotent, keyed(id))) === 200;
 
+  /** Fails with the last lines that both gateways logged. */
+  const expectServed = async (front: HostedGateway, id: string) => {
+    const status = await statusOf(front, PATHS.idempotent, keyed(id));
+    const lines = [...first.logs.slice(-25), ...second.logs.slice(-5)];
+    expect(status === 200 ? '' : lines.join('')).toEqual('');
+  };
+
   for (const mode of ['busy', 'reset', 'silent'] as const) {
     it(`${mode}: one gateway goes on with a peer's proof`, async () => {
       first.store.mode = mode;
       const endMs = performance.now() + 2 * WITHDRAWAL_LIMIT_MS;
       while (performance.now() < endMs) {
-        expect(await serves(first, `p-${mode}`)).toEqual(true);
+        await expectServed(first, `p-${mode}`);
         await new Promise(resolve => setTimeout(resolve, 100));
       }
       expect(await first.isReady()).toEqual(true);
