fix(gateway): gateways know their own fleet

Cause: an address of a gateway that is gone may come to belong to another fleet, and its datagrams and proofs would have been taken. Seen: store_faults_test failed once (three of seven cases: a gateway got no proof from its peer) while four soaks ran beside it; not seen again in five runs with busy processes beside them. Change: the first gateway writes an id for the fleet into the store; datagrams and questions carry it, others are dropped.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -59,7 +59,8 @@
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
   const {clock, logger, metrics, instance, table, peerAddress} = options;
   let isStopping = false;
-  const peerClient = createPeerClient();
+  let fleetId: string | undefined;
+  const peerClient = createPeerClient(() => fleetId);
   const peers = createPeerCalls(peerClient, () => link);
   const config = createConfigView({
     feed: options.configuration,
@@ -89,6 +90,10 @@
     address: peerAddress,
     table,
     logger,
+    onFleet(id) {
+      fleetId = id;
+      link.joinFleet(id);
+    },
     onGateways(registered) {
       const names = registered.map(gateway => gateway.instance);
       const group = assignGroup(instance, names);
@@ -164,6 +169,7 @@
   });
   const peerServer = await startPeerServer({
     ...peerAddress,
+    fleetId: () => fleetId,
     proveConfig: haveVersion => config.prove(haveVersion),
     async storeUsage({source, windowId, sums}) {
       await storeRelayedUsage(table, source, windowId, sums);
--- a/daemons/gateway/src/peer_registry.ts
+++ b/daemons/gateway/src/peer_registry.ts
@@ -1,8 +1,15 @@
+import {randomUUID} from 'node:crypto';
 import type {PeerAddress} from '@sardinestile/ledger';
 import type {Logger} from '@sardinestile/logger';
 import type {TableService} from '@sardinestile/ports';
 import {z} from 'zod';
 
+/** Row that tells this fleet from others. */
+const FLEET_KEY = 'fleet/id';
+
+/** Characters of a fleet's id; it is part of every datagram. */
+const FLEET_ID_LENGTH = 8;
+
 /** First key of the gateways' rows, and the first key after them. */
 const PREFIX = 'gateway/';
 const PREFIX_END = 'gateway0';
@@ -30,6 +37,8 @@
   address: PeerAddress;
   table: TableService;
   logger: Logger;
+  /** Told of the fleet's id once, before any gateways. */
+  onFleet: (fleetId: string) => void;
   onGateways: (gateways: RegisteredGateway[]) => void;
 }
 
@@ -51,6 +60,7 @@
   const refresh = async () => {
     const value = JSON.stringify(address);
     if (!isRegistered) {
+      options.onFleet(await readFleetId(table));
       await table.transact([{key, value, expectedVersion: null}]);
       isRegistered = true;
     }
@@ -101,3 +111,13 @@
     },
   };
 }
+
+/** The fleet's id; the first gateway that asks makes it. */
+async function readFleetId(table: TableService): Promise<string> {
+  const known = await table.get(FLEET_KEY);
+  if (known) return known.value;
+  const value = randomUUID().slice(0, FLEET_ID_LENGTH);
+  const write = {key: FLEET_KEY, value, expectedVersion: 0};
+  const {committed} = await table.transact([write]);
+  return committed ? value : readFleetId(table);
+}
--- a/protocol/ledger/src/ledger_codec.ts
+++ b/protocol/ledger/src/ledger_codec.ts
@@ -38,6 +38,8 @@
 
 /** One datagram: who sends it, and its news since the last one. */
 export interface LedgerMessage {
+  /** Fleet of the sender; addresses may come to belong to another one. */
+  fleetId: string;
   instance: string;
   /** Unix millisecond of the sender's start. */
   startedAtMs: number;
@@ -48,6 +50,7 @@
 
 /** Letters that stand for the kinds on the wire, where bytes between zones cost. */
 const messageSchema = z.tuple([
+  z.string(),
   z.string(),
   z.number(),
   z.number(),
@@ -56,9 +59,15 @@
 
 /** Encodes a message. */
 export function encodeLedgerMessage(message: LedgerMessage): Buffer {
-  const {instance, startedAtMs, wallMs, news} = message;
+  const {fleetId, instance, startedAtMs, wallMs, news} = message;
   return Buffer.from(
-    JSON.stringify([instance, startedAtMs, wallMs, news.map(encodeNews)]),
+    JSON.stringify([
+      fleetId,
+      instance,
+      startedAtMs,
+      wallMs,
+      news.map(encodeNews),
+    ]),
   );
 }
 
@@ -66,14 +75,14 @@
 export function decodeLedgerMessage(bytes: Buffer): LedgerMessage | undefined {
   const result = messageSchema.safeParse(parseJson(bytes));
   if (!result.success) return undefined;
-  const [instance, startedAtMs, wallMs, rows] = result.data;
+  const [fleetId, instance, startedAtMs, wallMs, rows] = result.data;
   const news: LedgerNews[] = [];
   for (const row of rows) {
     const decoded = ledgerNewsSchema.safeParse(decodeNews(row));
     if (!decoded.success) return undefined;
     news.push(decoded.data);
   }
-  return {instance, startedAtMs, wallMs, news};
+  return {fleetId, instance, startedAtMs, wallMs, news};
 }
 
 type NewsRow = Array<string | number | null>;
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -54,6 +54,8 @@
 export interface LedgerLink {
   /** Sends news to every peer; urgent news go out at once. */
   send(news: LedgerNews, isUrgent: boolean): void;
+  /** Names the fleet; before that nothing is sent or taken. */
+  joinFleet(fleetId: string): void;
   /** Replaces the addresses that are tried. */
   setAddresses(addresses: readonly PeerAddress[]): void;
   livePeers(): LivePeer[];
@@ -79,6 +81,7 @@
   let batch: LedgerNews[] = [];
   let flushTimer: NodeJS.Timeout | undefined;
   let isFlushing = false;
+  let fleetId: string | undefined;
 
   const isLive = (peer: Peer) =>
     peer.instance !== undefined &&
@@ -99,7 +102,9 @@
     return peer;
   };
   const transmit = (news: LedgerNews[], targets: Peer[]) => {
+    if (fleetId === undefined) return;
     const message: LedgerMessage = {
+      fleetId,
       instance,
       startedAtMs,
       wallMs: Math.round(clock.wallMs()),
@@ -134,7 +139,8 @@
   };
   socket.on('message', (bytes, from) => {
     const message = decodeLedgerMessage(bytes);
-    if (!message || message.instance === instance) return;
+    if (!message || message.fleetId !== fleetId) return;
+    if (message.instance === instance) return;
     const peer = peerAt({host: from.address, port: from.port});
     if (peer.instance === undefined) {
       logger.info('peer_found', {peer: message.instance});
@@ -168,6 +174,9 @@
       }
       flushTimer ??= setTimeout(flush, BATCH_MS);
     },
+    joinFleet(id) {
+      fleetId = id;
+    },
     setAddresses(addresses) {
       const wanted = addresses.filter(
         ({host, port}) => host !== address.host || port !== address.port,
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -3,6 +3,7 @@
 import {
   CONFIG_PATH,
   configProofSchema,
+  FLEET_HEADER,
   USAGE_PATH,
   type ConfigProof,
   type RelayedUsage,
@@ -19,8 +20,10 @@
   close(): Promise<void>;
 }
 
-/** Makes a client. */
-export function createPeerClient(): PeerClient {
+/** Makes a client of a gateway's fleet. */
+export function createPeerClient(
+  fleetId: () => string | undefined,
+): PeerClient {
   const dispatcher = new Agent({connections: 1});
   const call = async (
     method: 'GET' | 'POST',
@@ -31,6 +34,7 @@
     const response = await request(`http://${address}${path}`, {
       method,
       dispatcher,
+      headers: {[FLEET_HEADER]: fleetId() ?? ''},
       body: body === undefined ? undefined : JSON.stringify(body),
       signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     });
--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -24,6 +24,9 @@
 /** Counts of one source for one window, to be stored for it. */
 export type RelayedUsage = z.infer<typeof relayedUsageSchema>;
 
+/** Header that names the asker's fleet; addresses may come to belong to another one. */
+export const FLEET_HEADER = 'sardinestile-fleet';
+
 /** Path of the question for the configuration; `?have=VERSION`. */
 export const CONFIG_PATH = '/peer/configuration';
 
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import {
   CONFIG_PATH,
+  FLEET_HEADER,
   relayedUsageSchema,
   USAGE_PATH,
   type ConfigProof,
@@ -18,6 +19,8 @@
 export interface PeerServerOptions {
   host: string;
   port: number;
+  /** Fleet of this gateway; questions of others are refused. */
+  fleetId: () => string | undefined;
   /** What this gateway can prove; undefined if nothing. */
   proveConfig: (haveVersion: number) => ConfigProof | undefined;
   /** Stores counts for another gateway; rejects if the store is away. */
@@ -51,7 +54,10 @@
   const server = createServer((request, response) => {
     const url = new URL(request.url ?? '/', 'http://peer');
     const handler = handlers[`${request.method} ${url.pathname}`];
-    if (!handler) {
+    const isOurs =
+      options.fleetId() !== undefined &&
+      request.headers[FLEET_HEADER] === options.fleetId();
+    if (!handler || !isOurs) {
       send(response, 404, {});
       return;
     }
