--- a/core/logger/src/line_writer.ts
+++ b/core/logger/src/line_writer.ts
@@ -31,7 +31,7 @@
 export function createLineWriter(options: LineWriterOptions = {}): LineWriter {
   const writeBytes = options.writeBytes ?? writeToStdout;
   const maxWaitingBytes = options.maxWaitingBytes ?? MAX_WAITING_BYTES;
-  let waiting: string[] = [];
+  const waiting: string[] = [];
   let waitingBytes = 0;
   let isWriting = false;
   let dropped = 0;
--- a/daemons/gateway/src/peer_registry.ts
+++ b/daemons/gateway/src/peer_registry.ts
@@ -88,8 +88,9 @@
     );
   };
   const schedule = (delayMs: number) => {
-    if (!isLeaving)
+    if (!isLeaving) {
       timer = setTimeout(run, delayMs * (0.8 + 0.4 * Math.random()));
+    }
   };
   const stop = () => {
     isLeaving = true;
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -174,8 +174,12 @@
     response.writeHead(200, {...stamp, 'content-type': 'text/event-stream'});
     let id = Number(entry.headers['last-event-id'] ?? -1) + 1;
     const next = () => {
-      if (response.destroyed || (silentAfter !== undefined && id > silentAfter))
+      if (
+        response.destroyed ||
+        (silentAfter !== undefined && id > silentAfter)
+      ) {
         return;
+      }
       if (breakAfter !== undefined && id > breakAfter) {
         response.write(`id: ${id}\ndata: ha`);
         setTimeout(() => request.socket.resetAndDestroy(), 10);
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,15 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['**/lib/**', '**/gen/**', '**/node_modules/**']},
+  {
+    ignores: [
+      'target/**',
+      'journal/**',
+      '**/lib/**',
+      '**/gen/**',
+      '**/node_modules/**',
+    ],
+  },
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/protocol/ledger/test/ledger_link_test.ts
+++ b/protocol/ledger/test/ledger_link_test.ts
@@ -78,8 +78,9 @@
     const second = await openTestLink('b', 'one');
     const stranger = await openTestLink('c', 'two');
     const addresses = [first, second, stranger].map(({address}) => address);
-    for (const {link} of [first, second, stranger])
+    for (const {link} of [first, second, stranger]) {
       link.setAddresses(addresses);
+    }
     await pause(50);
     first.link.send(NEWS[0], true);
     stranger.link.send(NEWS[1], true);
--- a/routing/fleet/src/fleet_types.ts
+++ b/routing/fleet/src/fleet_types.ts
@@ -17,15 +17,6 @@
   startedAtWallMs: number;
 }
 
-/** What an engine reports of its load. */
-export interface EngineLoad {
-  queued: number;
-  running: number;
-  /** Tokens of memory that cannot be freed. */
-  usedTokens: number;
-  memoryTokens: number;
-}
-
 /** What placement knows of a request. */
 export interface PlacementRequest {
   service: string;
--- a/routing/fleet/test/virtual_engines.ts
+++ b/routing/fleet/test/virtual_engines.ts
@@ -143,8 +143,9 @@
       const engine = engines.find(candidate => candidate.id === upstreamId)!;
       const isCached = engine.cached.has(part);
       const unreadTokens = kind.ownTokens + (isCached ? 0 : kind.sharedTokens);
-      if (!isCached && everRead.has(part))
+      if (!isCached && everRead.has(part)) {
         result.rereadTokens += kind.sharedTokens;
+      }
       everRead.add(part);
       engine.cached.add(part);
       fleet.recordPlaced(
--- a/testing/hosting/src/hosted_world.ts
+++ b/testing/hosting/src/hosted_world.ts
@@ -223,8 +223,9 @@
 ): Promise<void> {
   const endMs = performance.now() + timeoutMs;
   while (!(await condition())) {
-    if (performance.now() > endMs)
+    if (performance.now() > endMs) {
       throw new Error(`waited in vain for ${what}`);
+    }
     await new Promise(resolve => setTimeout(resolve, 10));
   }
 }
--- a/testing/hosting/test/answers_test.ts
+++ b/testing/hosting/test/answers_test.ts
@@ -122,8 +122,9 @@
   });
 
   it('says "not run" when an upstream refused a request that goes nowhere else', async () => {
-    for (const upstream of world.upstreams)
+    for (const upstream of world.upstreams) {
       upstream.behave = () => ({kind: 'refuse'});
+    }
     const path = PATHS.once;
     const answer = await front.call({
       method: 'POST',
--- a/testing/soak/src/promises.ts
+++ b/testing/soak/src/promises.ts
@@ -51,8 +51,9 @@
     ) {
       broken.push(`${where} ran with a key that was withdrawn`);
     }
-    if (answer)
+    if (answer) {
       broken.push(...checkAnswer(call, answer).map(f => `${where}: ${f}`));
+    }
   }
   return [...broken, ...checkDuties(duties)];
 }
@@ -100,8 +101,9 @@
   for (const {holder, fencingToken, body} of accepted) {
     const text = JSON.stringify(body.counts);
     const known = figures.get(body.window_seq) ?? text;
-    if (known !== text)
+    if (known !== text) {
       broken.push(`window ${String(body.window_seq)} has two figures`);
+    }
     figures.set(body.window_seq, text);
     const first = holders.get(fencingToken) ?? holder;
     if (first !== holder) broken.push(`token ${fencingToken} has two holders`);
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -159,8 +159,9 @@
   world.configure(config => {
     config.tenants[0].api_keys = [...keys];
   });
-  for (const upstream of world.upstreams)
+  for (const upstream of world.upstreams) {
     upstream.behave = behaveUsually(random);
+  }
   const store = await startStoreListener(world.store);
   const storeProxies: TcpProxy[] = [];
   const gateways: GatewayProcess[] = [];
