fix(gateway): ask peers only when the store stays silent

Cause: the age of a view lies between one and two waits while the store answers in time, and peers were asked from one and a half, so that every gateway asked another one several times a second. Change: peers are asked from 2.4 waits.

--- a/daemons/gateway/src/config_view.ts
+++ b/daemons/gateway/src/config_view.ts
@@ -14,8 +14,8 @@
 import type {Clock} from '@sardinestile/types';
 import {followFeed} from './follow_feed.js';
 
-/** Age of the view from which peers are asked, in waits; the store is asked once in each. */
-const ASK_PEERS_AGE_WAITS = 1.5;
+/** Age of the view from which peers are asked, in waits; it is up to two between two answers of the store. */
+const ASK_PEERS_AGE_WAITS = 2.4;
 
 /** The configuration that this gateway believes to be in force. */
 export interface ConfigView {
