fix(gateway): a stream with nothing left ends as whole

Cause: a run that went on after the last event gave no event and was taken for one that ended early; the time for a sign of an answer went on while a large answer was passed on. Change: no event is needed after one was passed on; the first header ends that time. One function makes held answers. Test: streams_test, silence after the last event, failed before.

--- a/daemons/gateway/src/answer_framing.ts
+++ b/daemons/gateway/src/answer_framing.ts
@@ -1,4 +1,6 @@
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import type {CallDialect} from '@sardinestile/ports';
+import type {BufferedAnswer} from './call.js';
 
 /** Whether an answer ends with its connection, so that nobody can tell if it is whole. */
 export function isUnframed(headers: IncomingHttpHeaders): boolean {
@@ -16,3 +18,18 @@
   response.useChunkedEncodingByDefault = false;
   response.shouldKeepAlive = false;
 }
+
+/** A whole answer that is held back until it is clear that it is the last word. */
+export function holdAnswer(
+  dialect: CallDialect,
+  status: number,
+  headers: IncomingHttpHeaders,
+  chunks: readonly Buffer[],
+): BufferedAnswer {
+  return {
+    status,
+    headers: dialect.callerHeaders(headers),
+    body: Buffer.concat(chunks),
+    isUnframed: isUnframed(headers),
+  };
+}
--- a/daemons/gateway/src/relay_answer.ts
+++ b/daemons/gateway/src/relay_answer.ts
@@ -1,7 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {startAttempt} from './attempt.js';
 import type {AttemptOutcome, Call} from './call.js';
-import {isUnframed, leaveUnframed} from './answer_framing.js';
+import {holdAnswer, isUnframed, leaveUnframed} from './answer_framing.js';
 import type {GatewayContext} from './gateway_context.js';
 import {
   attemptRequest,
@@ -46,6 +46,7 @@
         onHeaders(answerStatus, answerHeader) {
           status = answerStatus;
           headers = answerHeader;
+          clearTimeout(timer);
           if (isOwnAnswer(context, call, headers)) return;
           attempt.abort();
           settle({
@@ -74,13 +75,7 @@
             settle({kind: 'notRun', reason: `upstream refused: ${status}`});
             return;
           }
-          const body = Buffer.concat(chunks);
-          const answer = {
-            status,
-            headers: dialect.callerHeaders(headers),
-            body,
-            isUnframed: isUnframed(headers),
-          };
+          const answer = holdAnswer(dialect, status, headers, chunks);
           settle({kind: 'heldAnswer', answer});
         },
         onFailure({isSent, reason}) {
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/relay_stream.ts
@@ -2,7 +2,7 @@
 import {startAttempt} from './attempt.js';
 import type {AttemptOutcome, Call} from './call.js';
 import {createEventSplitter} from './event_splitter.js';
-import {isUnframed, leaveUnframed} from './answer_framing.js';
+import {holdAnswer, isUnframed, leaveUnframed} from './answer_framing.js';
 import type {GatewayContext} from './gateway_context.js';
 import {
   attemptRequest,
@@ -62,6 +62,8 @@
       settle({kind: 'unknown', reason});
     };
     const isStream = () => status >= 200 && status < 300;
+    /** A stream that goes on after an event may have nothing left. */
+    const hasAny = () => hasEvents || call.lastEventId !== undefined;
     const startResponse = () => {
       if (response.headersSent) return;
       if (isUnframed(headers)) leaveUnframed(response);
@@ -129,20 +131,15 @@
           if (dialect.readAnswer(headers).isNotRun) {
             settle({kind: 'notRun', reason: `upstream refused: ${status}`});
           } else if (!isStream()) {
-            const body = Buffer.concat(failureBody);
-            const answer = {
-              status,
-              headers: dialect.callerHeaders(headers),
-              body,
-              isUnframed: isUnframed(headers),
-            };
+            const answer = holdAnswer(dialect, status, headers, failureBody);
             settle({kind: 'heldAnswer', answer});
-          } else if (splitter.hasPartial || !hasEvents) {
+          } else if (splitter.hasPartial || !hasAny()) {
             settle({
               kind: 'unknown',
               reason: 'the stream ended within an event',
             });
           } else {
+            startResponse();
             response.end();
             settle({kind: 'answered', status});
           }
--- a/testing/hosting/test/streams_test.ts
+++ b/testing/hosting/test/streams_test.ts
@@ -60,6 +60,10 @@
       ['before the first event', {kind: 'stream', events: 10, breakAfter: -1}],
       ['by silence', {kind: 'stream', events: 10, silentAfter: 4}],
       ['by an error', {kind: 'answer', status: 500}],
+      [
+        'by silence after the last event',
+        {kind: 'stream', events: 10, silentAfter: 9},
+      ],
     ];
     for (const [name, behaviour] of breaks) {
       it(`${name}: go on at another upstream without a gap or a repeat`, async () => {
