--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -2,13 +2,11 @@
 import type {EngineTraits} from '@sardinestile/route_table';
 import type {Fleet, ServiceState, UpstreamState} from './fleet.js';
 import type {PlacementRequest, UpstreamRecord} from './fleet_types.js';
+import {PAUSE_SHARE} from './prompt_partition.js';
 
 /** Cost of a request that becomes late, in milliseconds of waiting. */
 const LATE_COST_MS = 600;
 
-/** Part of the wanted gap that reading a prompt may take beside running streams. */
-const PAUSE_SHARE = 0.6;
-
 /** Share of the streams beside a long prompt that were not late anyway. */
 const HARM_SHARE = 0.5;
 
--- a/routing/fleet/src/prompt_cache.ts
+++ b/routing/fleet/src/prompt_cache.ts
@@ -19,8 +19,6 @@
   touch(parts: readonly PromptPart[]): void;
   /** Notes that it has read a prompt. */
   confirm(parts: readonly PromptPart[]): void;
-  clear(): void;
-  readonly heldTokens: number;
 }
 
 /** Makes an empty cache of an engine with room for `memoryTokens`. */
@@ -65,12 +63,5 @@
         if (part) part.isRead = true;
       }
     },
-    clear() {
-      held.clear();
-      heldTokens = 0;
-    },
-    get heldTokens() {
-      return heldTokens;
-    },
   };
 }
--- a/routing/fleet/src/prompt_partition.ts
+++ b/routing/fleet/src/prompt_partition.ts
@@ -12,7 +12,7 @@
 const SHORT_PLACES_SHARE = 0.7;
 
 /** Part of the wanted gap that reading a prompt may take beside running streams. */
-const PAUSE_SHARE = 0.6;
+export const PAUSE_SHARE = 0.6;
 
 /**
  * Divides the engines of a service between long prompts and short ones. Reading
