fix(duties): a duty passes on when its first candidates are in trouble

Cause: only the first three gateways by name that were heard lately competed for the lease. Ruled out: the order of fences (tokens rose by one each), the wait of a claimant (4.5 s as stated). Change: gateways tell in each datagram whether they are stopping and whether they saw the duty held. A stopping gateway does not compete and is not counted; for each term without a holder three more compete. Before: usage_test, 'passes to a gateway that the store serves when it turns the first three away', waited in vain.

--- a/daemons/duties/src/index.ts
+++ b/daemons/duties/src/index.ts
@@ -1,2 +1,3 @@
+export * from './duty_candidacy.js';
 export * from './scaling_duty.js';
 export * from './usage_duty.js';
--- a/daemons/duties/src/usage_duty.ts
+++ b/daemons/duties/src/usage_duty.ts
@@ -39,8 +39,14 @@
   stop(): void;
 }
 
+/** A duty that goes with a lease. */
+export interface LeasedDuty extends Duty {
+  /** Whether some process was seen to hold the lease lately. */
+  isHeld(): boolean;
+}
+
 /** Reports usage while this process holds the lease. */
-export function startUsageDuty(options: UsageDutyOptions): Duty {
+export function startUsageDuty(options: UsageDutyOptions): LeasedDuty {
   const {table, logger, clock} = options;
   const lease = runLease({
     ...leaseOptions(DUTY, options.instance, logger),
@@ -75,6 +81,7 @@
     options.intervalMs ?? REPORT_INTERVAL_MS,
   );
   return {
+    isHeld: () => lease.isHeld(),
     stop() {
       clearInterval(timer);
       lease.stop();
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -36,9 +36,6 @@
 /** Time for the last writes of a stopping gateway, in milliseconds. */
 const LAST_WRITE_MS = 300;
 
-/** Gateways that compete for a duty; others follow when these are silent. */
-const DUTY_CANDIDATES = 3;
-
 /** Proofs of the configuration within the time in which a withdrawn key must stop. */
 const PROOFS_PER_KEY_LIMIT = 4;
 
@@ -82,6 +79,7 @@
       onNews: (peer, news) => reporter.applyNews(peer, news),
       onPeerGone: peer => fleet.forgetPlacer(peer, clock.monotonicMs()),
     },
+    status: () => ({isStopping, seesDutyHeld: usage?.isDutyHeld() ?? false}),
   });
   const reporter = createFleetReporter({instance, fleet, link, clock});
   const gateways = createGatewayCount();
@@ -116,7 +114,8 @@
       trueTimeMs,
       windowMs: options.usageWindowMs,
       leaseMs: options.leaseMs,
-      isCandidate: () => isAmongFirst(instance, link.livePeers()),
+      peers: () => link.livePeers(),
+      isStopping: () => isStopping,
       relay: relayed => peers.relayUsage(relayed),
       logger,
     });
@@ -256,15 +255,6 @@
   };
 }
 
-/** Whether few enough live peers come before this instance by name. */
-function isAmongFirst(
-  instance: string,
-  peers: ReadonlyArray<{instance: string}>,
-): boolean {
-  const before = peers.filter(peer => peer.instance < instance).length;
-  return before < DUTY_CANDIDATES;
-}
-
 function renderMetrics(context: GatewayContext): string {
   refreshGauges(context);
   return context.metrics.render();
--- a/daemons/gateway/src/usage_duties.ts
+++ b/daemons/gateway/src/usage_duties.ts
@@ -1,4 +1,8 @@
-import {startUsageDuty} from '@sardinestile/duties';
+import {
+  createDutyCandidacy,
+  startUsageDuty,
+  type DutyPeer,
+} from '@sardinestile/duties';
 import type {Logger} from '@sardinestile/logger';
 import type {TableService, UsageReceiver} from '@sardinestile/ports';
 import type {RelayedUsage} from '@sardinestile/peer';
@@ -32,8 +36,9 @@
   trueTimeMs: () => number;
   windowMs: number;
   leaseMs: number;
-  /** Whether this gateway is one of the few that compete for the duty. */
-  isCandidate: () => boolean;
+  /** The other gateways that were heard lately. */
+  peers: () => readonly DutyPeer[];
+  isStopping: () => boolean;
   /** Has a peer store counts; rejects if none could. */
   relay: (usage: RelayedUsage) => Promise<void>;
   logger: Logger;
@@ -42,6 +47,8 @@
 /** Counts this gateway's usage and, when it holds the lease, reports everyone's. */
 export interface UsageDuties {
   readonly source: UsageSource;
+  /** Whether some gateway was seen to hold the duty of reporting lately. */
+  isDutyHeld(): boolean;
   /** Writes the counts so far. */
   flush(): Promise<void>;
   stop(): Promise<void>;
@@ -88,6 +95,13 @@
     }, delayMs);
   };
   schedule();
+  const candidacy = createDutyCandidacy({
+    instance,
+    clock,
+    leaseMs,
+    peers: options.peers,
+    isStopping: options.isStopping,
+  });
   const duty = startUsageDuty({
     instance,
     table,
@@ -102,12 +116,14 @@
       durationMs: leaseMs,
       orderTimeoutMs: REPORT_TIMEOUT_MS,
       tickMs: leaseMs / LOOKS_A_TERM,
-      isCandidate: options.isCandidate,
+      isCandidate: isHeld => candidacy.isCandidate(isHeld),
     },
   });
+
   return {
     source,
     flush,
+    isDutyHeld: () => duty.isHeld(),
     async stop() {
       clearTimeout(timer);
       duty.stop();
--- a/protocol/ledger/src/ledger_codec.ts
+++ b/protocol/ledger/src/ledger_codec.ts
@@ -36,6 +36,14 @@
 /** News of one request. */
 export type LedgerNews = z.infer<typeof ledgerNewsSchema>;
 
+/** What a sender says of itself in every datagram. */
+export interface SenderStatus {
+  /** Whether it is about to end. */
+  isStopping: boolean;
+  /** Whether it saw the fleet's duty held lately, by itself or another. */
+  seesDutyHeld: boolean;
+}
+
 /** One datagram: who sends it, and its news since the last one. */
 export interface LedgerMessage {
   /** Fleet of the sender; addresses may come to belong to another one. */
@@ -45,6 +53,7 @@
   startedAtMs: number;
   /** The sender's time of day. */
   wallMs: number;
+  status: SenderStatus;
   news: LedgerNews[];
 }
 
@@ -54,18 +63,20 @@
   z.string(),
   z.number(),
   z.number(),
+  z.number().int(),
   z.array(z.array(z.union([z.string(), z.number(), z.null()]))),
 ]);
 
 /** Encodes a message. */
 export function encodeLedgerMessage(message: LedgerMessage): Buffer {
-  const {fleetId, instance, startedAtMs, wallMs, news} = message;
+  const {fleetId, instance, startedAtMs, wallMs, status, news} = message;
   return Buffer.from(
     JSON.stringify([
       fleetId,
       instance,
       startedAtMs,
       wallMs,
+      encodeStatus(status),
       news.map(encodeNews),
     ]),
   );
@@ -75,14 +86,30 @@
 export function decodeLedgerMessage(bytes: Buffer): LedgerMessage | undefined {
   const result = messageSchema.safeParse(parseJson(bytes));
   if (!result.success) return undefined;
-  const [fleetId, instance, startedAtMs, wallMs, rows] = result.data;
+  const [fleetId, instance, startedAtMs, wallMs, flags, rows] = result.data;
+  const status = decodeStatus(flags);
   const news: LedgerNews[] = [];
   for (const row of rows) {
     const decoded = ledgerNewsSchema.safeParse(decodeNews(row));
     if (!decoded.success) return undefined;
     news.push(decoded.data);
   }
-  return {fleetId, instance, startedAtMs, wallMs, news};
+  return {fleetId, instance, startedAtMs, wallMs, status, news};
+}
+
+/** Bits of the status on the wire. */
+const STOPPING_BIT = 1;
+const DUTY_HELD_BIT = 2;
+
+function encodeStatus({isStopping, seesDutyHeld}: SenderStatus): number {
+  return (isStopping ? STOPPING_BIT : 0) | (seesDutyHeld ? DUTY_HELD_BIT : 0);
+}
+
+function decodeStatus(flags: number): SenderStatus {
+  return {
+    isStopping: (flags & STOPPING_BIT) !== 0,
+    seesDutyHeld: (flags & DUTY_HELD_BIT) !== 0,
+  };
 }
 
 type NewsRow = Array<string | number | null>;
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -6,6 +6,7 @@
   encodeLedgerMessage,
   type LedgerMessage,
   type LedgerNews,
+  type SenderStatus,
 } from './ledger_codec.js';
 
 /** Longest time that news waits for other news, in milliseconds. */
@@ -27,7 +28,7 @@
 }
 
 /** A gateway that was heard lately. */
-export interface LivePeer {
+export interface LivePeer extends SenderStatus {
   instance: string;
   address: PeerAddress;
   /** How far its time of day is ahead of ours. */
@@ -48,6 +49,8 @@
   clock: Clock;
   logger: Logger;
   observer: LedgerObserver;
+  /** What this gateway tells of itself now. */
+  status: () => SenderStatus;
 }
 
 /** Exchanges news with the other gateways; news may be lost. */
@@ -68,8 +71,11 @@
   startedAtMs: number;
   lastHeardMs: number;
   wallAheadMs: number;
+  status: SenderStatus;
 }
 
+const UNKNOWN_STATUS: SenderStatus = {isStopping: false, seesDutyHeld: false};
+
 /** Opens a link; rejects if the address is taken. */
 export async function openLedgerLink(
   options: LedgerLinkOptions,
@@ -96,6 +102,7 @@
         startedAtMs: 0,
         lastHeardMs: -Infinity,
         wallAheadMs: 0,
+        status: UNKNOWN_STATUS,
       };
       peers.set(key, peer);
     }
@@ -108,6 +115,7 @@
       instance,
       startedAtMs,
       wallMs: Math.round(clock.wallMs()),
+      status: options.status(),
       news,
     };
     const bytes = encodeLedgerMessage(message);
@@ -151,6 +159,7 @@
     peer.startedAtMs = message.startedAtMs;
     peer.lastHeardMs = clock.monotonicMs();
     peer.wallAheadMs = message.wallMs - clock.wallMs();
+    peer.status = message.status;
     for (const news of message.news) observer.onNews(message.instance, news);
   });
   socket.on('error', error =>
@@ -196,6 +205,7 @@
                 instance: peer.instance,
                 address: peer.address,
                 wallAheadMs: peer.wallAheadMs,
+                ...peer.status,
               },
             ]
           : [],
--- a/protocol/ledger/test/ledger_link_test.ts
+++ b/protocol/ledger/test/ledger_link_test.ts
@@ -46,6 +46,7 @@
       onNews: (_peer, item) => news.push(item),
       onPeerGone: () => undefined,
     },
+    status: () => ({isStopping: false, seesDutyHeld: true}),
   });
   link.joinFleet(fleetId);
   return {link, address, news};
@@ -60,13 +61,14 @@
       instance: 'a',
       startedAtMs: 5,
       wallMs: 7,
+      status: {isStopping: true, seesDutyHeld: false},
       news: NEWS,
     };
     expect(decodeLedgerMessage(encodeLedgerMessage(message))).toEqual(message);
   });
 
   it('are dropped where they cannot be read', () => {
-    for (const text of ['', 'x', '[]', '["f","a",1,2,[["p"]]]', '{"a":1}']) {
+    for (const text of ['', 'x', '[]', '["f","a",1,2,0,[["p"]]]', '{"a":1}']) {
       expect(decodeLedgerMessage(Buffer.from(text))).toEqual(undefined);
     }
   });
--- a/state/lease/src/run_lease.ts
+++ b/state/lease/src/run_lease.ts
@@ -21,8 +21,11 @@
   key: string;
   table: TableService;
   clock: Clock;
-  /** Whether this process would claim the lease now; always by default. */
-  isCandidate?: () => boolean;
+  /**
+   * Whether this process would claim the lease now; always by default. It is
+   * told whether some process was seen to hold it lately.
+   */
+  isCandidate?: (isHeld: boolean) => boolean;
   /** Time between two looks at the lease. */
   tickMs?: number;
   onAcquired: (fencingToken: number) => void;
@@ -33,6 +36,8 @@
 export interface RunningLease {
   /** The fencing token if this process may act in this synchronous step. */
   fencingToken(): number | undefined;
+  /** Whether some process, this one or another, was seen to hold the lease lately. */
+  isHeld(): boolean;
   stop(): void;
 }
 
@@ -43,6 +48,8 @@
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
   let heldToken: number | undefined;
+  let seenVersion: number | undefined;
+  let changeSeenAtMs = -Infinity;
 
   const now = () => ({
     monotonicMs: clock.monotonicMs(),
@@ -61,11 +68,22 @@
     if (lostToken !== undefined) options.onLost(lostToken);
     if (token !== undefined) options.onAcquired(token);
   };
+  const noteVersion = (version: number | undefined) => {
+    if (version === undefined || version === seenVersion) return;
+    seenVersion = version;
+    changeSeenAtMs = clock.monotonicMs();
+  };
+  const isHeld = () =>
+    heldToken !== undefined ||
+    clock.monotonicMs() - changeSeenAtMs < options.durationMs;
   const perform = async (command: LeaseCommand) => {
     if (command.kind === 'read') {
       notify(
         await table.get(key).then(
-          row => ({kind: 'read' as const, lease: row && parseRow(row)}),
+          row => {
+            noteVersion(row?.version);
+            return {kind: 'read' as const, lease: row && parseRow(row)};
+          },
           () => ({kind: 'readFailed' as const}),
         ),
       );
@@ -85,14 +103,15 @@
     );
   };
   const tick = () => {
-    const isIdle = heldToken === undefined && options.isCandidate?.() === false;
-    if (!isIdle) notify({kind: 'timePassed'});
+    const mayClaim = options.isCandidate?.(isHeld()) ?? true;
+    if (mayClaim || heldToken !== undefined) notify({kind: 'timePassed'});
     const spread = 1 + TICK_JITTER * (2 * Math.random() - 1);
     timer = setTimeout(tick, tickMs * spread);
   };
   tick();
   return {
     fencingToken: () => (isStopped ? undefined : lease.fencingTokenAt(now())),
+    isHeld,
     stop() {
       isStopped = true;
       clearTimeout(timer);
--- a/testing/hosting/test/usage_test.ts
+++ b/testing/hosting/test/usage_test.ts
@@ -72,3 +72,33 @@
     expect(world.duties.fenced.length).toEqual(0);
   });
 });
+
+describe('the duty of reporting', () => {
+  let world: HostedWorld;
+  before(async () => {
+    world = await createHostedWorld(1);
+  });
+  after(() => world.close());
+
+  it('passes to a gateway that the store serves when it turns the first three away', async () => {
+    const fronts: HostedGateway[] = [];
+    for (let i = 0; i < 4; i++) fronts.push(await world.startGateway());
+    const last = fronts[3];
+    const call = (requestId: string) =>
+      last.call({path: PATHS.idempotent, headers: keyed(requestId)});
+    await call('d1');
+    await waitFor('a first report', () => world.duties.accepted.length > 0);
+    for (const front of fronts.slice(0, 3)) front.store.mode = 'busy';
+    await waitFor(
+      'the last gateway to hold the duty',
+      () => last.logs.some(line => line.includes('lease_acquired')),
+      20_000,
+    );
+    const before = world.duties.accepted.length;
+    await call('d2');
+    await waitFor(
+      'a report of the last gateway',
+      () => world.duties.accepted.length > before,
+    );
+  });
+});
