feat(gateway): share the upstreams in a group of gateways

Ruled out: a longer pause between calls (the time in which a leaving upstream must be known bounds it), datagrams (a lost change would stay unknown), sharing the configuration, too (the age of a copy comes on top of the keys'). Change: four gateways of a group read the store, the others ask one of them for what changed. A copy that is old, refused or late is left for the store at once.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -109,6 +109,11 @@
   session_closed: {peer: string; reason: string};
   config_applied: {version: number; source: string};
   store_failed: {operation: string; reason: string};
+  store_regained: {operation: string; awayMs: number};
+  upstreams_source_changed: {
+    /** The gateway whose copy is followed; absent for the store itself. */
+    peer?: string;
+  };
   upstream_failed: {upstream: string; reason: string};
   lease_acquired: {duty: string; fencingToken: number};
   lease_lost: {duty: string; fencingToken: number};
--- a/daemons/gateway/src/config_view.ts
+++ b/daemons/gateway/src/config_view.ts
@@ -78,6 +78,11 @@
           operation: 'follow configuration',
           reason,
         }),
+      onRecovered: awayMs =>
+        logger.info('store_regained', {
+          operation: 'follow configuration',
+          awayMs: Math.round(awayMs),
+        }),
     },
   });
   const ageMs = () => freshness.ageMs(readClocks(clock));
--- a/daemons/gateway/src/follow_feed.ts
+++ b/daemons/gateway/src/follow_feed.ts
@@ -14,6 +14,8 @@
   /** Everything up to `sentAt` is known. */
   onProof(sentAt: ClockReading): void;
   onFailure(reason: string): void;
+  /** The first answer after failures came. */
+  onRecovered(awayMs: number): void;
 }
 
 /** How a feed is followed. */
@@ -22,8 +24,8 @@
   clock: Clock;
   /** Longest wait of one call, in milliseconds; a proof is as old as the wait. */
   waitMs: number;
-  /** Shortest time between two calls; changes meanwhile come together. */
-  minIntervalMs?: number;
+  /** Shortest time between two calls now; changes meanwhile come together. */
+  minIntervalMs?: () => number;
   observer: FeedObserver<T>;
 }
 
@@ -36,10 +38,11 @@
 
 /** Follows a feed until it is stopped; reads it whole at first and after lost history. */
 export function followFeed<T>(options: FollowFeedOptions<T>): FollowedFeed {
-  const {feed, clock, observer, minIntervalMs = 0} = options;
+  const {feed, clock, observer, minIntervalMs = () => 0} = options;
   let isStopped = false;
   let version: number | undefined;
   let pauseMs = MIN_PAUSE_MS;
+  let failingSinceMs: number | undefined;
   /** Rises with each restart, so that answers to older calls are dropped. */
   let epoch = 0;
 
@@ -70,10 +73,16 @@
       try {
         await step(current);
         pauseMs = MIN_PAUSE_MS;
-        const tookMs = clock.monotonicMs() - startedMs;
-        if (tookMs < minIntervalMs) await pause(minIntervalMs - tookMs);
+        const nowMs = clock.monotonicMs();
+        if (failingSinceMs !== undefined) {
+          observer.onRecovered(nowMs - failingSinceMs);
+          failingSinceMs = undefined;
+        }
+        const leftMs = minIntervalMs() - (nowMs - startedMs);
+        if (leftMs > 0) await pause(leftMs);
       } catch (error) {
         if (isStopped || current !== epoch) return;
+        failingSinceMs ??= startedMs;
         observer.onFailure(
           error instanceof Error ? error.message : String(error),
         );
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import {createPeerCalls} from './peer_calls.js';
 import {startPeerRegistry} from './peer_registry.js';
 import {createRepeatBudgets} from './repeat_budgets.js';
+import {createSharedUpstreams} from './shared_upstreams.js';
 import {serveCall} from './serve_call.js';
 import {startTextServer} from './text_server.js';
 import {createUpstreamView} from './upstream_view.js';
@@ -155,8 +156,19 @@
       }),
   });
   config.subscribe(({limits}) => listener.applyLimits(limits));
+  const sharedUpstreams = createSharedUpstreams({
+    instance,
+    store: options.upstreams,
+    known: () => fleet.membership.all(),
+    peers: () => link.livePeers(),
+    ask: (address, since, waitMs) =>
+      peerClient.askUpstreams(address, since, waitMs),
+    drainLimitMs: options.drainLimitMs,
+    clock,
+    logger,
+  });
   const upstreams = createUpstreamView({
-    feed: options.upstreams,
+    shared: sharedUpstreams,
     drainLimitMs: options.drainLimitMs,
     fleet,
     clock,
@@ -170,6 +182,7 @@
     ...peerAddress,
     fleetId: () => fleetId,
     proveConfig: haveVersion => config.prove(haveVersion),
+    copyUpstreams: (since, waitMs) => sharedUpstreams.answer(since, waitMs),
     async storeUsage({source, windowId, sums}) {
       await storeRelayedUsage(table, source, windowId, sums);
     },
@@ -187,7 +200,7 @@
       upstreams.reread();
     }
     config.askPeersIfStale();
-    fleet.membership.expire(clock.monotonicMs());
+    upstreams.expire();
     fleet.prune(clock.monotonicMs());
   }, TICK_MS);
 
@@ -224,6 +237,7 @@
     await peerClient.close();
     config.stop();
     upstreams.stop();
+    sharedUpstreams.close();
     context.connections.close();
     textServers.forEach(server => server.close());
     logger.info('process_stopped', {instance});
--- a/daemons/gateway/src/upstream_view.ts
+++ b/daemons/gateway/src/upstream_view.ts
@@ -1,8 +1,8 @@
-import type {Fleet, UpstreamRecord} from '@sardinestile/fleet';
+import type {Fleet} from '@sardinestile/fleet';
 import type {Logger} from '@sardinestile/logger';
-import type {RecordFeed} from '@sardinestile/ports';
 import type {Clock} from '@sardinestile/types';
 import {followFeed} from './follow_feed.js';
+import type {SharedUpstreams} from './shared_upstreams.js';
 
 /**
  * Calls within the time in which a leaving upstream must be known. Every
@@ -10,20 +10,26 @@
  */
 const CALLS_PER_DRAIN_LIMIT = 3.2;
 
-/** Longest wait for news of the upstreams, in milliseconds. */
-const WAIT_MS = 2_000;
+/** Pause between two calls for another gateway's copy, in milliseconds; upstreams that come together make one change. */
+const COPY_PAUSE_MS = 100;
+
+/** Longest wait of a call, as a share of the same time; what a gateway passes on must not be older than half of it. */
+const WAIT_SHARE = 0.15;
 
 /** Keeps the fleet's membership up to date. */
 export interface UpstreamView {
   /** Whether the upstreams were read once. */
   readonly isKnown: boolean;
+  /** Drops upstreams that have not come back in time. */
+  expire(): void;
+  /** Takes what is known as out of date and reads it again. */
   reread(): void;
   stop(): void;
 }
 
 /** What a view follows. */
 export interface UpstreamViewOptions {
-  feed: RecordFeed<UpstreamRecord>;
+  shared: SharedUpstreams;
   fleet: Fleet;
   clock: Clock;
   logger: Logger;
@@ -35,14 +41,16 @@
 
 /** Follows the upstreams that are registered. */
 export function createUpstreamView(options: UpstreamViewOptions): UpstreamView {
-  const {fleet, clock, logger} = options;
+  const {fleet, clock, logger, shared} = options;
   const {membership} = fleet;
   let isKnown = false;
+  const storePauseMs = options.drainLimitMs / CALLS_PER_DRAIN_LIMIT;
   const feed = followFeed({
-    feed: options.feed,
+    feed: shared.feed,
     clock,
-    waitMs: WAIT_MS,
-    minIntervalMs: options.drainLimitMs / CALLS_PER_DRAIN_LIMIT,
+    waitMs: Math.round(WAIT_SHARE * options.drainLimitMs),
+    minIntervalMs: () =>
+      shared.feed.isAtOrigin ? storePauseMs : COPY_PAUSE_MS,
     observer: {
       onPage(page, isWhole) {
         const nowMs = clock.monotonicMs();
@@ -63,19 +71,31 @@
           else membership.remove(key, nowMs);
         }
         options.onChanged();
+        shared.publish();
       },
-      onProof: () => undefined,
+      onProof: sentAt => shared.prove(sentAt),
       onFailure(reason) {
         membership.noteStoreFailure(clock.monotonicMs());
         logger.warn('store_failed', {operation: 'follow upstreams', reason});
       },
+      onRecovered: awayMs =>
+        logger.info('store_regained', {
+          operation: 'follow upstreams',
+          awayMs: Math.round(awayMs),
+        }),
     },
   });
   return {
     get isKnown() {
       return isKnown;
     },
-    reread: () => feed.restart(),
+    expire() {
+      if (membership.expire(clock.monotonicMs())) shared.publish();
+    },
+    reread() {
+      shared.invalidate();
+      feed.restart();
+    },
     stop: () => feed.stop(),
   };
 }
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -3,13 +3,16 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
+import type {LogPosition} from '@sardinestile/shared_feed';
 import {
   CONFIG_PATH,
   FLEET_HEADER,
   relayedUsageSchema,
+  UPSTREAMS_PATH,
   USAGE_PATH,
   type ConfigProof,
   type RelayedUsage,
+  type UpstreamCopy,
 } from './peer_messages.js';
 
 /** Largest message that is read, in bytes. */
@@ -23,6 +26,11 @@
   fleetId: () => string | undefined;
   /** What this gateway can prove; undefined if nothing. */
   proveConfig: (haveVersion: number) => ConfigProof | undefined;
+  /** What this gateway read of the upstreams; undefined where it cannot vouch for it. */
+  copyUpstreams: (
+    since: LogPosition | undefined,
+    waitMs: number,
+  ) => Promise<UpstreamCopy | undefined>;
   /** Stores counts for another gateway; rejects if the store is away. */
   storeUsage: (usage: RelayedUsage) => Promise<void>;
 }
@@ -45,6 +53,15 @@
     async [`GET ${CONFIG_PATH}`](url) {
       return options.proveConfig(Number(url.searchParams.get('have') ?? 0));
     },
+    async [`GET ${UPSTREAMS_PATH}`]({searchParams}) {
+      const epoch = searchParams.get('epoch');
+      const position = Number(searchParams.get('position'));
+      const waitMs = Number(searchParams.get('waitMs'));
+      return options.copyUpstreams(
+        epoch ? {epoch, position} : undefined,
+        waitMs,
+      );
+    },
     async [`POST ${USAGE_PATH}`](_url, request) {
       const usage = relayedUsageSchema.parse(await readJson(request));
       await options.storeUsage(usage);
--- a/routing/fleet/src/fleet_groups.ts
+++ b/routing/fleet/src/fleet_groups.ts
@@ -47,7 +47,11 @@
   return Math.floor((position * count) / length);
 }
 
-function sortByHash<T>(items: readonly T[], nameOf: (item: T) => string): T[] {
+/** Items in an order that depends on their names alone, and not on their likeness. */
+export function sortByHash<T>(
+  items: readonly T[],
+  nameOf: (item: T) => string,
+): T[] {
   return items
     .map(item => ({item, name: nameOf(item), hash: hashText(nameOf(item))}))
     .sort((a, b) => a.hash - b.hash || (a.name < b.name ? -1 : 1))
--- a/routing/fleet/src/fleet_types.ts
+++ b/routing/fleet/src/fleet_types.ts
@@ -1,21 +1,25 @@
 import type {PromptPart} from '@sardinestile/ports';
+import {z} from 'zod';
 
 /** What an upstream registered of itself. */
-export interface UpstreamRecord {
+export const upstreamRecordSchema = z.object({
   /** Unique for each start, as a rule. */
-  id: string;
-  service: string;
+  id: z.string(),
+  service: z.string(),
   /** `host:port`. */
-  address: string;
-  availabilityZone: string;
+  address: z.string(),
+  availabilityZone: z.string(),
   /** Requests that it runs at once. */
-  places: number;
-  isLeaving: boolean;
+  places: z.number(),
+  isLeaving: z.boolean(),
   /** How much longer it is slow after its start. */
-  coldMs: number;
+  coldMs: z.number(),
   /** Unix millisecond of its start; 0 if unknown. */
-  startedAtWallMs: number;
-}
+  startedAtWallMs: z.number(),
+});
+
+/** What an upstream registered of itself. */
+export type UpstreamRecord = z.infer<typeof upstreamRecordSchema>;
 
 /** What placement knows of a request. */
 export interface PlacementRequest {
--- a/routing/fleet/src/membership.ts
+++ b/routing/fleet/src/membership.ts
@@ -15,8 +15,8 @@
   remove(id: string, nowMs: number): void;
   /** Notes that the store could not be read. */
   noteStoreFailure(nowMs: number): void;
-  /** Drops upstreams that have not come back since the store did. */
-  expire(nowMs: number): void;
+  /** Drops upstreams that have not come back since the store did; returns whether there were any. */
+  expire(nowMs: number): boolean;
   get(id: string): UpstreamRecord | undefined;
   /** Upstreams of a service that take new requests. */
   usableOf(service: string): readonly UpstreamRecord[];
@@ -90,6 +90,7 @@
       lastFailureAtMs = nowMs;
     },
     expire(nowMs) {
+      const before = records.size;
       for (const [id, untilMs] of lapsedUntilMs) {
         const limitMs = Math.max(
           untilMs,
@@ -100,6 +101,7 @@
         records.delete(id);
         rebuild();
       }
+      return records.size < before;
     },
     get: id => records.get(id),
     usableOf: service => usable.get(service) ?? [],
