feat(metrics): histograms, gaps between events, held time, duty and views

Cause: the metrics showed no gap between events, no time that a call was held, no state of the duty and no age of the load view, and durations were quantiles, which cannot be added up over gateways. Change: core/metrics is a bounded layer over prom-client; durations are histograms with buckets.

--- a/admin/ops/src/ops_server.ts
+++ b/admin/ops/src/ops_server.ts
@@ -29,9 +29,9 @@
       const isReady = options.isReady();
       return Response.json({isReady}, {status: isReady ? 200 : 503});
     })
-    .get('/metrics', () => {
+    .get('/metrics', async () => {
       const headers = {'content-type': METRICS_CONTENT_TYPE};
-      return new Response(options.metrics.render(), {headers});
+      return new Response(await options.metrics.render(), {headers});
     })
     .get('/state', event => {
       if (!hasAdminKey(event, options.adminKey)) return unauthorized();
--- a/core/metrics/src/metrics_registry.ts
+++ b/core/metrics/src/metrics_registry.ts
@@ -1,10 +1,18 @@
-import {build, type Histogram} from 'hdr-histogram-js';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
-const QUANTILES = [0.5, 0.95, 0.99];
-const SIGNIFICANT_DIGITS = 2;
-const HIGHEST_TRACKABLE_US = 3_600_000_000;
+/** Upper bounds of the buckets of durations, in seconds: from a token's time to the longest answers. */
+const BUCKETS_SECONDS = [
+  0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5,
+  2.5, 5, 10, 30, 60,
+];
 
-/** Label names and values of one time series. */
+/** Series of one family; further label values share one more. */
+const MAX_SERIES = 1_000;
+
+/** Value of every label of the series that takes what is beyond the limit. */
+const OVERFLOW_VALUE = 'overflow';
+
+/** Label names and values of one time series; a family's names are always the same. */
 export type Labels = Readonly<Record<string, string>>;
 
 /** Records counters, gauges and durations, and renders them for a scrape. */
@@ -14,134 +22,82 @@
   /** Records a duration in milliseconds under a name that ends in `_seconds`. */
   recordMs(name: string, labels: Labels, durationMs: number): void;
   /** Renders every series in the Prometheus text format. */
-  render(): string;
+  render(): Promise<string>;
 }
 
-interface Summary {
-  histogram: Histogram;
-  sumMs: number;
-  count: number;
+/** Series of one name by their labels, up to a limit. */
+interface Family<Series> {
+  of(labels: Labels): Series;
 }
 
 /** Makes an empty registry. */
 export function createMetricsRegistry(): MetricsRegistry {
-  const counters = new Map<string, Map<string, number>>();
-  const gauges = new Map<string, Map<string, number>>();
-  const summaries = new Map<string, Map<string, Summary>>();
+  const registry = new Registry();
+  const register = {registers: [registry]};
+  const counters = createFamilies((name, labelNames) => {
+    const counter = new Counter({name, help: name, labelNames, ...register});
+    return labels => counter.labels(labels);
+  });
+  const gauges = createFamilies((name, labelNames) => {
+    const gauge = new Gauge({name, help: name, labelNames, ...register});
+    return labels => gauge.labels(labels);
+  });
+  const histograms = createFamilies((name, labelNames) => {
+    const buckets = BUCKETS_SECONDS;
+    const options = {name, help: name, labelNames, buckets, ...register};
+    const histogram = new Histogram(options);
+    return labels => histogram.labels(labels);
+  });
   return {
-    increment(name, labels, by = 1) {
-      const series = seriesOf(counters, name);
-      const key = keyFor(series, labels);
-      series.set(key, (series.get(key) ?? 0) + by);
-    },
-    setGauge(name, labels, value) {
-      const series = seriesOf(gauges, name);
-      series.set(keyFor(series, labels), value);
-    },
-    recordMs(name, labels, durationMs) {
-      const series = seriesOf(summaries, name);
-      const key = keyFor(series, labels);
-      let summary = series.get(key);
-      if (!summary) {
-        summary = createSummary();
-        series.set(key, summary);
-      }
-      recordDuration(summary, durationMs);
-    },
-    render() {
-      return [
-        ...renderPlain(counters, 'counter'),
-        ...renderPlain(gauges, 'gauge'),
-        ...renderSummaries(summaries),
-        '',
-      ].join('\n');
-    },
+    increment: (name, labels, by = 1) =>
+      counters(name, labels).of(labels).inc(by),
+    setGauge: (name, labels, value) =>
+      gauges(name, labels).of(labels).set(value),
+    recordMs: (name, labels, durationMs) =>
+      histograms(name, labels)
+        .of(labels)
+        .observe(durationMs / 1000),
+    render: () => registry.metrics(),
   };
 }
 
-/** Series of one family; further label values share the last one. */
-const MAX_SERIES = 1_000;
-
-/** Labels of the series that takes what is beyond the limit. */
-const OVERFLOW_LABELS = 'overflow="true"';
-
-function keyFor<T>(series: ReadonlyMap<string, T>, labels: Labels): string {
-  const key = formatLabels(labels);
-  const hasRoom = series.has(key) || series.size < MAX_SERIES;
-  return hasRoom ? key : OVERFLOW_LABELS;
-}
-
-function seriesOf<T>(families: Map<string, Map<string, T>>, name: string) {
-  let series = families.get(name);
-  if (!series) {
-    series = new Map();
-    families.set(name, series);
-  }
-  return series;
-}
-
-function createSummary(): Summary {
-  const histogram = build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: HIGHEST_TRACKABLE_US,
-    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-    bitBucketSize: 32,
-  });
-  return {histogram, sumMs: 0, count: 0};
-}
-
-function recordDuration(summary: Summary, durationMs: number): void {
-  const durationUs = Math.max(1, Math.round(durationMs * 1000));
-  summary.histogram.recordValue(Math.min(durationUs, HIGHEST_TRACKABLE_US));
-  summary.sumMs += durationMs;
-  summary.count++;
-}
-
-function formatLabels(labels: Labels): string {
-  return Object.entries(labels)
-    .map(([key, value]) => `${key}=${JSON.stringify(value)}`)
-    .join(',');
-}
-
-function renderPlain(
-  families: Map<string, Map<string, number>>,
-  type: string,
-): string[] {
-  const lines: string[] = [];
-  for (const [name, series] of families) {
-    lines.push(`# TYPE ${name} ${type}`);
-    for (const [labels, value] of series) {
-      lines.push(`${name}${braced(labels)} ${value}`);
-    }
-  }
-  return lines;
-}
-
-function renderSummaries(families: Map<string, Map<string, Summary>>) {
-  const lines: string[] = [];
-  for (const [name, series] of families) {
-    lines.push(`# TYPE ${name} summary`);
-    for (const [labels, summary] of series) {
-      lines.push(...renderSummary(name, labels, summary));
+/** Makes the families of one type; each is defined by its first use. */
+function createFamilies<Series>(
+  define: (name: string, labelNames: string[]) => (labels: Labels) => Series,
+): (name: string, labels: Labels) => Family<Series> {
+  const families = new Map<string, Family<Series>>();
+  return (name, labels) => {
+    let family = families.get(name);
+    if (!family) {
+      family = createFamily(define(name, Object.keys(labels)));
+      families.set(name, family);
     }
-  }
-  return lines;
-}
-
-function renderSummary(name: string, labels: string, summary: Summary) {
-  const separator = labels ? ',' : '';
-  const quantiles = QUANTILES.map(quantile => {
-    const valueUs = summary.histogram.getValueAtPercentile(quantile * 100);
-    const quantileLabel = `quantile="${quantile}"`;
-    return `${name}{${labels}${separator}${quantileLabel}} ${valueUs / 1e6}`;
-  });
-  return [
-    ...quantiles,
-    `${name}_sum${braced(labels)} ${summary.sumMs / 1000}`,
-    `${name}_count${braced(labels)} ${summary.count}`,
-  ];
+    return family;
+  };
 }
 
-function braced(labels: string): string {
-  return labels ? `{${labels}}` : '';
+/** Keeps the series that were made, so that a hot path finds its own at once. */
+function createFamily<Series>(
+  make: (labels: Labels) => Series,
+): Family<Series> {
+  const known = new Map<string, Series>();
+  let overflow: Series | undefined;
+  return {
+    of(labels) {
+      const key = Object.values(labels).join('\0');
+      const series = known.get(key);
+      if (series !== undefined) return series;
+      if (known.size >= MAX_SERIES) {
+        overflow ??= make(
+          Object.fromEntries(
+            Object.keys(labels).map(label => [label, OVERFLOW_VALUE]),
+          ),
+        );
+        return overflow;
+      }
+      const made = make(labels);
+      known.set(key, made);
+      return made;
+    },
+  };
 }
--- a/daemons/duties/src/usage_duty.ts
+++ b/daemons/duties/src/usage_duty.ts
@@ -43,6 +43,8 @@
 export interface LeasedDuty extends Duty {
   /** Whether some process was seen to hold the lease lately. */
   isHeld(): boolean;
+  /** The token if this process holds the lease now. */
+  fencingToken(): number | undefined;
 }
 
 /** Reports usage while this process holds the lease. */
@@ -82,6 +84,7 @@
   );
   return {
     isHeld: () => lease.isHeld(),
+    fencingToken: () => lease.fencingToken(),
     stop() {
       clearInterval(timer);
       lease.stop();
--- a/daemons/gateway/src/call_records.ts
+++ b/daemons/gateway/src/call_records.ts
@@ -33,6 +33,19 @@
 ): void {
   const {upstream, state} = placement;
   const {health} = state;
+  const {metrics} = context;
+  const labels = {service: call.service};
+  if (call.attempts === 1) {
+    const heldMs = startedAtMs - call.arrivedAtMs;
+    metrics.recordMs('sardinestile_held_seconds', labels, heldMs);
+  } else {
+    metrics.increment('sardinestile_repeats_total', labels);
+  }
+  metrics.recordMs(
+    'sardinestile_expected_wait_seconds',
+    labels,
+    placement.waitMs,
+  );
   context.logger.info('attempt_started', {
     requestId: call.requestId,
     attempt: call.attempts,
@@ -49,6 +62,15 @@
   });
 }
 
+/** Records the time between two arrivals of events of a stream, in milliseconds. */
+export function recordGap(
+  {metrics}: GatewayContext,
+  {service}: Call,
+  gapMs: number,
+): void {
+  metrics.recordMs('sardinestile_event_gap_seconds', {service}, gapMs);
+}
+
 /** Records what came of an attempt. */
 export function recordAttemptEnd(
   {logger, metrics}: GatewayContext,
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -126,8 +126,8 @@
     clock,
     dialect: options.dialect,
     fleet,
-    connections: createConnectionPool(address =>
-      metrics.increment('sardinestile_upstream_connections_total', {address}),
+    connections: createConnectionPool(() =>
+      metrics.increment('sardinestile_upstream_connections_total', {}),
     ),
     budgets: createRepeatBudgets({
       ratio: () => deployment.retryRatio,
@@ -140,6 +140,12 @@
     reporter,
     gateways,
     configAgeMs: () => config.ageMs(),
+    upstreamsAgeMs: () => upstreams.ageMs(),
+    peers: () => link.livePeers(),
+    duty: {
+      isHeldBySome: () => usage?.isDutyHeld() ?? false,
+      fencingToken: () => usage?.fencingToken(),
+    },
     maxKeyAgeMs,
     logger,
     metrics,
@@ -217,9 +223,9 @@
   }
   if (options.metricsAddress) {
     textServers.push(
-      await startTextServer(options.metricsAddress, () => ({
+      await startTextServer(options.metricsAddress, async () => ({
         status: 200,
-        text: renderMetrics(context),
+        text: await renderMetrics(context),
       })),
     );
   }
@@ -269,7 +275,7 @@
   };
 }
 
-function renderMetrics(context: GatewayContext): string {
+function renderMetrics(context: GatewayContext): Promise<string> {
   refreshGauges(context);
   return context.metrics.render();
 }
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -1,4 +1,5 @@
 import type {Fleet} from '@sardinestile/fleet';
+import type {LivePeer} from '@sardinestile/ledger';
 import type {Logger} from '@sardinestile/logger';
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {CallDialect} from '@sardinestile/ports';
@@ -10,6 +11,14 @@
 import type {GatewayCount} from './gateway_count.js';
 import type {FleetReporter} from './fleet_reporter.js';
 
+/** What is known of the fleet's duty. */
+export interface DutyState {
+  /** Whether some gateway was seen to hold it lately. */
+  isHeldBySome(): boolean;
+  /** This gateway's token; undefined unless it holds the duty. */
+  fencingToken(): number | undefined;
+}
+
 /** What serving a call needs; one per process. */
 export interface GatewayContext {
   clock: Clock;
@@ -26,6 +35,11 @@
   gateways: GatewayCount;
   /** Upper bound of the time since the configuration was known to be the newest. */
   configAgeMs: () => number;
+  /** Upper bound of the age of what is known of the upstreams. */
+  upstreamsAgeMs: () => number;
+  /** Gateways that were heard lately. */
+  peers: () => readonly LivePeer[];
+  duty: DutyState;
   /** Age of the keys' view beyond which keyed routes are not served. */
   maxKeyAgeMs: () => number;
   logger: Logger;
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -13,6 +13,20 @@
     context.configAgeMs() / 1000,
   );
   metrics.setGauge('sardinestile_gateways', {}, context.gateways.inFleet);
+  metrics.setGauge(
+    'sardinestile_upstreams_age_seconds',
+    {},
+    context.upstreamsAgeMs() / 1000,
+  );
+  const {peers, duty} = context;
+  metrics.setGauge('sardinestile_peers', {}, peers().length);
+  metrics.setGauge(
+    'sardinestile_load_view_age_seconds',
+    {},
+    Math.max(0, ...peers().map(({silentMs}) => silentMs)) / 1000,
+  );
+  metrics.setGauge('sardinestile_duty_held_by_some', {}, +duty.isHeldBySome());
+  metrics.setGauge('sardinestile_duty_token', {}, duty.fencingToken() ?? 0);
   const {open, idle} = connections.counts();
   metrics.setGauge('sardinestile_connections_open', {}, open);
   metrics.setGauge('sardinestile_connections_idle', {}, idle);
--- a/daemons/gateway/src/refuse.ts
+++ b/daemons/gateway/src/refuse.ts
@@ -55,6 +55,10 @@
     code,
     route: route?.name ?? '',
   });
+  context.metrics.increment('sardinestile_refusals_by_organisation_total', {
+    code,
+    organisation: organisation?.name ?? '',
+  });
   context.logger.info('call_refused', {
     requestId,
     code,
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/relay_stream.ts
@@ -3,6 +3,7 @@
 import type {AttemptOutcome, Call} from './call.js';
 import {createEventSplitter} from './event_splitter.js';
 import {holdAnswer, isUnframed, leaveUnframed} from './answer_framing.js';
+import {recordGap} from './call_records.js';
 import type {GatewayContext} from './gateway_context.js';
 import {
   attemptRequest,
@@ -116,7 +117,9 @@
             failureBody.push(chunk);
             return;
           }
-          lastSignMs = clock.monotonicMs();
+          const nowMs = clock.monotonicMs();
+          if (hasEvents) recordGap(context, call, nowMs - lastSignMs);
+          lastSignMs = nowMs;
           for (const {bytes, id} of splitter.push(chunk)) {
             if (!hasEvents) {
               hasEvents = true;
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {ListenAddress} from './gateway_options.js';
 
 /** An answer to every request. */
@@ -10,16 +10,20 @@
 /** Starts a server that gives one kind of answer, such as readiness; rejects if it cannot listen. */
 export function startTextServer(
   {host, port}: ListenAddress,
-  render: () => TextAnswer,
+  render: () => TextAnswer | Promise<TextAnswer>,
 ): Promise<Server> {
-  const server = createServer((_request, response) => {
-    const {status, text} = render();
+  const answer = async (response: ServerResponse) => {
+    const {status, text} = await render();
     response.writeHead(status, {
       'Content-Type': 'text/plain; charset=utf-8',
       'Content-Length': Buffer.byteLength(text),
     });
     response.end(text);
-  });
+  };
+  const server = createServer(
+    (_request, response) =>
+      void answer(response).catch((error: Error) => response.destroy(error)),
+  );
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen({host, port}, () => resolve(server));
--- a/daemons/gateway/src/upstream_view.ts
+++ b/daemons/gateway/src/upstream_view.ts
@@ -1,4 +1,5 @@
 import type {Fleet} from '@sardinestile/fleet';
+import {createFreshness, readClocks} from '@sardinestile/freshness';
 import type {Logger} from '@sardinestile/logger';
 import type {Clock} from '@sardinestile/types';
 import {followFeed} from './follow_feed.js';
@@ -20,6 +21,8 @@
 export interface UpstreamView {
   /** Whether the upstreams were read once. */
   readonly isKnown: boolean;
+  /** Upper bound of the age of what is known, in milliseconds. */
+  ageMs(): number;
   /** Drops upstreams that have not come back in time. */
   expire(): void;
   /** Takes what is known as out of date and reads it again. */
@@ -43,6 +46,7 @@
 export function createUpstreamView(options: UpstreamViewOptions): UpstreamView {
   const {fleet, clock, logger, shared} = options;
   const {membership} = fleet;
+  const freshness = createFreshness();
   let isKnown = false;
   const storePauseMs = options.drainLimitMs / CALLS_PER_DRAIN_LIMIT;
   const feed = followFeed({
@@ -73,7 +77,10 @@
         options.onChanged();
         shared.publish();
       },
-      onProof: sentAt => shared.prove(sentAt),
+      onProof(sentAt) {
+        freshness.prove(sentAt);
+        shared.prove(sentAt);
+      },
       onFailure(reason) {
         membership.noteStoreFailure(clock.monotonicMs());
         logger.warn('store_failed', {operation: 'follow upstreams', reason});
@@ -89,10 +96,12 @@
     get isKnown() {
       return isKnown;
     },
+    ageMs: () => freshness.ageMs(readClocks(clock)),
     expire() {
       if (membership.expire(clock.monotonicMs())) shared.publish();
     },
     reread() {
+      freshness.invalidate();
       shared.invalidate();
       feed.restart();
     },
--- a/daemons/gateway/src/usage_duties.ts
+++ b/daemons/gateway/src/usage_duties.ts
@@ -49,6 +49,8 @@
   readonly source: UsageSource;
   /** Whether some gateway was seen to hold the duty of reporting lately. */
   isDutyHeld(): boolean;
+  /** The token of this gateway; undefined unless it holds the duty. */
+  fencingToken(): number | undefined;
   /** Writes the counts so far. */
   flush(): Promise<void>;
   stop(): Promise<void>;
@@ -124,6 +126,7 @@
     source,
     flush,
     isDutyHeld: () => duty.isHeld(),
+    fencingToken: () => duty.fencingToken(),
     async stop() {
       clearTimeout(timer);
       duty.stop();
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -33,6 +33,8 @@
   address: PeerAddress;
   /** How far its time of day is ahead of ours. */
   wallAheadMs: number;
+  /** Time since it was heard. */
+  silentMs: number;
 }
 
 /** What the link tells its owner. */
@@ -205,6 +207,7 @@
                 instance: peer.instance,
                 address: peer.address,
                 wallAheadMs: peer.wallAheadMs,
+                silentMs: clock.monotonicMs() - peer.lastHeardMs,
                 ...peer.status,
               },
             ]
--- a/testing/hosting/src/hosted_world.ts
+++ b/testing/hosting/src/hosted_world.ts
@@ -67,6 +67,8 @@
   readonly gateway: Gateway;
   call(options: Omit<RawCallOptions, 'address' | 'host'>): Promise<RawAnswer>;
   isReady(): Promise<boolean>;
+  /** What a scrape of the metrics gets. */
+  scrape(): Promise<string>;
 }
 
 /** A deployment of stand-ins. */
@@ -169,14 +171,14 @@
     host: '127.0.0.1',
     port: duties.listener.port,
   });
-  const [port, readyPort, peerPort] = await freePorts(3);
+  const [port, readyPort, peerPort, metricsPort] = await freePorts(4);
   const logs: string[] = [];
   const host = '127.0.0.1';
   const gateway = await startGateway({
     instance,
     callerAddress: {host, port},
     readinessAddress: {host, port: readyPort},
-    metricsAddress: undefined,
+    metricsAddress: {host, port: metricsPort},
     peerAddress: {host, port: peerPort},
     dialect: platformDialect,
     configuration: createConfigurationFeed(store),
@@ -210,6 +212,12 @@
       const {status} = await rawCall({address: readinessAddress, host, path});
       return status === 200;
     },
+    async scrape() {
+      const metricsAddress = `${host}:${metricsPort}`;
+      const path = '/metrics';
+      const {body} = await rawCall({address: metricsAddress, host, path});
+      return body.toString();
+    },
   };
   await waitFor('the gateway to be ready', () => hosted.isReady());
   return hosted;
