feat(gateway): order upstreams where the platform scales a service

Cause: services with limits of scaling kept what they had; the duty was not built for the platform. Change: the holder of the fleet's duty decides every 2 s by the places that requests take or that waiting prompts amount to, and orders per zone under its fencing token. It begins with what runs, repeats an order that had no effect in time, and stops at the first refusal of its token. Before: no call to scale in the hosting tests; after: scaling_test (three cases) and four unit tests pass.

--- a/cli/sardinestile/src/platform_wiring.ts
+++ b/cli/sardinestile/src/platform_wiring.ts
@@ -5,6 +5,7 @@
   createStoreClient,
   createTableService,
   createUpstreamFeed,
+  createUpstreamStarter,
   createUsageReceiver,
   parseSettings,
   platformDialect,
@@ -84,6 +85,10 @@
             windowMs: settings.usageWindowMs,
           })
         : undefined,
+    upstreamStarter:
+      calls && settings.dutyApi?.hasScaling
+        ? createUpstreamStarter({calls, instance: settings.instance})
+        : undefined,
     dialect: platformDialect,
     configuration: createConfigurationFeed(store),
     upstreams: createUpstreamFeed(store),
--- a/core/errors/src/error_code.ts
+++ b/core/errors/src/error_code.ts
@@ -5,6 +5,7 @@
   | 'VERSION_CONFLICT'
   | 'STORE_UNAVAILABLE'
   | 'PEER_UNAVAILABLE'
+  | 'FENCED'
   | 'NOT_FOUND'
   | 'UNAUTHORIZED'
   | 'INVALID_REQUEST';
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -117,6 +117,15 @@
   upstream_failed: {upstream: string; reason: string};
   lease_acquired: {duty: string; fencingToken: number};
   lease_lost: {duty: string; fencingToken: number};
+  upstreams_ordered: {
+    service: string;
+    availabilityZone: string;
+    count: number;
+    /** Places that requests of the service take or wait for. */
+    demandPlaces: number;
+    fencingToken: number;
+  };
+  duty_call_failed: {operation: string; reason: string};
   usage_reported: {windowId: string; organisations: number};
   peer_found: {peer: string};
   peer_lost: {peer: string};
--- /dev/null
+++ b/daemons/duties/test/scaling_orders_test.ts
@@ -0,0 +1,60 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createScalingOrders} from '../src/index.js';
+
+const START_MS = 4_000;
+
+function createTestOrders() {
+  const zones = ['a', 'b'].map(availabilityZone => ({
+    availabilityZone,
+    min: 1,
+    max: 4,
+  }));
+  return createScalingOrders({zones, capacity: 10, startMs: START_MS});
+}
+
+function sample(demandPlaces: number, servingA: number, servingB: number) {
+  return {
+    demandPlaces,
+    zones: [
+      {availabilityZone: 'a', serving: servingA, isLost: false},
+      {availabilityZone: 'b', serving: servingB, isLost: false},
+    ],
+  };
+}
+
+describe('createScalingOrders', () => {
+  it('orders nothing when it takes over a service that has enough', () => {
+    const orders = createTestOrders();
+    expect(orders.decide(sample(3, 2, 2), 0)).toEqual([]);
+    expect(orders.decide(sample(3, 2, 2), 60_000)).toEqual([]);
+  });
+
+  it('orders once what the demand needs', () => {
+    const orders = createTestOrders();
+    expect(orders.decide(sample(20, 1, 1), 0)).toEqual([
+      {availabilityZone: 'a', count: 2},
+    ]);
+    expect(orders.decide(sample(20, 1, 1), 1_000)).toEqual([]);
+    expect(orders.decide(sample(20, 2, 1), 10_000)).toEqual([]);
+  });
+
+  it('repeats an order that had no effect in time', () => {
+    const orders = createTestOrders();
+    orders.decide(sample(20, 1, 1), 0);
+    expect(orders.decide(sample(20, 1, 1), START_MS + 4_999)).toEqual([]);
+    expect(orders.decide(sample(20, 1, 1), START_MS + 5_000)).toEqual([
+      {availabilityZone: 'a', count: 2},
+    ]);
+  });
+
+  it('stops upstreams once demand stayed low', () => {
+    const orders = createTestOrders();
+    expect(orders.decide(sample(1, 3, 3), 0)).toEqual([]);
+    expect(orders.decide(sample(1, 3, 3), 299_000)).toEqual([]);
+    expect(orders.decide(sample(1, 3, 3), 301_000)).toEqual([
+      {availabilityZone: 'a', count: 1},
+      {availabilityZone: 'b', count: 1},
+    ]);
+  });
+});
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import {createPeerCalls} from './peer_calls.js';
 import {startPeerRegistry} from './peer_registry.js';
 import {createRepeatBudgets} from './repeat_budgets.js';
+import {startScalingDuties} from './scaling_duties.js';
 import {createSharedUpstreams} from './shared_upstreams.js';
 import {serveCall} from './serve_call.js';
 import {startTextServer} from './text_server.js';
@@ -120,6 +121,17 @@
       relay: relayed => peers.relayUsage(relayed),
       logger,
     });
+  const scaling =
+    options.upstreamStarter &&
+    startScalingDuties({
+      starter: options.upstreamStarter,
+      services: () => config.routes()?.table.services ?? [],
+      fleet,
+      unheardFactor: () => gateways.inFleet / gateways.inGroup,
+      fencingToken: () => usage?.fencingToken(),
+      clock,
+      logger,
+    });
   let deployment: DeploymentLimits = options;
   const maxKeyAgeMs = () => deployment.keyWithdrawalLimitMs - KEY_AGE_MARGIN_MS;
   const context: GatewayContext = {
@@ -236,6 +248,7 @@
     isStopping = true;
     clearInterval(tick);
     listener.close();
+    scaling?.stop();
     await usage?.stop();
     registry.stop();
     link.close();
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -5,6 +5,7 @@
   CallDialect,
   RecordFeed,
   TableService,
+  UpstreamStarter,
   UsageReceiver,
 } from '@sardinestile/ports';
 import type {RouteTable} from '@sardinestile/route_table';
@@ -41,6 +42,8 @@
   /** Rows of the system itself. */
   table: TableService;
   usageReceiver: UsageReceiver | undefined;
+  /** Orders upstreams; absent where the platform does not take orders. */
+  upstreamStarter: UpstreamStarter | undefined;
   usageWindowMs: number;
   /** Time for which a duty is held without renewal. */
   leaseMs: number;
--- a/scaling/autoscaler/src/autoscaler.ts
+++ b/scaling/autoscaler/src/autoscaler.ts
@@ -80,6 +80,11 @@
   };
   return {
     observe({demandPlaces, zones}, nowMs) {
+      if (samples.length === 0) {
+        // Whoever decided before had a reason for what runs now.
+        const count = zones.reduce((sum, {serving}) => sum + serving, 0);
+        needs.push({atMs: nowMs, count});
+      }
       const now = {atMs: nowMs, demandPlaces};
       samples = [...samples, now].slice(-TREND_SAMPLES);
       const need = Math.ceil(expectDemand(now) / perUpstream);
--- a/testing/hosting/src/hosted_world.ts
+++ b/testing/hosting/src/hosted_world.ts
@@ -6,6 +6,7 @@
   createStoreClient,
   createTableService,
   createUpstreamFeed,
+  createUpstreamStarter,
   createUsageReceiver,
   platformDialect,
 } from '@sardinestile/adapter_platform';
@@ -189,6 +190,7 @@
       instance,
       windowMs: bounds.usageWindowMs,
     }),
+    upstreamStarter: createUpstreamStarter({calls, instance}),
     retryRatio: 0.2,
     retryWindowMs: 10_000,
     retryAllowance: 50,
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -7,6 +7,9 @@
   new URL('../../../target/sardinestile.mjs', import.meta.url),
 );
 
+/** Lets the time of day of a process be stepped by a signal. */
+const CLOCK_STEPS = new URL('./clock_steps.mjs', import.meta.url).href;
+
 /** Ports of every process; each has an address of its own. */
 const CALLER_PORT = 18_740;
 const READY_PORT = 18_749;
@@ -68,10 +71,14 @@
     writeFileSync(settingsPath, renderSettings(name, host, options, edits));
   const start = () => {
     isLeaving = false;
-    child = spawn(process.execPath, [BUNDLE, 'gateway'], {
-      env: {...process.env, SARDINESTILE_CONFIG: settingsPath},
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
+    child = spawn(
+      process.execPath,
+      ['--import', CLOCK_STEPS, BUNDLE, 'gateway'],
+      {
+        env: {...process.env, SARDINESTILE_CONFIG: settingsPath},
+        stdio: ['ignore', 'pipe', 'pipe'],
+      },
+    );
     child.stdout!.pipe(log, {end: false});
     child.stderr!.pipe(log, {end: false});
     child.once('exit', () => {
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -87,6 +87,15 @@
     later(500 + random() * 4_000, () => gateway.signal('SIGCONT'));
     return signal(gateway, 'SIGSTOP');
   },
+  clock({gateways, random, later}) {
+    const stepped = gateways.filter(() => random() < 0.4);
+    stepped.forEach(gateway => gateway.signal('SIGUSR2'));
+    later(1_000 + random() * 3_000, () =>
+      stepped.forEach(gateway => gateway.signal('SIGUSR2')),
+    );
+    const names = stepped.map(({name}) => name).join(', ');
+    return `the clocks of ${names || 'nobody'} step`;
+  },
   settings({gateways, random}) {
     const gateway = pick(gateways, random);
     gateway.touchSettings();
