--- a/testing/hosting/src/index.ts
+++ b/testing/hosting/src/index.ts
@@ -1,2 +1,3 @@
 export * from './hosted_world.js';
 export * from './raw_call.js';
+export * from './stepped_clock.js';
