fix(gateway): a stream that ended whole is logged as served

Change: a response that was not ended is broken off. Before: metrics_test, 'tell a stream that ended from one that broke off', counted no served stream. After: it passes.

--- a/daemons/gateway/src/call_records.ts
+++ b/daemons/gateway/src/call_records.ts
@@ -136,7 +136,8 @@
 
 function outcomeOf({isGone, response}: Call): string {
   if (isGone) return 'callerLeft';
-  if (!response.headersSent || response.destroyed) return 'brokenOff';
+  // A response that ended whole is destroyed soon after.
+  if (!response.writableEnded) return 'brokenOff';
   return response.statusCode < 400 ? 'served' : 'failed';
 }
 
--- a/testing/hosting/test/metrics_test.ts
+++ b/testing/hosting/test/metrics_test.ts
@@ -63,6 +63,31 @@
     }
   });
 
+  it('tell a stream that ended from one that broke off', async () => {
+    const count = async (outcome: string) => {
+      const pattern = new RegExp(
+        `^sardinestile_calls_total{route="stream",.*outcome="${outcome}"} (\\d+)$`,
+        'm',
+      );
+      return Number(pattern.exec(await front.scrape())?.[1] ?? 0);
+    };
+    const servedBefore = await count('served');
+    const brokenBefore = await count('brokenOff');
+    for (const breakAfter of [undefined, 1]) {
+      for (const upstream of world.upstreams) {
+        upstream.behave = () => ({kind: 'stream', events: 4, breakAfter});
+      }
+      const headers = keyed(`t${breakAfter}`);
+      await front.call({path: PATHS.stream, headers});
+    }
+    await waitFor(
+      'the end of the second stream',
+      async () => (await count('brokenOff')) > brokenBefore,
+    );
+    expect(await count('served')).toEqual(servedBefore + 1);
+    expect(await count('brokenOff')).toEqual(brokenBefore + 1);
+  });
+
   it('count a call once, by its outcome and its organisation', async () => {
     for (const upstream of world.upstreams) {
       upstream.behave = () => ({kind: 'answer', status: 200, body: 'x'});
