--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -129,6 +129,7 @@
   usage_reported: {windowId: string; organisations: number};
   peer_found: {peer: string};
   peer_lost: {peer: string};
+  peer_entry_removed: {entry: string};
   peer_link_failed: {reason: string};
   peer_failed: {operation: string; reason: string};
   upstream_rejected: {upstream: string; reason: string};
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -89,6 +89,7 @@
     instance,
     address: peerAddress,
     table,
+    clock,
     logger,
     onFleet(id) {
       fleetId = id;
--- a/development/hosting_stand_ins/src/store_stand_in.ts
+++ b/development/hosting_stand_ins/src/store_stand_in.ts
@@ -7,6 +7,9 @@
 } from './http_stand_in.js';
 import type {StoreState, Transaction} from './store_state.js';
 
+/** Most rows of one answer. */
+const MAX_ROWS = 500;
+
 /** Starts one more listener of a store; each has faults of its own. */
 export function startStoreListener(
   state: StoreState,
@@ -21,7 +24,8 @@
       const query = url.searchParams;
       const from = query.get('from') ?? '';
       const to = query.get('to');
-      const limit = Number(query.get('limit') ?? 500);
+      const asked = Number(query.get('limit') ?? MAX_ROWS);
+      const limit = Math.min(MAX_ROWS, asked);
       const rows = state
         .rows(query.get('table') ?? '', query.get('part') ?? '')
         .filter(({key}) => key >= from && (to === null || key < to));
--- a/state/usage/src/usage_keys.ts
+++ b/state/usage/src/usage_keys.ts
@@ -27,9 +27,12 @@
   return sumsPrefix(windowId) + source;
 }
 
+/** Beginning of the keys of all closed windows. */
+export const CLOSED_PREFIX = 'usage/closed/';
+
 /** Row whose presence keeps sources from adding to a window. */
 export function closedKey(windowId: string): string {
-  return `usage/closed/${windowId}`;
+  return CLOSED_PREFIX + windowId;
 }
 
 /** Beginning of the keys of all sealed windows. */
--- a/state/usage/src/usage_reporter.ts
+++ b/state/usage/src/usage_reporter.ts
@@ -1,9 +1,11 @@
 import type {TableService, UsageReceiver} from '@sardinestile/ports';
 import {z} from 'zod';
 import {
+  CLOSED_PREFIX,
   closedKey,
   prefixEnd,
   REPORTER_KEY,
+  SEAL_PREFIX,
   sealKey,
   SUMS_PREFIX,
   sumsPrefix,
@@ -15,6 +17,15 @@
 /** Time after its end at which a window is closed by default, in milliseconds. */
 const CLOSE_DELAY_MS = 15_000;
 
+/** Time for which rows of reported windows are kept, in milliseconds; long after their sources could still write. */
+const RETENTION_MS = 3_600_000;
+
+/** Time between two removals of old rows, in milliseconds. */
+const REMOVAL_INTERVAL_MS = 60_000;
+
+/** Rows that are removed in one transaction at most; the platform takes a hundred entries. */
+const REMOVAL_BATCH = 90;
+
 /** Rows that one read of a window's sums returns at most. */
 const SCAN_LIMIT = 1_000;
 
@@ -54,6 +65,7 @@
 
   /** Before this time no window is due, as far as is known. */
   let nothingDueUntilMs = -Infinity;
+  let nextRemovalMs = options.wallMs() + REMOVAL_INTERVAL_MS;
 
   /** Makes this process the reporter of record, or gives undefined. */
   const takeOver = async () => {
@@ -164,12 +176,32 @@
     nothingDueUntilMs = dueMs;
     return undefined;
   };
+  /** Removes rows of windows that ended long ago; the reported ones alone. */
+  const removeOldRows = async () => {
+    const cutoff = windowIdAt(options.wallMs() - RETENTION_MS, windowMs);
+    const reporter = await takeOver();
+    if (!reporter || reporter.state.reportedUntil < cutoff) return;
+    for (const prefix of [SUMS_PREFIX, CLOSED_PREFIX, SEAL_PREFIX]) {
+      for (;;) {
+        const end = prefix + cutoff;
+        const rows = await table.scan(prefix, end, REMOVAL_BATCH);
+        if (rows.length === 0) break;
+        await table.transact(
+          rows.map(({key}) => ({key, value: null, expectedVersion: null})),
+        );
+        if (rows.length < REMOVAL_BATCH) break;
+      }
+    }
+  };
   return {
     async run() {
       for (;;) {
         const windowId = await nextWindow();
-        if (windowId === undefined || !(await reportWindow(windowId))) return;
+        if (windowId === undefined || !(await reportWindow(windowId))) break;
       }
+      if (options.wallMs() < nextRemovalMs) return;
+      nextRemovalMs = options.wallMs() + REMOVAL_INTERVAL_MS;
+      await removeOldRows();
     },
   };
 }
--- a/testing/hosting/test/recovery_test.ts
+++ b/testing/hosting/test/recovery_test.ts
@@ -52,6 +52,12 @@
         .map(Number);
     await waitFor('the last version', () => applied().at(-1) === version);
     expect(applied()).toEqual([...applied()].sort((a, b) => a - b));
+    // A row of an earlier version, as a restored store would hold it.
+    const early = world.configure(config => (config.version = 1));
+    await new Promise(resolve => setTimeout(resolve, 500));
+    const after = world.configure(config => (config.version = version));
+    await waitFor('the newest version', () => applied().at(-1) === after);
+    expect(applied()).not.toInclude(early);
   });
 });
 
@@ -87,3 +93,35 @@
     });
   });
 });
+
+describe('entries of gateways', () => {
+  let world: HostedWorld;
+  before(async () => {
+    world = await createHostedWorld(1);
+  });
+  after(() => world.close());
+
+  it('are removed once they were not renewed for an hour', async () => {
+    const hourMs = 3_600_000;
+    const put = (name: string, renewedAtMs: number) => {
+      const value = {host: '127.0.0.1', port: 1, renewedAtMs};
+      const row = {table: 'system', part: 'p', key: `gateway/${name}`};
+      const bytes = Buffer.from(JSON.stringify(value));
+      store.transact({puts: [{...row, value: bytes.toString('base64')}]});
+    };
+    const {store} = world;
+    put('gone', Date.now() - hourMs - 1_000);
+    put('late', Date.now() - hourMs / 2);
+    const front = await world.startGateway();
+    const names = () =>
+      store
+        .rows('system', 'p')
+        .map(({key}) => key)
+        .filter(key => key.startsWith('gateway/'));
+    await waitFor('the entry to go', () => !names().includes('gateway/gone'));
+    await waitFor('the entry of the gateway itself', () =>
+      names().includes(`gateway/${front.instance}`),
+    );
+    expect(names()).toInclude('gateway/late');
+  });
+});
