test(hosting): repeated and missing events of a stream

Cause: with the check of repeated events taken out, no test of the gateway failed. Change: an upstream that streams given ids; two tests. Each fails with its check taken out of relay_stream.

--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -48,7 +48,9 @@
       gapMs?: number;
       breakAfter?: number;
       silentAfter?: number;
-    };
+    }
+  /** Streams events with these ids, whatever was asked for. */
+  | {kind: 'streamIds'; ids: readonly number[]};
 
 /** An upstream of the system. */
 export interface UpstreamStandIn {
@@ -169,6 +171,11 @@
       );
     }, 20);
   },
+  streamIds({ids}, {response, stamp}) {
+    response.writeHead(200, {...stamp, 'content-type': 'text/event-stream'});
+    const events = ids.map(id => `id: ${id}\ndata: event ${id}\n\n`);
+    response.end(events.join(''));
+  },
   stream(behaviour, {request, response, stamp, entry}) {
     const {events, gapMs = 5, breakAfter, silentAfter} = behaviour;
     response.writeHead(200, {...stamp, 'content-type': 'text/event-stream'});
--- a/testing/hosting/test/streams_test.ts
+++ b/testing/hosting/test/streams_test.ts
@@ -94,6 +94,20 @@
     });
   });
 
+  it('pass an event on once where an upstream repeats it', async () => {
+    behaveFirst({kind: 'streamIds', ids: [0, 1, 1, 0, 2, 3]});
+    const answer = await call(PATHS.stream, 'o1');
+    expect(answer.isWhole).toEqual(true);
+    expect(eventIds(answer)).toEqual(numbersTo(4));
+  });
+
+  it('break off openly where an event is missing', async () => {
+    behaveFirst({kind: 'streamIds', ids: [0, 1, 3, 4]});
+    const answer = await call(PATHS.stream, 'o2');
+    expect(answer.isWhole).toEqual(false);
+    expect(eventIds(answer)).toEqual(numbersTo(2));
+  });
+
   it('keep the headers of their first upstream when they go on elsewhere', async () => {
     behaveFirst({kind: 'stream', events: 10, breakAfter: 4});
     const answer = await call(PATHS.resumable, 'h1');
