--- a/cli/sardinestile/src/platform_wiring.ts
+++ b/cli/sardinestile/src/platform_wiring.ts
@@ -14,10 +14,20 @@
 import {SardinestileError} from '@sardinestile/errors';
 import {startGateway} from '@sardinestile/gateway';
 import {followSettings} from './follow_settings.js';
-import {createBoundedLogger} from '@sardinestile/logger';
+import {
+  createBoundedLogger,
+  logLevelSchema,
+  type LogLevel,
+} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
 import {createSystemClock} from '@sardinestile/types';
 
+/** Environment variable with the least level of lines that are written. */
+const LOG_LEVEL_VARIABLE = 'SARDINESTILE_LOG_LEVEL';
+
+/** Decisions about each request are logged at this level. */
+const DEFAULT_LOG_LEVEL = 'info';
+
 /** Where the system keeps its own rows. */
 const SYSTEM_TABLE = 'sardinestile';
 const SYSTEM_PARTITION = 'system';
@@ -36,11 +46,24 @@
   });
 }
 
+/** Least level of lines that are written. */
+function readLogLevel(): LogLevel {
+  const result = logLevelSchema.safeParse(
+    process.env[LOG_LEVEL_VARIABLE] ?? DEFAULT_LOG_LEVEL,
+  );
+  if (result.success) return result.data;
+  throw new SardinestileError({
+    code: 'SETTINGS_INVALID',
+    message: `${LOG_LEVEL_VARIABLE} is "${process.env[LOG_LEVEL_VARIABLE]}"`,
+    hint: `Set it to one of ${logLevelSchema.options.join(', ')}.`,
+  });
+}
+
 /** Puts a gateway on the platform together, and runs it until a signal. */
 export async function runPlatformGateway(): Promise<void> {
   const path = settingsPath();
   const settings = parseSettings(readFileSync(path, 'utf8'), path);
-  const logger = createBoundedLogger({level: 'info'});
+  const logger = createBoundedLogger({level: readLogLevel()});
   const {callerAddress} = settings;
   if (!callerAddress) {
     throw new SardinestileError({
--- a/core/logger/src/logger.ts
+++ b/core/logger/src/logger.ts
@@ -1,8 +1,18 @@
 import {pino} from 'pino';
+import {z} from 'zod';
 import type {LogEventName, LogEvents} from './log_event.js';
 
 /** Severity of a log line. */
-export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent';
+export const logLevelSchema = z.enum([
+  'debug',
+  'info',
+  'warn',
+  'error',
+  'silent',
+]);
+
+/** Severity of a log line. */
+export type LogLevel = z.infer<typeof logLevelSchema>;
 
 /** Writes typed events. */
 export interface Logger {
--- a/daemons/gateway/src/scaling_duties.ts
+++ b/daemons/gateway/src/scaling_duties.ts
@@ -86,8 +86,6 @@
     };
     const orders = ordersOf(service, zones, fencingToken);
     for (const target of orders.decide(sample, clock.monotonicMs())) {
-      // Asked anew for each order: the check and the order are one synchronous step.
-      if (options.fencingToken() !== fencingToken) return;
       const order = {service: name, ...target, fencingToken};
       logger.info('upstreams_ordered', {
         ...order,
@@ -103,6 +101,7 @@
     }
   };
   const timer = setInterval(() => {
+    // No order waits for anything, so that the token is checked in the step that sends.
     const fencingToken = options.fencingToken();
     if (fencingToken === undefined || fencingToken <= fencedToken) return;
     for (const service of options.services()) {
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -33,6 +33,8 @@
   directory: string;
   storePort: number;
   dutyPort: number;
+  /** Variables beyond those of this process. */
+  environment?: Readonly<Record<string, string>>;
 }
 
 /** A gateway as a process, which comes back when it ends. */
@@ -40,6 +42,8 @@
   readonly name: string;
   readonly address: string;
   readonly logPath: string;
+  /** Id of the process that runs now. */
+  readonly pid: number;
   /** Whether it was told to stop and has not started anew yet. */
   readonly isLeaving: boolean;
   signal(signal: NodeJS.Signals): void;
@@ -75,7 +79,11 @@
       process.execPath,
       ['--import', CLOCK_STEPS, BUNDLE, 'gateway'],
       {
-        env: {...process.env, SARDINESTILE_CONFIG: settingsPath},
+        env: {
+          ...process.env,
+          ...options.environment,
+          SARDINESTILE_CONFIG: settingsPath,
+        },
         stdio: ['ignore', 'pipe', 'pipe'],
       },
     );
@@ -91,6 +99,9 @@
     name,
     address: `${host}:${CALLER_PORT}`,
     logPath,
+    get pid() {
+      return child.pid!;
+    },
     get isLeaving() {
       return isLeaving;
     },
--- a/testing/soak/src/index.ts
+++ b/testing/soak/src/index.ts
@@ -1,1 +1,2 @@
+export * from './gateway_process.js';
 export * from './run_soak.js';
