refactor: one list of hop-by-hop headers; cached parts carry their model

Two copies of the header names are one package; the model and the longest answer were decoded and never read. Parts are cached for each model by itself, so that the model is part of their ids now. A body of an administrator that cannot be read is told with its reason.

--- a/admin/api/src/admin_api.ts
+++ b/admin/api/src/admin_api.ts
@@ -147,7 +147,12 @@
   event: H3Event,
   schema: S,
 ): Promise<z.infer<S>> {
-  const body = await readBody(event).catch(() => undefined);
+  const body = await readBody(event).catch((error: Error) => {
+    throw new SardinestileError({
+      code: 'INVALID_REQUEST',
+      message: `the body cannot be read: ${error.message}`,
+    });
+  });
   const parsed = schema.safeParse(body);
   if (parsed.success) return parsed.data;
   throw new SardinestileError({
--- a/benchmarks/bench/src/gateway_cost_main.ts
+++ b/benchmarks/bench/src/gateway_cost_main.ts
@@ -5,7 +5,7 @@
 import {
   createHostedWorld,
   HOST,
-  KEY,
+  keyed,
   PATHS,
   rawCall,
   waitFor,
@@ -62,11 +62,7 @@
   });
   let sent = 0;
   const call = async (path: string) => {
-    const headers = {
-      'Request-Id': `b${sent++}`,
-      'Deadline-Ms': '20000',
-      Authorization: `Bearer ${KEY}`,
-    };
+    const headers = keyed(`b${sent++}`);
     const {address} = gateway;
     const options = {address, host: HOST, path, headers, timeoutMs: 20_000};
     return (await rawCall(options)).status;
--- /dev/null
+++ b/core/headers/src/index.ts
@@ -0,0 +1,1 @@
+export * from './hop_by_hop_headers.js';
--- a/core/ports/src/call_dialect.ts
+++ b/core/ports/src/call_dialect.ts
@@ -1,5 +1,6 @@
 /** A part of a prompt, shared with other requests or their own. */
 export interface PromptPart {
+  /** The same for the same text before the same model. */
   id: string;
   tokens: number;
 }
@@ -17,9 +18,7 @@
   key: string | undefined;
   /** Last event that the caller has; a resumed stream goes on after it. */
   lastEventId: number | undefined;
-  model: string | undefined;
   promptTokens: number;
-  maxOutputTokens: number;
   /** Parts of the prompt in order; the last one is the request's own. */
   promptParts: PromptPart[];
 }
--- a/daemons/entry/src/hop_headers.ts
+++ b/daemons/entry/src/hop_headers.ts
@@ -1,15 +1,7 @@
-/** Headers that concern one connection, not the request. */
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+import {
+  HOP_BY_HOP_HEADERS,
+  namesInConnectionHeader,
+} from '@sardinestile/headers';
 
 /** Headers that may carry a caller's key. */
 const CREDENTIALS: ReadonlySet<string> = new Set([
@@ -33,12 +25,12 @@
 
 /** The headers of a caller that an upstream may see. */
 export function forwardableRequestHeaders(headers: Headers): HeaderPair[] {
-  const named = namedByConnection(headers.get('connection'));
+  const named = namesInConnectionHeader(headers.get('connection') ?? undefined);
   return [...headers]
     .map(([name, value]) => ({name: name.toLowerCase(), value}))
     .filter(
       ({name}) =>
-        !HOP_BY_HOP.has(name) &&
+        !HOP_BY_HOP_HEADERS.has(name) &&
         !CREDENTIALS.has(name) &&
         !CONNECTION_OWN.has(name) &&
         !named.has(name),
@@ -50,11 +42,8 @@
   headers: readonly HeaderPair[],
 ): HeaderPair[] {
   const connection = headers.find(({name}) => name === 'connection');
-  const named = namedByConnection(connection?.value ?? null);
-  return headers.filter(({name}) => !HOP_BY_HOP.has(name) && !named.has(name));
-}
-
-function namedByConnection(value: string | null): ReadonlySet<string> {
-  const names = (value ?? '').split(',').map(name => name.trim().toLowerCase());
-  return new Set(names.filter(Boolean));
+  const named = namesInConnectionHeader(connection?.value);
+  return headers.filter(
+    ({name}) => !HOP_BY_HOP_HEADERS.has(name) && !named.has(name),
+  );
 }
