fix(gateway): a change of the source goes on from the store's version

Each change between the store and a copy read all 3,000 upstreams, and a whole copy over a slow link timed out, so that gateways went back and forth each five seconds and read everything each time. Change: copies carry the store's version, at which either source goes on. A copy older than what is known is not taken; after one with lapsed upstreams everything is read, since their removal came before the version that is known.

--- a/core/ports/src/record_feed.ts
+++ b/core/ports/src/record_feed.ts
@@ -16,6 +16,8 @@
 /** What came of a wait for changes. */
 export type FeedChanges<T> =
   | {kind: 'changes'; page: FeedPage<T>}
+  /** All records, where the changes alone are not known. */
+  | {kind: 'whole'; page: FeedPage<T>}
   /** What changed is no longer known; all records have to be read again. */
   | {kind: 'historyLost'};
 
--- a/daemons/gateway/src/follow_feed.ts
+++ b/daemons/gateway/src/follow_feed.ts
@@ -64,7 +64,10 @@
       return;
     }
     version = Math.max(version, changes.page.version);
-    if (changes.page.entries.length > 0) observer.onPage(changes.page, false);
+    const isWhole = changes.kind === 'whole';
+    if (isWhole || changes.page.entries.length > 0) {
+      observer.onPage(changes.page, isWhole);
+    }
     observer.onProof(sentAt);
   };
   const run = async (current: number) => {
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -178,7 +178,7 @@
   const sharedUpstreams = createSharedUpstreams({
     instance,
     store: options.upstreams,
-    known: () => fleet.membership.all(),
+    membership: fleet.membership,
     peers: () => link.livePeers(),
     ask: (address, since, waitMs) =>
       peerClient.askUpstreams(address, since, waitMs),
--- a/daemons/gateway/src/shared_upstreams.ts
+++ b/daemons/gateway/src/shared_upstreams.ts
@@ -1,4 +1,8 @@
-import {sortByHash, type UpstreamRecord} from '@sardinestile/fleet';
+import {
+  sortByHash,
+  type Membership,
+  type UpstreamRecord,
+} from '@sardinestile/fleet';
 import {
   createFreshness,
   readClocks,
@@ -32,8 +36,7 @@
   instance: string;
   /** The upstreams in the store. */
   store: RecordFeed<UpstreamRecord>;
-  /** Every upstream that this gateway believes in. */
-  known: () => readonly UpstreamRecord[];
+  membership: Membership;
   /** Gateways of the same group that were heard lately. */
   peers: () => readonly LivePeer[];
   ask: (
@@ -55,8 +58,10 @@
   prove(sentAt: ClockReading): void;
   /** Notes that what is believed in may be out of date. */
   invalidate(): void;
-  /** Passes on what changed. */
-  publish(): void;
+  /** Passes on what is believed in as of a version of the store. */
+  publish(version: number): void;
+  /** Passes on what changed without a change in the store. */
+  republish(): void;
   /** Answers a peer; undefined where this gateway cannot vouch for what it knows. */
   answer(
     since: LogPosition | undefined,
@@ -80,6 +85,7 @@
     isSame: isSameRecord,
   });
   let hasAskers = false;
+  let version = 0;
   let copy: FeedCopy<UpstreamRecord> | undefined;
 
   const chooseCopy = () => {
@@ -90,11 +96,11 @@
     const name = readers[hashText(instance) % readers.length];
     if (copy?.name === name) return copy;
     const {host, port} = peers.find(peer => peer.instance === name)!.address;
-    const feed = createCopyFeed({
+    copy = createUpstreamCopy({
+      name,
       ask: (since, waitMs) => options.ask(`${host}:${port}`, since, waitMs),
       maxAgeMs,
     });
-    copy = {name, feed};
     return copy;
   };
   const feed = createFailoverFeed({
@@ -108,8 +114,14 @@
     },
     onSourceChanged: peer => logger.info('upstreams_source_changed', {peer}),
   });
-  const publish = () => {
-    if (hasAskers && feed.isAtOrigin) log.update(options.known());
+  const republish = () => {
+    if (!hasAskers || !feed.isAtOrigin) return;
+    const {membership} = options;
+    log.update({
+      records: membership.all(),
+      version,
+      hasLapsed: membership.hasLapsed(),
+    });
   };
   const canVouch = () =>
     feed.isAtOrigin && freshness.ageMs(readClocks(clock)) <= maxAgeMs;
@@ -119,12 +131,16 @@
       if (feed.isAtOrigin) freshness.prove(sentAt);
     },
     invalidate: () => freshness.invalidate(),
-    publish,
+    publish(current) {
+      version = current;
+      republish();
+    },
+    republish,
     async answer(since, waitMs) {
       if (!canVouch()) return undefined;
       if (!hasAskers) {
         hasAskers = true;
-        publish();
+        republish();
       }
       const changes = await log.waitForChanges(since, waitMs);
       if (!canVouch()) return undefined;
@@ -134,7 +150,8 @@
   };
 }
 
-interface CopyFeedOptions {
+interface UpstreamCopyOptions {
+  name: string;
   ask: (
     since: LogPosition | undefined,
     waitMs: number,
@@ -142,34 +159,42 @@
   maxAgeMs: number;
 }
 
-function createCopyFeed(options: CopyFeedOptions): RecordFeed<UpstreamRecord> {
-  const {ask, maxAgeMs} = options;
-  let since: LogPosition | undefined;
-  const askFresh = async (waitMs: number) => {
+/** The upstreams as another gateway passes them on. */
+function createUpstreamCopy(
+  options: UpstreamCopyOptions,
+): FeedCopy<UpstreamRecord> {
+  const {name, ask, maxAgeMs} = options;
+  let place: LogPosition['place'];
+  let hasLapsed = false;
+  const askFresh = async (since: LogPosition | undefined, waitMs: number) => {
     const answer = await ask(since, waitMs);
     if (answer.ageMs > maxAgeMs) {
       throw new Error(`the copy is ${Math.round(answer.ageMs)} ms old`);
     }
-    since = {epoch: answer.epoch, position: answer.position};
+    // Who comes from the store may know more than the gateway with the copy yet.
+    if (since && answer.version < since.version) return undefined;
+    place = {epoch: answer.epoch, position: answer.position};
+    hasLapsed = answer.hasLapsed;
     return answer;
   };
   return {
-    async readAll() {
-      since = undefined;
-      return toPage(await askFresh(0));
-    },
-    async waitForChanges(_afterVersion, waitMs) {
-      const answer = await askFresh(waitMs);
-      return answer.isWhole
-        ? {kind: 'historyLost'}
-        : {kind: 'changes', page: toPage(answer)};
+    name,
+    hasLapsed: () => hasLapsed,
+    feed: {
+      readAll: async () => toPage((await askFresh(undefined, 0))!),
+      async waitForChanges(version, waitMs) {
+        const answer = await askFresh({place, version}, waitMs);
+        if (!answer) return {kind: 'changes', page: {entries: [], version}};
+        const kind = answer.isWhole ? 'whole' : 'changes';
+        return {kind, page: toPage(answer)};
+      },
     },
   };
 }
 
 function toPage(copy: UpstreamCopy): FeedPage<UpstreamRecord> {
   return {
-    version: copy.position,
+    version: copy.version,
     entries: [
       ...copy.changed.map(value => ({key: value.id, value, findings: []})),
       ...copy.removedKeys.map(key => ({key, value: undefined, findings: []})),
--- a/daemons/gateway/src/upstream_view.ts
+++ b/daemons/gateway/src/upstream_view.ts
@@ -75,7 +75,7 @@
           else membership.remove(key, nowMs);
         }
         options.onChanged();
-        shared.publish();
+        shared.publish(page.version);
       },
       onProof(sentAt) {
         freshness.prove(sentAt);
@@ -98,7 +98,7 @@
     },
     ageMs: () => freshness.ageMs(readClocks(clock)),
     expire() {
-      if (membership.expire(clock.monotonicMs())) shared.publish();
+      if (membership.expire(clock.monotonicMs())) shared.republish();
     },
     reread() {
       freshness.invalidate();
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -74,7 +74,11 @@
     },
     async askUpstreams(address, since, waitMs) {
       const query = new URLSearchParams({
-        ...(since && {epoch: since.epoch, position: String(since.position)}),
+        ...(since && {version: String(since.version)}),
+        ...(since?.place && {
+          epoch: since.place.epoch,
+          position: String(since.place.position),
+        }),
         waitMs: String(waitMs),
       });
       const path = `${UPSTREAMS_PATH}?${query}`;
--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -31,10 +31,14 @@
   epoch: z.string(),
   /** Position in that process's changes. */
   position: z.number().int(),
+  /** Version of the store that the upstreams are of. */
+  version: z.number().int(),
   /** Whether these are all upstreams rather than those that changed. */
   isWhole: z.boolean(),
   changed: z.array(upstreamRecordSchema).readonly(),
   removedKeys: z.array(z.string()).readonly(),
+  /** Whether some upstreams are kept although the store no longer has them. */
+  hasLapsed: z.boolean(),
   /** Age of the proof that nothing else is new, when it was sent. */
   ageMs: z.number().nonnegative(),
 });
@@ -48,7 +52,7 @@
 /** Path of the question for the configuration; `?have=VERSION`. */
 export const CONFIG_PATH = '/peer/configuration';
 
-/** Path of the question for the upstreams; `?epoch=EPOCH&position=N&waitMs=N`. */
+/** Path of the question for the upstreams; `?version=N&epoch=EPOCH&position=N&waitMs=N`. */
 export const UPSTREAMS_PATH = '/peer/upstreams';
 
 /** Path to which counts are posted. */
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -54,13 +54,8 @@
       return options.proveConfig(Number(url.searchParams.get('have') ?? 0));
     },
     async [`GET ${UPSTREAMS_PATH}`]({searchParams}) {
-      const epoch = searchParams.get('epoch');
-      const position = Number(searchParams.get('position'));
       const waitMs = Number(searchParams.get('waitMs'));
-      return options.copyUpstreams(
-        epoch ? {epoch, position} : undefined,
-        waitMs,
-      );
+      return options.copyUpstreams(readPosition(searchParams), waitMs);
     },
     async [`POST ${USAGE_PATH}`](_url, request) {
       const usage = relayedUsageSchema.parse(await readJson(request));
@@ -95,6 +90,18 @@
   };
 }
 
+/** Where the asker stands; undefined if it knows nothing. */
+function readPosition(query: URLSearchParams): LogPosition | undefined {
+  const version = query.get('version');
+  if (version === null) return undefined;
+  const epoch = query.get('epoch');
+  const position = Number(query.get('position'));
+  return {
+    version: Number(version),
+    place: epoch === null ? undefined : {epoch, position},
+  };
+}
+
 async function readJson(request: IncomingMessage): Promise<unknown> {
   const chunks: Buffer[] = [];
   let size = 0;
--- a/routing/fleet/src/membership.ts
+++ b/routing/fleet/src/membership.ts
@@ -17,6 +17,8 @@
   noteStoreFailure(nowMs: number): void;
   /** Drops upstreams that have not come back since the store did; returns whether there were any. */
   expire(nowMs: number): boolean;
+  /** Whether upstreams are kept that the store no longer has. */
+  hasLapsed(): boolean;
   get(id: string): UpstreamRecord | undefined;
   /** Upstreams of a service that take new requests. */
   usableOf(service: string): readonly UpstreamRecord[];
@@ -103,6 +105,7 @@
       }
       return records.size < before;
     },
+    hasLapsed: () => lapsedUntilMs.size > 0,
     get: id => records.get(id),
     usableOf: service => usable.get(service) ?? [],
     all: () => [...records.values()],
--- a/state/shared_feed/src/failover_feed.ts
+++ b/state/shared_feed/src/failover_feed.ts
@@ -1,11 +1,13 @@
 import type {FeedChanges, FeedPage, RecordFeed} from '@sardinestile/ports';
 import type {Clock} from '@sardinestile/types';
 
-/** A copy of the feed that another process keeps. */
+/** A copy of the feed that another process keeps, with the origin's versions. */
 export interface FeedCopy<T> {
   /** Name of the process, for logs. */
   name: string;
   feed: RecordFeed<T>;
+  /** Whether the copy held records lately that the origin no longer had. */
+  hasLapsed: () => boolean;
 }
 
 /** What a failover feed is made of. */
@@ -30,8 +32,9 @@
 
 /**
  * Makes a feed that follows a copy, and the origin while no copy can be
- * trusted. Positions of one source say nothing at another one, so that each
- * change of the source begins with reading everything.
+ * trusted. Versions are the origin's everywhere, so that a change of the source
+ * goes on where the last one ended. After a copy with lapsed records everything
+ * is read: their removal came before the version that is known.
  */
 export function createFailoverFeed<T>(
   options: FailoverFeedOptions<T>,
@@ -39,6 +42,8 @@
   const {origin, clock} = options;
   let current: FeedCopy<T> | undefined;
   let originUntilMs = -Infinity;
+  /** Version that was told last; a copy must not take it back. */
+  let toldVersion = 0;
 
   const wanted = () =>
     clock.monotonicMs() < originUntilMs ? undefined : options.chooseCopy();
@@ -53,31 +58,54 @@
     options.onCopyFailed(copy.name, reason);
     follow(undefined);
   };
+  const tell = ({version}: FeedPage<T>) => {
+    if (version < toldVersion) {
+      throw new Error(`version ${version} is behind version ${toldVersion}`);
+    }
+    toldVersion = version;
+  };
+  const tellChanges = (changes: FeedChanges<T>) => {
+    if (changes.kind !== 'historyLost') tell(changes.page);
+    return changes;
+  };
   return {
     get isAtOrigin() {
       return current === undefined;
     },
-    async readAll(): Promise<FeedPage<T>> {
+    async readAll() {
       const copy = wanted();
       follow(copy);
-      if (!copy) return origin.readAll();
-      try {
-        return await copy.feed.readAll();
-      } catch (error) {
-        giveUp(copy, error);
-        return origin.readAll();
+      if (copy) {
+        try {
+          const page = await copy.feed.readAll();
+          tell(page);
+          return page;
+        } catch (error) {
+          giveUp(copy, error);
+        }
       }
+      const page = await origin.readAll();
+      toldVersion = page.version;
+      return page;
     },
-    async waitForChanges(afterVersion, waitMs): Promise<FeedChanges<T>> {
-      const copy = current;
-      if (wanted()?.name !== copy?.name) return {kind: 'historyLost'};
-      if (!copy) return origin.waitForChanges(afterVersion, waitMs);
-      try {
-        return await copy.feed.waitForChanges(afterVersion, waitMs);
-      } catch (error) {
-        giveUp(copy, error);
-        return {kind: 'historyLost'};
+    async waitForChanges(afterVersion, waitMs) {
+      const left = current;
+      const copy = wanted();
+      if (copy?.name !== left?.name) {
+        follow(copy);
+        if (left?.hasLapsed()) return {kind: 'historyLost'};
+      }
+      if (copy) {
+        try {
+          return tellChanges(
+            await copy.feed.waitForChanges(afterVersion, waitMs),
+          );
+        } catch (error) {
+          giveUp(copy, error);
+          if (copy.hasLapsed()) return {kind: 'historyLost'};
+        }
       }
+      return tellChanges(await origin.waitForChanges(afterVersion, waitMs));
     },
   };
 }
--- a/state/shared_feed/src/record_log.ts
+++ b/state/shared_feed/src/record_log.ts
@@ -10,10 +10,19 @@
   isSame: (one: T, other: T) => boolean;
 }
 
+/** The records that this process believes in at one time. */
+export interface RecordLogState<T> {
+  records: readonly T[];
+  /** Version of the origin that they are of. */
+  version: number;
+  /** Whether some are kept although the origin no longer has them. */
+  hasLapsed: boolean;
+}
+
 /** The records that this process believes in, and how they changed. */
 export interface RecordLog<T> {
-  /** Takes the records of now; what is the same as before is no change. */
-  update(records: readonly T[]): void;
+  /** Takes the state of now; what is the same as before is no change. */
+  update(state: RecordLogState<T>): void;
   /** What changed since a position; everything where that is not known. */
   changesSince(since: LogPosition | undefined): LogChanges<T>;
   /** The same, once something has changed or the wait is over. */
@@ -27,6 +36,7 @@
 
 interface Change<T> {
   position: number;
+  version: number;
   key: string;
   /** Undefined if it was removed. */
   record: T | undefined;
@@ -37,39 +47,52 @@
   const {keyOf, isSame} = options;
   const epoch = randomUUID();
   const records = new Map<string, T>();
+  /** Ask whoever waits to look for news, and to stop waiting. */
   const waiters = new Set<() => void>();
+  const closers = new Set<() => void>();
   let changes: Array<Change<T>> = [];
   let position = 0;
-  /** Position before the oldest change that is kept. */
-  let keptSince = 0;
+  let version = 0;
+  let hasLapsed = false;
+  /** Position and version before the oldest change that is kept. */
+  let keptSince = {position: 0, version: Infinity};
 
   const append = (key: string, record: T | undefined) => {
     position++;
-    changes.push({position, key, record});
+    changes.push({position, version, key, record});
     if (record) records.set(key, record);
     else records.delete(key);
   };
   const trim = () => {
     if (changes.length <= MAX_CHANGES) return;
+    const dropped = changes.slice(0, -MAX_CHANGES / 2);
     changes = changes.slice(-MAX_CHANGES / 2);
-    keptSince = changes[0].position - 1;
+    const {position, version} = dropped[dropped.length - 1];
+    keptSince = {position, version};
+  };
+  /** Whether a change came after a position; undefined where that is not known. */
+  const newerThan = (since: LogPosition | undefined) => {
+    if (since?.place?.epoch === epoch) {
+      const {place} = since;
+      if (place.position < keptSince.position) return undefined;
+      return (change: Change<T>) => change.position > place.position;
+    }
+    if (!since || since.version < keptSince.version) return undefined;
+    return (change: Change<T>) => change.version > since.version;
   };
-  const isKnown = (since: LogPosition | undefined): since is LogPosition =>
-    since?.epoch === epoch && since.position >= keptSince;
   const changesSince = (since: LogPosition | undefined): LogChanges<T> => {
-    if (!isKnown(since)) {
+    const state = {epoch, position, version, hasLapsed};
+    const isNewer = newerThan(since);
+    if (!isNewer) {
       const changed = [...records.values()];
-      return {epoch, position, isWhole: true, changed, removedKeys: []};
+      return {...state, isWhole: true, changed, removedKeys: []};
     }
     const newest = new Map<string, T | undefined>();
     for (const change of changes) {
-      if (change.position > since.position) {
-        newest.set(change.key, change.record);
-      }
+      if (isNewer(change)) newest.set(change.key, change.record);
     }
     return {
-      epoch,
-      position,
+      ...state,
       isWhole: false,
       changed: [...newest.values()].filter(record => record !== undefined),
       removedKeys: [...newest.keys()].filter(
@@ -77,37 +100,53 @@
       ),
     };
   };
+  /** Whether there is something to tell; never an older version than is known. */
+  const hasNews = (since: LogPosition | undefined) => {
+    if (since && since.version > version) return false;
+    const isNewer = newerThan(since);
+    return !isNewer || changes.some(isNewer);
+  };
   return {
-    update(current) {
-      const before = position;
-      const present = new Set(current.map(keyOf));
+    update(state) {
+      const isFirst = keptSince.version === Infinity;
+      version = state.version;
+      hasLapsed = state.hasLapsed;
+      const present = new Set(state.records.map(keyOf));
       for (const key of [...records.keys()]) {
         if (!present.has(key)) append(key, undefined);
       }
-      for (const record of current) {
+      for (const record of state.records) {
         const key = keyOf(record);
         const known = records.get(key);
         if (known === undefined || !isSame(known, record)) append(key, record);
       }
+      if (isFirst) {
+        changes = [];
+        keptSince = {position, version};
+      }
       trim();
-      if (position > before) [...waiters].forEach(wake => wake());
+      [...waiters].forEach(wake => wake());
     },
     changesSince,
     async waitForChanges(since, waitMs) {
-      const isUpToDate = isKnown(since) && since.position === position;
-      if (isUpToDate) {
+      if (!hasNews(since)) {
         await new Promise<void>(resolve => {
-          const wake = () => {
+          const end = () => {
             clearTimeout(timer);
             waiters.delete(wake);
+            closers.delete(end);
             resolve();
           };
-          const timer = setTimeout(wake, waitMs);
+          const wake = () => {
+            if (hasNews(since)) end();
+          };
+          const timer = setTimeout(end, waitMs);
           waiters.add(wake);
+          closers.add(end);
         });
       }
       return changesSince(since);
     },
-    close: () => [...waiters].forEach(wake => wake()),
+    close: () => [...closers].forEach(end => end()),
   };
 }
