fix(gateway): no rested connection for a request that may not be repeated

Upstreams forget idle connections sooner than they say; a request that may not be repeated ends with 502 then, and the upstream counted as unreachable. Change: a reset within a round trip on a connection that rested marks rests that long as unsafe for 30 s; such requests then open a connection. The upstream's health is left alone. The line of an attempt tells how long the connection rested.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -66,6 +66,8 @@
     attempt: number;
     upstream: string;
     isFreshConnection: boolean;
+    /** Time for which the connection rested before. */
+    restedMs: number;
     /** Prompt tokens that the engine is believed to have to read. */
     unreadTokens: number;
     /** Engine that cached parts are copied from. */
--- a/daemons/gateway/src/call_records.ts
+++ b/daemons/gateway/src/call_records.ts
@@ -51,6 +51,7 @@
     attempt: call.attempts,
     upstream: upstream.id,
     isFreshConnection: connection.isFresh,
+    restedMs: Math.round(connection.restedMs),
     unreadTokens: placement.unreadTokens,
     copiedFrom: placement.copyFrom?.id,
     expectedWaitMs: Math.round(placement.waitMs),
--- a/daemons/gateway/src/connection_pool.ts
+++ b/daemons/gateway/src/connection_pool.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import type {Clock} from '@sardinestile/types';
 import {Client, type buildConnector} from 'undici';
 
 /** Time within which an upstream has to accept a connection, in milliseconds. */
@@ -13,11 +14,21 @@
 /** Delay of the first TCP keep-alive probe, in milliseconds. */
 const TCP_KEEP_ALIVE_MS = 1_000;
 
+/** Time for which rested connections are not trusted after one was found forgotten, in milliseconds. */
+const DISTRUST_MS = 30_000;
+
+/** Share of the rest after which a connection was found forgotten that is still trusted. */
+const TRUSTED_REST_SHARE = 0.8;
+
 /** One connection to an upstream; carries one request at a time. */
 export interface UpstreamConnection {
   readonly client: Client;
   /** Whether it has carried no request yet. */
   readonly isFresh: boolean;
+  /** Time for which it rested before, in milliseconds. */
+  readonly restedMs: number;
+  /** Notes that the upstream had forgotten it while it rested. */
+  noteForgotten(): void;
   /**
    * Whether it was reset. undici takes what came before as a whole answer if the
    * answer has no length.
@@ -30,8 +41,15 @@
 
 /** Connections to upstreams by address. */
 export interface ConnectionPool {
-  /** An open idle connection, or a new one; undefined at the limit. */
-  acquire(address: string, limit: number): UpstreamConnection | undefined;
+  /**
+   * An open idle connection, or a new one; undefined at the limit. Where a lost
+   * request cannot be sent again, none that may have been forgotten.
+   */
+  acquire(
+    address: string,
+    limit: number,
+    mayRepeat: boolean,
+  ): UpstreamConnection | undefined;
   /** Closes idle connections to addresses that are no longer used. */
   retain(addresses: ReadonlySet<string>): void;
   counts(): {open: number; idle: number};
@@ -43,6 +61,7 @@
   isOpen: boolean;
   wasReset: boolean;
   uses: number;
+  restingSinceMs: number;
 }
 
 interface AddressPool {
@@ -53,9 +72,34 @@
 
 /** Makes an empty pool. Onward `onOpened` is told of each new connection. */
 export function createConnectionPool(
+  clock: Clock,
   onOpened: (address: string) => void,
 ): ConnectionPool {
   const pools = new Map<string, AddressPool>();
+  /** Longest rest after which a connection is trusted, and until when that holds. */
+  let trustedRestMs = Infinity;
+  let distrustUntilMs = -Infinity;
+
+  const distrust = (restedMs: number) => {
+    const nowMs = clock.monotonicMs();
+    if (nowMs >= distrustUntilMs) trustedRestMs = Infinity;
+    trustedRestMs = Math.min(trustedRestMs, TRUSTED_REST_SHARE * restedMs);
+    distrustUntilMs = nowMs + DISTRUST_MS;
+  };
+  /** The idle connection that was used last, unless it may have been forgotten. */
+  const takeIdle = (pool: AddressPool, mayRepeat: boolean) => {
+    const nowMs = clock.monotonicMs();
+    const last = pool.idle.at(-1);
+    if (!last) return undefined;
+    const isTrusted =
+      mayRepeat ||
+      nowMs >= distrustUntilMs ||
+      nowMs - last.restingSinceMs < trustedRestMs;
+    if (isTrusted) return pool.idle.pop();
+    // The others rested longer.
+    [...pool.idle].forEach(connection => discard(pool, connection));
+    return undefined;
+  };
 
   const poolOf = (address: string) => {
     let pool = pools.get(address);
@@ -75,6 +119,7 @@
       isOpen: true,
       wasReset: false,
       uses: 0,
+      restingSinceMs: 0,
     };
     const client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -92,19 +137,24 @@
     return pooled;
   };
   return {
-    acquire(address, limit) {
+    acquire(address, limit, mayRepeat) {
       const pool = poolOf(address);
-      let connection = pool.idle.pop();
+      let connection = takeIdle(pool, mayRepeat);
       if (!connection && pool.open >= limit) return undefined;
       connection ??= open(address, pool);
       const taken = connection;
       const isFresh = taken.uses++ === 0;
+      const restedMs = isFresh ? 0 : clock.monotonicMs() - taken.restingSinceMs;
       return {
         client: taken.client,
         isFresh,
+        restedMs,
+        noteForgotten: () => distrust(restedMs),
         wasReset: () => taken.wasReset,
         release() {
-          if (taken.isOpen && !taken.client.destroyed) pool.idle.push(taken);
+          if (!taken.isOpen || taken.client.destroyed) return;
+          taken.restingSinceMs = clock.monotonicMs();
+          pool.idle.push(taken);
         },
         destroy: () => discard(pool, taken),
       };
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -139,7 +139,7 @@
     clock,
     dialect: options.dialect,
     fleet,
-    connections: createConnectionPool(() =>
+    connections: createConnectionPool(clock, () =>
       metrics.increment('sardinestile_upstream_connections_total', {}),
     ),
     budgets: createRepeatBudgets({
--- a/daemons/gateway/src/run_attempt.ts
+++ b/daemons/gateway/src/run_attempt.ts
@@ -9,6 +9,12 @@
 /** Status from which an upstream's answer says that it failed. */
 export const FIRST_FAILURE_STATUS = 500;
 
+/** Longest time until a reset that tells of a forgotten connection, in milliseconds: a round trip between zones, no work. */
+const MAX_FORGOTTEN_MS = 10;
+
+/** Shortest rest after which a connection may have been forgotten, in milliseconds; a round trip of the closing. */
+const MIN_FORGOTTEN_REST_MS = 20;
+
 /** Sends a call to the upstream that was chosen, and learns from what comes of it. */
 export async function runAttempt(
   context: GatewayContext,
@@ -48,7 +54,12 @@
       : await relayAnswer(context, call, prepared);
   const endedAtMs = clock.monotonicMs();
   reporter.ended(upstreamId, requestId, hasFailed(outcome), endedAtMs);
-  noteHealth(outcome, placement, endedAtMs);
+  if (wasForgotten(outcome, prepared, endedAtMs)) {
+    // It says nothing about the upstream's health.
+    prepared.connection.noteForgotten();
+  } else {
+    noteHealth(outcome, placement, endedAtMs);
+  }
   if (firstEventMs !== undefined) learn(fleet, call, placement, firstEventMs);
   noteOutcome(context, call, outcome);
   const durationMs = endedAtMs - startedAtMs;
@@ -61,6 +72,19 @@
   return outcome;
 }
 
+/** Whether the upstream had closed the connection while it rested. */
+function wasForgotten(
+  outcome: AttemptOutcome,
+  {connection, startedAtMs}: PreparedAttempt,
+  endedAtMs: number,
+): boolean {
+  return (
+    outcome.kind === 'unknown' &&
+    connection.restedMs >= MIN_FORGOTTEN_REST_MS &&
+    endedAtMs - startedAtMs <= MAX_FORGOTTEN_MS
+  );
+}
+
 /** Notes whether the call may have run, and whether it counts as used. */
 function noteOutcome(
   context: GatewayContext,
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -146,7 +146,8 @@
     ),
   );
   const {address} = placement.upstream;
-  const connection = context.connections.acquire(address, limit);
+  const mayRepeat = MAY_REPEAT[call.route.kind](call);
+  const connection = context.connections.acquire(address, limit, mayRepeat);
   return (
     connection && {
       placement,
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -58,6 +58,8 @@
   readonly address: string;
   readonly received: ReceivedRequest[];
   connections: number;
+  /** Rest after which a connection is forgotten: its next request is reset unread. */
+  forgetsAfterMs: number;
   /** Decides what happens to a request. */
   behave: (request: ReceivedRequest) => UpstreamBehaviour;
   close(): Promise<void>;
@@ -68,7 +70,18 @@
   id: string,
 ): Promise<UpstreamStandIn> {
   const received: ReceivedRequest[] = [];
+  const restingSinceMs = new WeakMap<object, number>();
   const server: Server = createServer((request, response) => {
+    const {socket} = request;
+    const nowMs = performance.now();
+    const restedMs = nowMs - (restingSinceMs.get(socket) ?? nowMs);
+    if (restedMs >= upstream.forgetsAfterMs) {
+      socket.resetAndDestroy();
+      return;
+    }
+    response.once('finish', () =>
+      restingSinceMs.set(socket, performance.now()),
+    );
     void receive(request).then(entry => {
       received.push(entry);
       response.on('close', () => {
@@ -86,6 +99,7 @@
     address: `127.0.0.1:${port}`,
     received,
     connections: 0,
+    forgetsAfterMs: Infinity,
     behave: () => ({kind: 'answer'}),
     close: () =>
       new Promise(resolve => {
--- a/testing/hosting/test/answers_test.ts
+++ b/testing/hosting/test/answers_test.ts
@@ -121,6 +121,23 @@
     }
   });
 
+  it('trusts no rested connection with a request that may not be repeated, once upstreams forgot one', async () => {
+    for (const upstream of world.upstreams) {
+      upstream.behave = () => ({kind: 'answer'});
+      upstream.forgetsAfterMs = 120;
+    }
+    const statuses: number[] = [];
+    for (let i = 0; i < 8; i++) {
+      const headers = keyed(`rest${i}`);
+      const {status} = await front.call({path: PATHS.once, headers});
+      statuses.push(status);
+      await new Promise(resolve => setTimeout(resolve, 200));
+    }
+    const lost = statuses.filter(status => status !== 200);
+    expect(lost.length <= 1).toEqual(true);
+    for (const upstream of world.upstreams) upstream.forgetsAfterMs = Infinity;
+  });
+
   it('says "not run" when an upstream refused a request that goes nowhere else', async () => {
     for (const upstream of world.upstreams) {
       upstream.behave = () => ({kind: 'refuse'});
