fix(gateway): a standstill is not taken for a slow upstream

Streams that were open during the standstill had told it first events after 7 s, which the engine model, the pace and the errors took for the upstream's. Ruled out: load (running=1), a slow engine (other gateways expected 40 ms there). Change: an attempt that spans a standstill teaches nothing. Whoever looks first after it notices it, since sockets come before timers then. Before: clocks_test, 'a standstill is not taken for a slow upstream', failed; after: it passes.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -153,6 +153,7 @@
     reporter,
     gateways,
     configAgeMs: () => config.ageMs(),
+    stoodStillSince: atMs => gaps.hasGapSince(atMs),
     upstreamsAgeMs: () => upstreams.ageMs(),
     peers: () => link.livePeers(),
     duty: {
@@ -210,14 +211,14 @@
     clock,
     intervalMs: TICK_MS,
     toleranceMs: STANDSTILL_MS,
-  });
-  const tick = setInterval(() => {
-    const gapMs = gaps.check();
-    if (gapMs > 0) {
+    onGap(gapMs) {
       logger.warn('process_stood_still', {gapMs: Math.round(gapMs)});
       config.invalidate();
       upstreams.reread();
-    }
+    },
+  });
+  const tick = setInterval(() => {
+    gaps.check();
     config.askPeersIfStale();
     upstreams.expire();
     fleet.prune(clock.monotonicMs());
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -35,6 +35,8 @@
   gateways: GatewayCount;
   /** Upper bound of the time since the configuration was known to be the newest. */
   configAgeMs: () => number;
+  /** Whether this process stood still after a time; what took so long was not the upstream then. */
+  stoodStillSince: (atMs: number) => boolean;
   /** Upper bound of the age of what is known of the upstreams. */
   upstreamsAgeMs: () => number;
   /** Gateways that were heard lately. */
--- a/daemons/gateway/src/run_attempt.ts
+++ b/daemons/gateway/src/run_attempt.ts
@@ -53,14 +53,18 @@
         })
       : await relayAnswer(context, call, prepared);
   const endedAtMs = clock.monotonicMs();
-  reporter.ended(upstreamId, requestId, hasFailed(outcome), endedAtMs);
+  // Times and broken connections of a standstill say nothing about the upstream.
+  const isTelling = !context.stoodStillSince(startedAtMs);
+  const failed = isTelling ? hasFailed(outcome) : undefined;
+  reporter.ended(upstreamId, requestId, failed, endedAtMs);
   if (wasForgotten(outcome, prepared, endedAtMs)) {
     // It says nothing about the upstream's health.
     prepared.connection.noteForgotten();
-  } else {
+  } else if (isTelling) {
     noteHealth(outcome, placement, endedAtMs);
   }
-  if (firstEventMs !== undefined) learn(fleet, call, placement, firstEventMs);
+  if (firstEventMs !== undefined && isTelling)
+    learn(fleet, call, placement, firstEventMs);
   noteOutcome(context, call, outcome);
   const durationMs = endedAtMs - startedAtMs;
   recordAttemptEnd(context, call, {
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -50,7 +50,7 @@
       silentAfter?: number;
     }
   /** Streams events with these ids, whatever was asked for. */
-  | {kind: 'streamIds'; ids: readonly number[]};
+  | {kind: 'streamIds'; ids: readonly number[]; delayMs?: number};
 
 /** An upstream of the system. */
 export interface UpstreamStandIn {
@@ -185,10 +185,10 @@
       );
     }, 20);
   },
-  streamIds({ids}, {response, stamp}) {
+  streamIds({ids, delayMs = 0}, {response, stamp}) {
     response.writeHead(200, {...stamp, 'content-type': 'text/event-stream'});
     const events = ids.map(id => `id: ${id}\ndata: event ${id}\n\n`);
-    response.end(events.join(''));
+    setTimeout(() => response.end(events.join('')), delayMs);
   },
   stream(behaviour, {request, response, stamp, entry}) {
     const {events, gapMs = 5, breakAfter, silentAfter} = behaviour;
--- /dev/null
+++ b/state/freshness/test/gap_detector_test.ts
@@ -0,0 +1,44 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createGapDetector} from '../src/index.js';
+
+function createTestDetector() {
+  const now = {monotonicMs: 1_000, wallMs: 50_000};
+  const gaps: number[] = [];
+  const detector = createGapDetector({
+    clock: {monotonicMs: () => now.monotonicMs, wallMs: () => now.wallMs},
+    intervalMs: 100,
+    toleranceMs: 1_500,
+    onGap: gapMs => gaps.push(gapMs),
+  });
+  return {detector, gaps, now};
+}
+
+describe('createGapDetector', () => {
+  it('takes usual delays for no gap', () => {
+    const {detector, gaps, now} = createTestDetector();
+    now.monotonicMs += 1_600;
+    now.wallMs += 1_600;
+    detector.check();
+    expect(gaps).toEqual([]);
+    expect(detector.hasGapSince(0)).toEqual(false);
+  });
+
+  it('tells of a freeze once, whoever looks first', () => {
+    const {detector, gaps, now} = createTestDetector();
+    const startedAtMs = now.monotonicMs;
+    now.monotonicMs += 7_000;
+    now.wallMs += 7_000;
+    expect(detector.hasGapSince(startedAtMs)).toEqual(true);
+    detector.check();
+    expect(gaps).toEqual([6_900]);
+    expect(detector.hasGapSince(now.monotonicMs + 1)).toEqual(false);
+  });
+
+  it('notices a suspension, which the steady clock does not count', () => {
+    const {detector, gaps, now} = createTestDetector();
+    now.wallMs += 5_000;
+    detector.check();
+    expect(gaps).toEqual([4_900]);
+  });
+});
--- a/testing/hosting/test/clocks_test.ts
+++ b/testing/hosting/test/clocks_test.ts
@@ -69,6 +69,27 @@
     expect(await statusOf()).toEqual(503);
   });
 
+  it('a standstill is not taken for a slow upstream', async () => {
+    const [upstream] = world.upstreams;
+    const stream = (id: string, delayMs: number) => {
+      upstream.behave = () => ({kind: 'streamIds', ids: [0, 1], delayMs});
+      return front.call({path: PATHS.stream, headers: keyed(id)});
+    };
+    await stream('calm', 0);
+    const held = stream('held', 300);
+    await pause(100);
+    clock.passTime(7_000);
+    await held;
+    await waitFor('keyed calls to be served', async () => {
+      return (await stream('again', 0)).status === 200;
+    });
+    const expected = front.logs
+      .filter(line => line.includes('attempt_started requestId=again'))
+      .map(line => Number(/expectedFirstEventMs=(\d+)/.exec(line)?.[1]));
+    expect(expected.at(-1)! < 100).toEqual(true);
+    upstream.behave = () => ({kind: 'answer'});
+  });
+
   it('a step on one of three gateways moves no count to another window', async () => {
     const others = [await world.startGateway(), await world.startGateway()];
     await waitFor('the gateways to hear of each other', async () =>
