--- a/daemons/gateway/src/run_attempt.ts
+++ b/daemons/gateway/src/run_attempt.ts
@@ -64,7 +64,7 @@
     noteHealth(outcome, placement, endedAtMs);
   }
   if (firstEventMs !== undefined && isTelling)
-    learn(fleet, call, placement, firstEventMs);
+    {learn(fleet, call, placement, firstEventMs);}
   noteOutcome(context, call, outcome);
   const durationMs = endedAtMs - startedAtMs;
   recordAttemptEnd(context, call, {
