--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,4 +1,3 @@
-import type {Server} from 'node:http';
 import {assignGroup, createFleet, selectGroup} from '@sardinestile/fleet';
 import {createGapDetector, createTrueTime} from '@sardinestile/freshness';
 import {openLedgerLink, type LedgerLink} from '@sardinestile/ledger';
@@ -18,7 +17,7 @@
 import {startScalingDuties} from './scaling_duties.js';
 import {createSharedUpstreams} from './shared_upstreams.js';
 import {serveCall} from './serve_call.js';
-import {startTextServer} from './text_server.js';
+import {startTextServers} from './text_server.js';
 import {createUpstreamView} from './upstream_view.js';
 import {createUsualWork} from './usual_work.js';
 import {startUsageDuties} from './usage_duties.js';
@@ -166,16 +165,6 @@
     isClosing: () => listener.isClosing,
     routes: () => config.routes(),
   };
-  const listener = await startCallerListener({
-    ...options.callerAddress,
-    maxHeaderBytes: MAX_HEADER_BYTES,
-    handler: (request, response) =>
-      serveCall(context, request, response).catch((error: Error) => {
-        logger.error('call_failed', {reason: error.stack ?? error.message});
-        response.destroy();
-      }),
-  });
-  config.subscribe(({limits}) => listener.applyLimits(limits));
   const sharedUpstreams = createSharedUpstreams({
     instance,
     store: options.upstreams,
@@ -224,25 +213,29 @@
     fleet.prune(clock.monotonicMs());
   }, TICK_MS);
 
+  // The last part: what it serves needs all of the others.
+  const listener = await startCallerListener({
+    ...options.callerAddress,
+    maxHeaderBytes: MAX_HEADER_BYTES,
+    handler: (request, response) =>
+      serveCall(context, request, response).catch((error: Error) => {
+        logger.error('call_failed', {reason: error.stack ?? error.message});
+        response.destroy();
+      }),
+  });
+  config.subscribe(({limits}) => listener.applyLimits(limits));
+
   const isReady = () =>
     !isStopping && upstreams.isKnown && config.ageMs() <= maxKeyAgeMs();
-  const textServers: Server[] = [];
-  if (options.readinessAddress) {
-    textServers.push(
-      await startTextServer(options.readinessAddress, () => ({
-        status: isReady() ? 200 : 503,
-        text: isReady() ? 'ready\n' : 'not ready\n',
-      })),
-    );
-  }
-  if (options.metricsAddress) {
-    textServers.push(
-      await startTextServer(options.metricsAddress, async () => ({
-        status: 200,
-        text: await renderMetrics(context),
-      })),
-    );
-  }
+  const textServers = await startTextServers({
+    readinessAddress: options.readinessAddress,
+    metricsAddress: options.metricsAddress,
+    isReady,
+    renderMetrics() {
+      refreshGauges(context);
+      return metrics.render();
+    },
+  });
   let isClosed = false;
   const close = async () => {
     if (isClosed) return;
@@ -290,11 +283,6 @@
   };
 }
 
-function renderMetrics(context: GatewayContext): Promise<string> {
-  refreshGauges(context);
-  return context.metrics.render();
-}
-
 function formatAddress({host, port}: {host: string; port: number}): string {
   return `${host}:${port}`;
 }
--- a/daemons/gateway/src/run_attempt.ts
+++ b/daemons/gateway/src/run_attempt.ts
@@ -63,8 +63,9 @@
   } else if (isTelling) {
     noteHealth(outcome, placement, endedAtMs);
   }
-  if (firstEventMs !== undefined && isTelling)
-    {learn(fleet, call, placement, firstEventMs);}
+  if (firstEventMs !== undefined && isTelling) {
+    learn(fleet, call, placement, firstEventMs);
+  }
   noteOutcome(context, call, outcome);
   const durationMs = endedAtMs - startedAtMs;
   recordAttemptEnd(context, call, {
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -1,14 +1,47 @@
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {ListenAddress} from './gateway_options.js';
 
-/** An answer to every request. */
-export interface TextAnswer {
+interface TextAnswer {
   status: number;
   text: string;
 }
 
-/** Starts a server that gives one kind of answer, such as readiness; rejects if it cannot listen. */
-export function startTextServer(
+/** What operators and the platform's balancer ask a gateway for. */
+export interface TextServersOptions {
+  /** Absent where nobody asks for it. */
+  readinessAddress: ListenAddress | undefined;
+  metricsAddress: ListenAddress | undefined;
+  isReady: () => boolean;
+  renderMetrics: () => Promise<string>;
+}
+
+/** Starts the servers for readiness and metrics; rejects if one cannot listen. */
+export async function startTextServers(
+  options: TextServersOptions,
+): Promise<Server[]> {
+  const {readinessAddress, metricsAddress, isReady, renderMetrics} = options;
+  const servers: Server[] = [];
+  if (readinessAddress) {
+    servers.push(
+      await startTextServer(readinessAddress, () =>
+        isReady()
+          ? {status: 200, text: 'ready\n'}
+          : {status: 503, text: 'not ready\n'},
+      ),
+    );
+  }
+  if (metricsAddress) {
+    servers.push(
+      await startTextServer(metricsAddress, async () => ({
+        status: 200,
+        text: await renderMetrics(),
+      })),
+    );
+  }
+  return servers;
+}
+
+function startTextServer(
   {host, port}: ListenAddress,
   render: () => TextAnswer | Promise<TextAnswer>,
 ): Promise<Server> {
