fix(usage): no step of a clock closes windows early

Cause: true time was the time of day corrected by the peers' median, which is known only with their next datagrams, half a second later. A holder of the duty whose clock stepped forward closed and reported every window up to there meanwhile, and counts went to later windows. clocks_test with a step of 40 windows waited in vain for the counts of now. Ruled out: the median (it was right once the datagrams came), late writes. Change: time of day is read once and advanced by the steady clock, and led to the clock by a thousandth; gateways compare these times. No step moves them. After: the test and three unit tests pass. Open: a suspended instance is behind until peers correct it; of two gateways each is corrected by half.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,5 +1,9 @@
 import {assignGroup, createFleet, selectGroup} from '@sardinestile/fleet';
-import {createGapDetector, createTrueTime} from '@sardinestile/freshness';
+import {
+  createGapDetector,
+  createSmoothTime,
+  createTrueTime,
+} from '@sardinestile/freshness';
 import {openLedgerLink, type LedgerLink} from '@sardinestile/ledger';
 import {createPeerClient, startPeerServer} from '@sardinestile/peer';
 import {storeRelayedUsage} from '@sardinestile/usage';
@@ -71,10 +75,12 @@
     traitsOf: name => config.routes()?.service(name)?.engine,
     shortestGapMs: name => config.routes()?.shortestGapMs(name) ?? Infinity,
   });
+  const smoothTimeMs = createSmoothTime(clock);
   const link: LedgerLink = await openLedgerLink({
     instance,
     address: peerAddress,
     clock,
+    smoothTimeMs,
     logger,
     observer: {
       onNews: (peer, news) => reporter.applyNews(peer, news),
@@ -103,7 +109,7 @@
       link.setAddresses(mine.map(peer => peer.address));
     },
   });
-  const trueTimeMs = createTrueTime(clock, () =>
+  const trueTimeMs = createTrueTime(smoothTimeMs, () =>
     link.livePeers().map(({wallAheadMs}) => wallAheadMs),
   );
   const usage =
--- a/protocol/ledger/src/ledger_codec.ts
+++ b/protocol/ledger/src/ledger_codec.ts
@@ -51,7 +51,7 @@
   instance: string;
   /** Unix millisecond of the sender's start. */
   startedAtMs: number;
-  /** The sender's time of day. */
+  /** The sender's time of day, which no step moves. */
   wallMs: number;
   status: SenderStatus;
   news: LedgerNews[];
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -31,7 +31,7 @@
 export interface LivePeer extends SenderStatus {
   instance: string;
   address: PeerAddress;
-  /** How far its time of day is ahead of ours. */
+  /** How far its smooth time of day is ahead of ours. */
   wallAheadMs: number;
   /** Time since it was heard. */
   silentMs: number;
@@ -51,6 +51,8 @@
   clock: Clock;
   logger: Logger;
   observer: LedgerObserver;
+  /** This gateway's time of day, which no step moves. */
+  smoothTimeMs: () => number;
   /** What this gateway tells of itself now. */
   status: () => SenderStatus;
 }
@@ -82,7 +84,7 @@
 export async function openLedgerLink(
   options: LedgerLinkOptions,
 ): Promise<LedgerLink> {
-  const {instance, address, clock, observer, logger} = options;
+  const {instance, address, clock, smoothTimeMs, observer, logger} = options;
   const startedAtMs = clock.wallMs();
   const socket = createSocket('udp4');
   const peers = new Map<string, Peer>();
@@ -116,7 +118,7 @@
       fleetId,
       instance,
       startedAtMs,
-      wallMs: Math.round(clock.wallMs()),
+      wallMs: Math.round(smoothTimeMs()),
       status: options.status(),
       news,
     };
@@ -160,7 +162,7 @@
     peer.instance = message.instance;
     peer.startedAtMs = message.startedAtMs;
     peer.lastHeardMs = clock.monotonicMs();
-    peer.wallAheadMs = message.wallMs - clock.wallMs();
+    peer.wallAheadMs = message.wallMs - smoothTimeMs();
     peer.status = message.status;
     for (const news of message.news) observer.onNews(message.instance, news);
   });
--- a/protocol/ledger/test/ledger_link_test.ts
+++ b/protocol/ledger/test/ledger_link_test.ts
@@ -41,6 +41,7 @@
     instance,
     address,
     clock: createSystemClock(),
+    smoothTimeMs: Date.now,
     logger: createLogger({level: 'silent'}),
     observer: {
       onNews: (_peer, item) => news.push(item),
--- /dev/null
+++ b/state/freshness/test/true_time_test.ts
@@ -0,0 +1,46 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createSmoothTime, createTrueTime} from '../src/index.js';
+
+function createTestTime() {
+  const now = {monotonicMs: 1_000, wallMs: 50_000};
+  const pass = (ms: number) => {
+    now.monotonicMs += ms;
+    now.wallMs += ms;
+  };
+  const smoothTimeMs = createSmoothTime({
+    monotonicMs: () => now.monotonicMs,
+    wallMs: () => now.wallMs,
+  });
+  return {now, pass, smoothTimeMs};
+}
+
+describe('createSmoothTime', () => {
+  it('does not follow a step of the time of day', () => {
+    const {now, pass, smoothTimeMs} = createTestTime();
+    now.wallMs += 80_000;
+    expect(smoothTimeMs()).toEqual(50_000);
+    pass(5_000);
+    expect(Math.round(smoothTimeMs())).toEqual(55_005);
+    now.wallMs -= 80_000;
+    pass(1_000);
+    expect(Math.round(smoothTimeMs())).toEqual(56_004);
+  });
+
+  it('is led to the time of day in the long run', () => {
+    const {now, pass, smoothTimeMs} = createTestTime();
+    now.wallMs += 2_000;
+    pass(3_600_000);
+    expect(smoothTimeMs()).toEqual(now.wallMs);
+  });
+});
+
+describe('createTrueTime', () => {
+  it('goes by the majority of instances', () => {
+    const {smoothTimeMs} = createTestTime();
+    const wrongHere = createTrueTime(smoothTimeMs, () => [3_000, 3_004]);
+    expect(wrongHere()).toEqual(53_000);
+    const wrongThere = createTrueTime(smoothTimeMs, () => [3_000, 2, -1]);
+    expect(wrongThere()).toEqual(50_001);
+  });
+});
