fix(soak): soaks side by side get networks of their own

Two seeds 200 apart had the same addresses, so that gateways of both soaks answered both soaks' callers, whose calls have the same ids. Change: a soak holds its network by a lock address and takes the next free one.

--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -22,16 +22,13 @@
   type SoakCall,
   type SoakKind,
 } from './promises.js';
+import {reserveNetwork} from './reserve_network.js';
 import {startTcpProxy, type ProxyMode, type TcpProxy} from './tcp_proxy.js';
 
 /** Pauses between faults, in milliseconds; series overlap what came before. */
 const MIN_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 900;
 
-/** Networks of loopback addresses that soaks use. */
-const FIRST_NETWORK = 20;
-const NETWORKS = 200;
-
 /** Time for the last requests and reports after the faults, in milliseconds. */
 const SETTLE_MS = 4_000;
 
@@ -172,6 +169,7 @@
     upstream.behave = behaveUsually(random);
   }
   const store = await startStoreListener(world.store);
+  const {network, release} = await reserveNetwork(options.seed);
   const storeProxies: TcpProxy[] = [];
   const gateways: GatewayProcess[] = [];
   for (let index = 1; index <= options.gateways; index++) {
@@ -180,7 +178,7 @@
     gateways.push(
       startGatewayProcess({
         index,
-        network: FIRST_NETWORK + (options.seed % NETWORKS),
+        network,
         directory,
         storePort: proxy.port,
         dutyPort: world.duties.listener.port,
@@ -226,6 +224,7 @@
   );
   await Promise.all(gateways.map(gateway => gateway.end()));
   await Promise.all(storeProxies.map(proxy => proxy.close()));
+  release();
   await store.close();
   await world.close();
   const served = calls.filter(({answer}) => answer?.status === 200).length;
