feat(fleet): weigh copied and recomputed prompt tokens apart from time

Cause: placement weighed a copy of cached prompt parts by its time alone.

Ruled out: bytes as the unit (bytes for a token differ by nine between deployments, what a copied token costs by less than two); a smaller cost for the wrong part of the partition alone (halves the copies of the played load, but gives up what protects streams).

Change: costs of copied and of recomputed tokens are terms of their own, settings of the deployment with defaults; the wait counts by its share of a loose target. The partition counts long prompts by the tokens that no other request shares in its demand as in its placement, and sets no engine apart without any.

--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -13,20 +13,11 @@
 } from '@sardinestile/adapter_platform';
 import {SardinestileError} from '@sardinestile/errors';
 import {startGateway} from '@sardinestile/gateway';
-import {watchSettings} from './watch_settings.js';
-import {
-  createRateLimitedLogger,
-  logLevelSchema,
-  type LogLevel,
-} from '@sardinestile/logger';
+import {createRateLimitedLogger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
 import {createSystemClock} from '@sardinestile/types';
-
-/** Environment variable with the minimum level of written log lines. */
-const LOG_LEVEL_VARIABLE = 'SARDINESTILE_LOG_LEVEL';
-
-/** The level at which decisions about each request are logged. */
-const DEFAULT_LOG_LEVEL = 'info';
+import {readGatewayEnvironment} from './gateway_environment.js';
+import {watchSettings} from './watch_settings.js';
 
 /** Table and partition of the store that hold the rows of this system. */
 const SYSTEM_TABLE = 'sardinestile';
@@ -46,24 +37,12 @@
   });
 }
 
-/** Returns the minimum level of written log lines from the environment. */
-function readLogLevel(): LogLevel {
-  const result = logLevelSchema.safeParse(
-    process.env[LOG_LEVEL_VARIABLE] ?? DEFAULT_LOG_LEVEL,
-  );
-  if (result.success) return result.data;
-  throw new SardinestileError({
-    code: 'SETTINGS_INVALID',
-    message: `${LOG_LEVEL_VARIABLE} is "${process.env[LOG_LEVEL_VARIABLE]}"`,
-    hint: `Set it to one of ${logLevelSchema.options.join(', ')}.`,
-  });
-}
-
 /** Runs a gateway on the hosting platform until SIGTERM or SIGINT, then stops it. */
 export async function runPlatformGateway(): Promise<void> {
   const path = readSettingsPath();
   const settings = parseSettings(readFileSync(path, 'utf8'), path);
-  const logger = createRateLimitedLogger({level: readLogLevel()});
+  const environment = readGatewayEnvironment(process.env);
+  const logger = createRateLimitedLogger({level: environment.logLevel});
   const {callerAddress} = settings;
   if (!callerAddress) {
     throw new SardinestileError({
@@ -90,6 +69,7 @@
     settings.dutyApi && createDutyCalls(settings.dutyApi.address);
   const gateway = await startGateway({
     ...settings,
+    resourceCosts: environment.resourceCosts,
     callerAddress,
     readinessAddress: settings.readinessAddress,
     metricsAddress: {
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -88,6 +88,7 @@
     traitsOf: name => config.routes()?.findService(name)?.engine,
     shortestTargetGapMs: name =>
       config.routes()?.shortestTargetGapMs(name) ?? Infinity,
+    resourceCosts: options.resourceCosts,
   });
   const slewedTimeMs = createSlewedTime(clock);
   const link: LedgerLink = await openLedgerLink({
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -1,4 +1,4 @@
-import type {UpstreamRecord} from '@sardinestile/fleet';
+import type {ResourceCosts, UpstreamRecord} from '@sardinestile/fleet';
 import type {Logger} from '@sardinestile/logger';
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {
@@ -37,6 +37,8 @@
   /** Address for the other gateways, for UDP datagrams and for HTTP. */
   peerAddress: ListenAddress;
   headerCodec: HeaderCodec;
+  /** Costs of the resources that placements use; the defaults if absent. */
+  resourceCosts?: ResourceCosts;
   configuration: RecordFeed<RouteTable>;
   upstreams: RecordFeed<UpstreamRecord>;
   /** Table with the system's own rows. */
--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -5,6 +5,7 @@
 export * from './fleet_types.js';
 export * from './membership.js';
 export * from './place_request.js';
+export * from './placement_cost.js';
 export * from './prefill_queue.js';
 export * from './prompt_cache.js';
 export * from './prompt_partition.js';
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -6,13 +6,14 @@
   UpstreamState,
 } from './upstream_fleet.js';
 import type {PlacementRequest, UpstreamRecord} from './fleet_types.js';
+import {
+  firstEventCostMs,
+  LATE_COST_MS,
+  resourceCostMs,
+  type ResourceCosts,
+} from './placement_cost.js';
 import {PREFILL_GAP_SHARE} from './prompt_partition.js';
-
-/**
- * Cost of a request or stream that misses its target. All costs are in
- * milliseconds of waiting.
- */
-const LATE_COST_MS = 600;
+import {countTokens, ownTokens, sharedParts} from './prompt_tokens.js';
 
 /**
  * Assumed share of the streams on an engine that are on time without the
@@ -20,14 +21,6 @@
  */
 const ON_TIME_STREAM_SHARE = 0.5;
 
-/**
- * Cost of recomputing a shared prompt part, as a multiple of its prefill time.
- */
-const RECOMPUTE_WEIGHT = 1;
-
-/** Cost of copying a shared prompt part, as a multiple of the copy time. */
-const COPY_WEIGHT = 1;
-
 /** Cost added for each request that is already at the upstream. */
 const RUNNING_COST_MS = 1;
 
@@ -85,6 +78,7 @@
   request: PlacementRequest;
   service: ServiceState;
   traits: EngineTraits | undefined;
+  resourceCosts: ResourceCosts;
   /** Tokens of the prompt parts that other requests may share. */
   sharedTokens: number;
   isLongPrompt: boolean;
@@ -144,8 +138,6 @@
 ): PlacementContext {
   const service = fleet.serviceStateOf(request.service);
   const shared = sharedParts(request);
-  const sharedTokens = shared.reduce((sum, {tokens}) => sum + tokens, 0);
-  const ownTokens = Math.max(0, request.promptTokens - sharedTokens);
   let copySource: PlacementContext['copySource'];
   records.forEach((record, i) => {
     const tokens = states[i].cache.prefilledTokens(shared);
@@ -156,9 +148,10 @@
     request,
     service,
     traits: fleet.traitsOf(request.service),
-    sharedTokens,
+    resourceCosts: fleet.resourceCosts,
+    sharedTokens: countTokens(shared),
     isLongPrompt: service.partition.isLongPrefill(
-      service.model.estimatePrefillMs(ownTokens),
+      service.model.estimatePrefillMs(ownTokens(request)),
     ),
     longPromptEngines: service.partition.longPromptEngines(records, nowMs),
     copySource,
@@ -191,11 +184,11 @@
   const expectedFirstEventMs =
     expectedWaitMs + copy.timeMs + (model.overheadMs + prefillMs) * slowness;
   const costMs =
-    expectedFirstEventMs +
-    RECOMPUTE_WEIGHT * model.estimatePrefillMs(recomputedTokens) +
-    COPY_WEIGHT * copy.timeMs +
-    LATE_COST_MS *
-      latenessProbability(expectedFirstEventMs, request.targetLatencyMs) +
+    firstEventCostMs(expectedFirstEventMs, request.targetLatencyMs) +
+    resourceCostMs(context.resourceCosts, {
+      copiedTokens: copy.tokens,
+      recomputedTokens,
+    }) +
     LATE_COST_MS *
       ON_TIME_STREAM_SHARE *
       delayedStreamCount(context, state, prefillMs) +
@@ -240,15 +233,6 @@
   };
 }
 
-/**
- * Probability that a request misses its target, 0 to 1: a logistic curve
- * centred at 90% of the target.
- */
-function latenessProbability(firstEventMs: number, targetMs: number): number {
-  const steepness = 8;
-  return 1 / (1 + Math.exp(-steepness * (firstEventMs / targetMs - 0.9)));
-}
-
 /** Number of streams at the upstream that the prefill makes late. */
 function delayedStreamCount(
   {nowMs}: PlacementContext,
@@ -287,11 +271,3 @@
   if (Math.abs(difference) > TIE_THRESHOLD_MS) return difference < 0;
   return a.affinityWeight > b.affinityWeight;
 }
-
-/**
- * Returns the parts that other requests may share. The last part is unique to
- * the request.
- */
-function sharedParts({promptParts}: PlacementRequest) {
-  return promptParts.slice(0, -1);
-}
--- a/routing/fleet/src/prompt_partition.ts
+++ b/routing/fleet/src/prompt_partition.ts
@@ -69,7 +69,7 @@
         Math.ceil(shortRunning / (SHORT_UTILISATION_TARGET * slots)),
       );
       const longEngineCount = Math.max(
-        1,
+        Math.min(1, wantedEngines),
         Math.min(records.length - enginesForShort, wantedEngines),
       );
       const ranked = records
--- a/routing/fleet/src/upstream_fleet.ts
+++ b/routing/fleet/src/upstream_fleet.ts
@@ -6,7 +6,9 @@
 } from './engine_latency_model.js';
 import {ONE_GROUP, selectGroup, type GroupAssignment} from './fleet_groups.js';
 import type {PlacedRequest, UpstreamRecord} from './fleet_types.js';
+import {ownTokens} from './prompt_tokens.js';
 import {createMembership, type Membership} from './membership.js';
+import {DEFAULT_RESOURCE_COSTS, type ResourceCosts} from './placement_cost.js';
 import {createPrefillQueue, type PrefillQueue} from './prefill_queue.js';
 import {createPromptCache, type PromptCache} from './prompt_cache.js';
 import {
@@ -55,6 +57,8 @@
  */
 export interface UpstreamFleet {
   readonly membership: Membership;
+  /** Costs of the resources that placements use. */
+  readonly resourceCosts: ResourceCosts;
   /** Returns the state of an upstream; creates it at the first call. */
   upstreamStateOf(record: UpstreamRecord): UpstreamState;
   /** Returns the state of a service; creates it at the first call. */
@@ -99,6 +103,8 @@
    * none has a target.
    */
   shortestTargetGapMs: (service: string) => number;
+  /** Costs of the resources that placements use; the defaults if absent. */
+  resourceCosts?: ResourceCosts;
 }
 
 interface RunningRequest {
@@ -184,6 +190,7 @@
   };
   return {
     membership,
+    resourceCosts: options.resourceCosts ?? DEFAULT_RESOURCE_COSTS,
     upstreamStateOf,
     serviceStateOf,
     traitsOf,
@@ -208,7 +215,9 @@
       if (targetGapMs !== undefined) {
         state.streams.add(requestId, targetGapMs);
       }
-      const isLongPrompt = partition.isLongPrefill(prefillMs);
+      const isLongPrompt = partition.isLongPrefill(
+        model.estimatePrefillMs(ownTokens(request)),
+      );
       if (isLongPrompt) partition.recordLongPrompt(prefillMs, nowMs);
       else partition.adjustShortRunning(1);
       running.set(key, {
--- a/routing/fleet/test/placement_under_load_test.ts
+++ b/routing/fleet/test/placement_under_load_test.ts
@@ -5,8 +5,10 @@
   placeByFleet,
   placeLeastLoaded,
   simulateLoad,
+  type KindResult,
   type LoadKind,
   type PlacementPolicy,
+  type SimulationOptions,
 } from './virtual_engines.js';
 
 const ENGINES = 8;
@@ -41,31 +43,27 @@
 
 /**
  * Returns the share of requests that met their targets by kind, and the
- * recomputed tokens, over all seeds.
+ * recomputed and copied tokens, over all seeds.
  */
-function simulate(kinds: readonly LoadKind[], place: PlacementPolicy) {
-  const totals = new Map<
-    string,
-    {sent: number; onTime: number; recomputed: number}
-  >();
-  for (const seed of SEEDS) {
-    for (const [name, served] of simulateLoad(kinds, ENGINES, place, seed)) {
-      const total = totals.get(name) ?? {sent: 0, onTime: 0, recomputed: 0};
-      total.sent += served.sent;
-      total.onTime += served.onTime;
-      total.recomputed += served.recomputedTokens;
-      totals.set(name, total);
-    }
-  }
-  const share = (name: string) => {
-    const {sent, onTime} = totals.get(name)!;
-    return onTime / sent;
-  };
-  const recomputed = [...totals.values()].reduce(
-    (sum, t) => sum + t.recomputed,
-    0,
+function simulate(
+  kinds: readonly LoadKind[],
+  place: PlacementPolicy,
+  options: Partial<SimulationOptions> = {},
+) {
+  const results = SEEDS.map(seed =>
+    simulateLoad(kinds, place, {engineCount: ENGINES, ...options, seed}),
   );
-  return {long: share('long'), short: share('short'), recomputed};
+  const sum = (name: string, field: keyof KindResult) =>
+    results.reduce((total, byKind) => total + byKind.get(name)![field], 0);
+  const sumAll = (field: keyof KindResult) =>
+    kinds.reduce((total, {name}) => total + sum(name, field), 0);
+  const share = (name: string) => sum(name, 'onTime') / sum(name, 'sent');
+  return {
+    long: share('long'),
+    short: share('short'),
+    recomputed: sumAll('recomputedTokens'),
+    copied: sumAll('copiedTokens'),
+  };
 }
 
 describe('placeRequest under load', () => {
@@ -102,4 +100,53 @@
     expect(placed.short > baseline.short).toEqual(true);
     expect(placed.long > baseline.long).toEqual(true);
   });
+
+  describe('with fast links between engines', () => {
+    const TRANSFER_MBPS = 700_000;
+    /** Weighs a copy by its time alone. */
+    const FREE_COPIES = {
+      copyMsPerThousandTokens: 0,
+      recomputeMsPerThousandTokens: 20,
+    };
+    const NO_COPIES = {
+      copyMsPerThousandTokens: 1e6,
+      recomputeMsPerThousandTokens: 60,
+    };
+    const LOOSE = {
+      ...LONG,
+      sharedTokens: 13_000,
+      targetLatencyMs: 2_500,
+      targetGapMs: 2_000,
+    };
+    const LOOSE_SHORT = {...SHORT, targetLatencyMs: 500, targetGapMs: 500};
+
+    it('copies few prompts if their targets leave time to wait for the engine that has them', () => {
+      const kinds = [{...LOOSE, requestsPerSecond: 24}, LOOSE_SHORT];
+      const options = {transferMbps: TRANSFER_MBPS};
+      const placed = simulate(kinds, placeByFleet, options);
+      const baseline = simulate(kinds, placeByFleet, {
+        ...options,
+        resourceCosts: FREE_COPIES,
+      });
+      expect(placed.copied < baseline.copied / 2).toEqual(true);
+      expect(placed.recomputed <= baseline.recomputed).toEqual(true);
+      expect(placed.long > ON_TIME_SHARE).toEqual(true);
+      expect(placed.long >= baseline.long - 0.005).toEqual(true);
+      expect(placed.short >= baseline.short - 0.005).toEqual(true);
+    });
+
+    it('copies a popular prompt if its engine alone cannot meet tight targets', () => {
+      const popular = {...LONG, requestsPerSecond: 40, prefixCount: 2};
+      const options = {transferMbps: TRANSFER_MBPS};
+      const placed = simulate([popular, LOOSE_SHORT], placeByFleet, options);
+      const baseline = simulate([popular, LOOSE_SHORT], placeByFleet, {
+        ...options,
+        resourceCosts: NO_COPIES,
+      });
+      expect(placed.copied > 0).toEqual(true);
+      expect(placed.recomputed < baseline.recomputed).toEqual(true);
+      expect(placed.long > ON_TIME_SHARE).toEqual(true);
+      expect(placed.long >= baseline.long).toEqual(true);
+    });
+  });
 });
--- a/routing/fleet/test/virtual_engines.ts
+++ b/routing/fleet/test/virtual_engines.ts
@@ -3,6 +3,7 @@
 import {
   createUpstreamFleet,
   placeRequest,
+  type ResourceCosts,
   type UpstreamFleet,
   type PlacementRequest,
   type UpstreamRecord,
@@ -16,6 +17,7 @@
 const PREFILL_TOKENS_PER_MS = 45;
 const CHUNK_TOKENS = 1_024;
 const TOKENS_PER_EVENT = 4;
+const BYTES_PER_TOKEN = 20_000;
 
 /** Time that callers wait for a response. */
 const CALLER_TIMEOUT_MS = 5_000;
@@ -45,18 +47,39 @@
   /** Requests whose first event and gaps between events met their targets. */
   onTime: number;
   recomputedTokens: number;
+  copiedTokens: number;
 }
 
-/** Returns the id of the engine for a request; undefined to refuse it. */
+/** Engine that a policy chose. */
+export interface ChosenEngine {
+  id: string;
+  /** Id of the engine to copy the shared part from; absent for no copy. */
+  copyFrom?: string;
+}
+
+/** Returns the engine for a request; undefined to refuse it. */
 export type PlacementPolicy = (
   fleet: UpstreamFleet,
   request: PlacementRequest,
   nowMs: number,
-) => string | undefined;
+) => ChosenEngine | undefined;
+
+/** Options for simulateLoad. */
+export interface SimulationOptions {
+  engineCount: number;
+  seed: number;
+  durationMs?: number;
+  /** Speed of copies between engines; 0 (the default) for no copies. */
+  transferMbps?: number;
+  /** Costs of the placement under test; its defaults if absent. */
+  resourceCosts?: ResourceCosts;
+}
 
 /** Placement under test. */
-export const placeByFleet: PlacementPolicy = (fleet, request, nowMs) =>
-  placeRequest(fleet, request, nowMs)!.upstream.id;
+export const placeByFleet: PlacementPolicy = (fleet, request, nowMs) => {
+  const {upstream, copyPromptFrom} = placeRequest(fleet, request, nowMs)!;
+  return {id: upstream.id, copyFrom: copyPromptFrom?.id};
+};
 
 /** Placement under test, with admission control by the expected wait. */
 export const placeAdmitted: PlacementPolicy = (fleet, request, nowMs) => {
@@ -73,7 +96,7 @@
     targetLatencyMs: request.targetLatencyMs,
     timeLeftMs: CALLER_TIMEOUT_MS,
   });
-  return kind === 'admit' ? upstream.id : undefined;
+  return kind === 'admit' ? {id: upstream.id} : undefined;
 };
 
 /** Baseline: chooses the engine with the fewest requests. */
@@ -84,12 +107,14 @@
       id: record.id,
       running: fleet.upstreamStateOf(record).running,
     }))
-    .sort((a, b) => a.running - b.running)[0].id;
+    .sort((a, b) => a.running - b.running)[0];
 
 interface VirtualRequest {
   id: string;
   kind: LoadKind;
   arrivedMs: number;
+  /** Time at which the copy of the shared part is complete. */
+  readyAtMs: number;
   uncachedTokens: number;
   tokens: number;
   lastEventMs: number;
@@ -108,24 +133,27 @@
 /** Simulates a load on engines and returns the results of each kind. */
 export function simulateLoad(
   kinds: readonly LoadKind[],
-  engineCount: number,
   place: PlacementPolicy,
-  seed: number,
-  durationMs = 30_000,
+  options: SimulationOptions,
 ): Map<string, KindResult> {
-  const {next: random} = createSeededRandom(seed);
+  const {engineCount, durationMs = 30_000, transferMbps = 0} = options;
+  const {next: random} = createSeededRandom(options.seed);
   const fleet = createUpstreamFleet({
     traitsOf: () => ({
       slots: 64,
       memoryTokens: 250_000,
-      bytesPerToken: 160_000,
-      transferMbps: 0,
+      bytesPerToken: BYTES_PER_TOKEN,
+      transferMbps,
     }),
     shortestTargetGapMs: () => Math.min(...kinds.map(kind => kind.targetGapMs)),
+    resourceCosts: options.resourceCosts,
   });
   const engines = createEngines(engineCount, fleet);
   const resultsByKind = new Map(
-    kinds.map(({name}) => [name, {sent: 0, onTime: 0, recomputedTokens: 0}]),
+    kinds.map(({name}) => [
+      name,
+      {sent: 0, onTime: 0, recomputedTokens: 0, copiedTokens: 0},
+    ]),
   );
   const arrivals = kinds
     .flatMap(kind => arrivalsOf(kind, random, durationMs))
@@ -151,10 +179,18 @@
       };
       const result = resultsByKind.get(kind.name)!;
       result.sent++;
-      const upstreamId = place(fleet, request, nowMs);
-      if (upstreamId === undefined) continue;
+      const chosen = place(fleet, request, nowMs);
+      if (chosen === undefined) continue;
+      const {id: upstreamId, copyFrom} = chosen;
       const engine = engines.find(candidate => candidate.id === upstreamId)!;
-      const isCached = engine.cached.has(part);
+      const copySource = engines.find(({id}) => id === copyFrom);
+      const isCopied =
+        !engine.cached.has(part) && copySource?.cached.has(part) === true;
+      const isCached = engine.cached.has(part) || isCopied;
+      if (isCopied) result.copiedTokens += kind.sharedTokens;
+      const copyMs = isCopied
+        ? (kind.sharedTokens * BYTES_PER_TOKEN * 8) / (transferMbps * 1000)
+        : 0;
       const uncachedTokens =
         kind.ownTokens + (isCached ? 0 : kind.sharedTokens);
       if (!isCached && everPrefilled.has(part)) {
@@ -171,6 +207,7 @@
         id,
         kind,
         arrivedMs: nowMs,
+        readyAtMs: nowMs + copyMs,
         uncachedTokens,
         tokens: 0,
         lastEventMs: nowMs,
@@ -236,7 +273,7 @@
     fleet.recordEnd(engine.id, request.id, nowMs);
     if (request.isOnTime) resultsByKind.get(request.kind.name)!.onTime++;
   }
-  const [current] = engine.prefilling;
+  const current = engine.prefilling.find(({readyAtMs}) => readyAtMs <= nowMs);
   if (current) {
     const tokens = Math.min(CHUNK_TOKENS, current.uncachedTokens);
     current.uncachedTokens -= tokens;
@@ -246,7 +283,7 @@
     stepMs +=
       tokens / PREFILL_TOKENS_PER_MS + MS_PER_MILLION_PAIRS * pairsInMillions;
     if (current.uncachedTokens === 0) {
-      engine.prefilling.shift();
+      engine.prefilling.splice(engine.prefilling.indexOf(current), 1);
       engine.streaming.push(current);
       const firstMs = nowMs + stepMs;
       current.isOnTime =
