fix(gateway): do not send a request whose caller has left

Cause: a gateway that gets the processor late reads a request and the close that followed it in different turns of the event loop, and sent the request in the first one.

Ruled out: waiting inside the gateway (queueing and connecting are interrupted by the close), the upstream's connection (closed at once).

Change: before a request is sent, the sockets are polled once more; a caller whose connection has ended is logged (call_abandoned) and counted.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -49,6 +49,7 @@
   log_suppressed: {suppressedEvent: string; lines: number};
   log_dropped: {lines: number};
   call_failed: {reason: string};
+  call_abandoned: {requestId?: string};
   call_admitted: {
     requestId: string;
     route: string;
--- a/daemons/gateway/src/serve_call.ts
+++ b/daemons/gateway/src/serve_call.ts
@@ -2,6 +2,7 @@
 import {elapsedMs, readClocks} from '@sardinestile/freshness';
 import {chooseTarget, type RouteIndex} from '@sardinestile/route_table';
 import type {Call, InterruptReason} from './call.js';
+import {isCallerPresent} from './caller_presence.js';
 import {recordAdmission, recordCallEnd} from './call_records.js';
 import type {GatewayContext} from './gateway_context.js';
 import {readBody} from './read_body.js';
@@ -38,12 +39,15 @@
     return;
   }
   const body = await readBody(request, index.table.limits.maxBodyBytes);
-  if (body.kind === 'aborted') return;
+  if (body.kind === 'aborted' || !(await isCallerPresent(request))) {
+    recordAbandoned(context, requestId);
+    return;
+  }
   if (body.kind === 'tooLarge') {
     refuse(context, exchange, 'bodyTooLarge');
     return;
   }
-  // The configuration may have changed while the body was read.
+  // The configuration may have changed while the request was read.
   const current = context.routes() ?? index;
   const route = current.match(request.headers.host ?? '', request.url ?? '/');
   if (!route) {
@@ -97,6 +101,17 @@
   await runInterruptible(context, call);
 }
 
+/** Logs and counts a request whose caller left before it was sent to an upstream. */
+function recordAbandoned(
+  {metrics, logger}: GatewayContext,
+  requestId: string | undefined,
+): void {
+  metrics.increment('sardinestile_calls_interrupted_total', {
+    reason: 'callerLeft',
+  });
+  logger.info('call_abandoned', {requestId});
+}
+
 function findKeyHolder(index: RouteIndex, key: string | undefined) {
   return key === undefined ? undefined : index.keyHolderOf(key);
 }
