feat(gateway): keep to what upstreams state: that they leave, that they want quiet

An upstream that leaves says so in its answers (Server-Leaving), maybe before its registration does, and one that turns a request away may ask for time without requests (Retry-After). Neither was read: requests went on to such upstreams until the store said otherwise.

Ruled out: marking the registration alone (a reread, a record written again or a change of group would undo it); telling peers of quiet (it is asked of one gateway).

Change: an upstream that stated its leaving takes no requests, resumes or copies any more, at this gateway and, by an update of the ledger, at its peers; only a later start under the same id does. Quiet periods are kept apart from the registrations. Where all upstreams of a service want quiet, callers are refused at once with the time of the earliest return, the most urgent first. Ledger updates of unknown kinds are skipped from now on.

Test: upstream_signals_test, five cases; without markLeaving the first fails, without quietPeriods.start the last two.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -129,6 +129,8 @@
     peer?: string;
   };
   upstream_failed: {upstream: string; reason: string};
+  upstream_leaving: {upstream: string};
+  upstream_quiet: {upstream: string; quietMs: number};
   lease_acquired: {duty: string; fencingToken: number};
   lease_lost: {duty: string; fencingToken: number};
   upstreams_ordered: {
--- a/core/ports/src/header_codec.ts
+++ b/core/ports/src/header_codec.ts
@@ -43,6 +43,13 @@
   requestId: string | undefined;
   /** Whether the upstream states that it did not run the request. */
   hasNotRun: boolean;
+  /** Whether the upstream states that it is leaving. */
+  isLeaving: boolean;
+  /**
+   * Time for which the upstream wants no further request from this gateway, in
+   * milliseconds; undefined if it states none.
+   */
+  retryAfterMs: number | undefined;
 }
 
 /** Reads and writes the headers that carry metadata of requests and responses. */
--- a/daemons/gateway/src/fleet_reporter.ts
+++ b/daemons/gateway/src/fleet_reporter.ts
@@ -13,6 +13,8 @@
     hasFailed: boolean | undefined,
     nowMs: number,
   ): void;
+  /** Records that an upstream stated that it is leaving. */
+  recordLeaving(upstreamId: string, startedAtWallMs: number): void;
   /** Applies an update that a peer sent. */
   applyPeerUpdate(peer: string, event: LedgerUpdate): void;
 }
@@ -42,6 +44,8 @@
       fleet.recordPlacement(peer, {...event, promptParts}, clock.monotonicMs()),
     firstEvent: (_peer, {upstreamId, requestId}) =>
       fleet.recordFirstEvent(upstreamId, requestId, clock.monotonicMs()),
+    leaving: (_peer, {upstreamId, startedAtWallMs}) =>
+      void fleet.membership.markLeaving(upstreamId, startedAtWallMs),
     ended(_peer, {upstreamId, requestId, hasFailed}) {
       const nowMs = clock.monotonicMs();
       fleet.recordEnd(upstreamId, requestId, nowMs);
@@ -75,6 +79,9 @@
       fleet.recordEnd(upstreamId, requestId, nowMs);
       link.send({kind: 'ended', requestId, upstreamId, hasFailed}, false);
     },
+    recordLeaving(upstreamId, startedAtWallMs) {
+      link.send({kind: 'leaving', upstreamId, startedAtWallMs}, true);
+    },
     applyPeerUpdate(peer, event) {
       (handlers[event.kind] as (peer: string, event: LedgerUpdate) => void)(
         peer,
--- a/daemons/gateway/src/refuse.ts
+++ b/daemons/gateway/src/refuse.ts
@@ -19,6 +19,10 @@
     status: 503,
     message: 'no upstream of the service can be reached',
   },
+  upstreamsQuiet: {
+    status: 503,
+    message: 'all upstreams of the service asked for time without requests',
+  },
   notTaken: {status: 503, message: 'no upstream took the request'},
   upstreamFailed: {
     status: 502,
--- a/daemons/gateway/src/relay_response.ts
+++ b/daemons/gateway/src/relay_response.ts
@@ -12,6 +12,7 @@
   isResponseToCall,
   type PreparedAttempt,
 } from './prepare_attempt.js';
+import {applyUpstreamSignals} from './upstream_signals.js';
 
 /** Size up to which a response is buffered until it is complete, in bytes. */
 const MAX_HELD_BYTES = 1_048_576;
@@ -53,6 +54,8 @@
         onHeaders(responseStatus, responseHeaders) {
           status = responseStatus;
           headers = responseHeaders;
+          const {upstream} = prepared.placement;
+          applyUpstreamSignals(context, upstream, status, headers);
           clearTimeout(timer);
           if (isResponseToCall(context, call, headers)) return;
           attempt.abort();
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/relay_stream.ts
@@ -14,6 +14,7 @@
   isResponseToCall,
   type PreparedAttempt,
 } from './prepare_attempt.js';
+import {applyUpstreamSignals} from './upstream_signals.js';
 
 /** Callbacks of `relayStream`. */
 export interface StreamObserver {
@@ -117,6 +118,8 @@
         onHeaders(responseStatus, responseHeaders) {
           status = responseStatus;
           headers = responseHeaders;
+          const {upstream} = prepared.placement;
+          applyUpstreamSignals(context, upstream, status, headers);
           if (!isResponseToCall(context, call, headers)) {
             failAttempt('the response belongs to another request');
           }
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -1,5 +1,9 @@
 import {decideAdmission} from '@sardinestile/admission';
-import {placeRequest, type Placement} from '@sardinestile/fleet';
+import {
+  placeRequest,
+  quietServiceMs,
+  type Placement,
+} from '@sardinestile/fleet';
 import type {RouteKind} from '@sardinestile/route_table';
 import type {BufferedResponse, Call} from './call.js';
 import {endInterrupted, finishCall} from './finish_call.js';
@@ -29,6 +33,12 @@
  */
 const RESPONSE_TIMEOUT_EXPECTED_FACTOR = 3;
 
+/**
+ * Delay of the return of refused callers for each rank of urgency, in
+ * milliseconds, so that those of lower tiers find the slots taken that are left.
+ */
+const RETURN_DELAY_PER_RANK_MS = 100;
+
 /** Whether a call may be retried after an attempt that may have run, by kind of route. */
 const CAN_RETRY: Readonly<Record<RouteKind, (call: Call) => boolean>> = {
   idempotent: () => true,
@@ -57,7 +67,10 @@
       }
     }
     const placement = choosePlacement(context, call, nowMs);
-    if (!placement) break;
+    if (!placement) {
+      if (refuseIfQuiet(context, call, nowMs)) return;
+      break;
+    }
     if (call.attempts === 0) {
       const decision = admit(context, call, placement, nowMs);
       if (decision.kind === 'refuse') {
@@ -132,6 +145,27 @@
   });
 }
 
+/**
+ * Refuses a call that has not run if all upstreams of its service asked for time
+ * without requests. The most urgent callers may return first, the others a
+ * little later.
+ */
+function refuseIfQuiet(
+  context: GatewayContext,
+  call: Call,
+  nowMs: number,
+): boolean {
+  const quietMs = quietServiceMs(context.fleet, call.service, nowMs);
+  if (quietMs === 0 || call.mayHaveRun || call.response.headersSent) {
+    return false;
+  }
+  refuse(context, call, 'upstreamsQuiet', {
+    retryAfterMs: quietMs + call.urgency * RETURN_DELAY_PER_RANK_MS,
+    reason: `all upstreams of ${call.service} want no requests for ${Math.round(quietMs)} ms`,
+  });
+  return true;
+}
+
 function refuseOverload(
   context: GatewayContext,
   call: Call,
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -68,6 +68,8 @@
    * resets the connection at the next request, without reading the request.
    */
   idleResetMs: number;
+  /** Headers that are added to every response, for instance `server-leaving`. */
+  extraHeaders: Record<string, string>;
   /** Chooses the response to a request. */
   chooseBehaviour: (request: ReceivedRequest) => UpstreamBehaviour;
   close(): Promise<void>;
@@ -106,6 +108,7 @@
     received,
     connections: 0,
     idleResetMs: Infinity,
+    extraHeaders: {},
     chooseBehaviour: () => ({kind: 'answer'}),
     close: () =>
       new Promise(resolve => {
@@ -243,6 +246,7 @@
   const baseHeaders = {
     'request-id': entry.requestId,
     'response-stamp': `${upstream.id}.${entry.requestId}`,
+    ...upstream.extraHeaders,
   };
   const handler = BEHAVIOUR_HANDLERS[behaviour.kind] as (
     behaviour: UpstreamBehaviour,
--- a/protocol/ledger/src/ledger_codec.ts
+++ b/protocol/ledger/src/ledger_codec.ts
@@ -28,14 +28,23 @@
   hasFailed: z.boolean().optional(),
 });
 
-/** A change in the state of one request at one upstream. */
+/** An upstream stated in a response that it is leaving. */
+const leavingSchema = z.object({
+  kind: z.literal('leaving'),
+  upstreamId: z.string(),
+  /** Start of the upstream in Unix milliseconds; a later start is another upstream. */
+  startedAtWallMs: z.number(),
+});
+
+/** A change in the state of one request at one upstream, or of an upstream. */
 export const ledgerUpdateSchema = z.discriminatedUnion('kind', [
   placedSchema,
   firstEventSchema,
   endedSchema,
+  leavingSchema,
 ]);
 
-/** A change in the state of one request at one upstream. */
+/** A change in the state of one request at one upstream, or of an upstream. */
 export type LedgerUpdate = z.infer<typeof ledgerUpdateSchema>;
 
 /** State of the sending gateway, included in every datagram. */
@@ -109,6 +118,8 @@
   const status = decodeStatus(statusBits);
   const updates: LedgerUpdate[] = [];
   for (const row of rows) {
+    // Gateways of a later version may send updates that this one does not know.
+    if (!KNOWN_KIND_CODES.has(row[0])) continue;
     const decoded = ledgerUpdateSchema.safeParse(decodeUpdate(row));
     if (!decoded.success) return undefined;
     updates.push(decoded.data);
@@ -135,8 +146,14 @@
 
 type UpdateRow = Array<string | number | null>;
 
+/** First elements of the rows that `decodeUpdate` knows. */
+const KNOWN_KIND_CODES: ReadonlySet<unknown> = new Set(['p', 'f', 'e', 'l']);
+
 function encodeUpdate(item: LedgerUpdate): UpdateRow {
   if (item.kind === 'firstEvent') return ['f', item.requestId, item.upstreamId];
+  if (item.kind === 'leaving') {
+    return ['l', item.upstreamId, item.startedAtWallMs];
+  }
   if (item.kind === 'ended') {
     const {requestId, upstreamId, hasFailed} = item;
     return [
@@ -160,6 +177,9 @@
 
 function decodeUpdate(row: UpdateRow): unknown {
   const [kindCode, requestId, upstreamId] = row;
+  if (kindCode === 'l') {
+    return {kind: 'leaving', upstreamId: row[1], startedAtWallMs: row[2]};
+  }
   if (kindCode === 'f') return {kind: 'firstEvent', requestId, upstreamId};
   if (kindCode === 'e') {
     const hasFailed = row[3] === null ? undefined : row[3] === 1;
--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -9,5 +9,6 @@
 export * from './prefill_queue.js';
 export * from './prompt_cache.js';
 export * from './prompt_partition.js';
+export * from './quiet_periods.js';
 export * from './stream_load.js';
 export * from './upstream_health.js';
--- a/routing/fleet/src/membership.ts
+++ b/routing/fleet/src/membership.ts
@@ -7,6 +7,9 @@
  */
 const REGISTRATION_GRACE_MS = 2_300;
 
+/** Most upstreams whose leaving is remembered. */
+const MAX_LEAVING = 20_000;
+
 /**
  * Upstreams that exist, as far as this gateway knows. Of several records with
  * one address, the one with the latest start is used.
@@ -21,6 +24,12 @@
    * failure, the record is kept until the upstream had time to register again.
    */
   remove(id: string, nowMs: number): void;
+  /**
+   * Records that an upstream stated itself that it is leaving. It takes no new
+   * requests from then on, whatever the store contains; a later start under the
+   * same id is another upstream. Returns whether this was not known.
+   */
+  markLeaving(id: string, startedAtWallMs: number): boolean;
   /** Records that the store could not be read. */
   recordStoreFailure(nowMs: number): void;
   /**
@@ -45,6 +54,11 @@
    * upstream id.
    */
   const keptUntilMs = new Map<string, number>();
+  /**
+   * Start times of the upstreams that are known to leave, by id. They outlast
+   * the registrations, which may be removed and written again.
+   */
+  const leavingStartedAtMs = new Map<string, number>();
   let lastFailureAtMs = -Infinity;
   let usable = new Map<string, UpstreamRecord[]>();
 
@@ -64,6 +78,26 @@
       else usable.set(record.service, [record]);
     }
   };
+  const addLeaving = (id: string, startedAtWallMs: number) => {
+    leavingStartedAtMs.delete(id);
+    leavingStartedAtMs.set(id, startedAtWallMs);
+    if (leavingStartedAtMs.size <= MAX_LEAVING) return;
+    const [oldest] = leavingStartedAtMs.keys();
+    leavingStartedAtMs.delete(oldest);
+  };
+  /** Returns the record, as leaving if the upstream left before. */
+  const withKnownLeaving = (record: UpstreamRecord): UpstreamRecord => {
+    const {id, startedAtWallMs} = record;
+    if (record.isLeaving) {
+      addLeaving(id, startedAtWallMs);
+      return record;
+    }
+    const leftAtStartMs = leavingStartedAtMs.get(id);
+    if (leftAtStartMs === undefined) return record;
+    return startedAtWallMs > leftAtStartMs
+      ? record
+      : {...record, isLeaving: true};
+  };
   const removeOrDefer = (id: string, nowMs: number) => {
     const sinceFailureMs = nowMs - lastFailureAtMs;
     if (sinceFailureMs >= REGISTRATION_GRACE_MS) {
@@ -81,12 +115,13 @@
         if (!present.has(id)) removeOrDefer(id, nowMs);
       }
       for (const record of current) {
-        records.set(record.id, record);
+        records.set(record.id, withKnownLeaving(record));
         keptUntilMs.delete(record.id);
       }
       rebuildUsable();
     },
-    put(record) {
+    put(registered) {
+      const record = withKnownLeaving(registered);
       const previous = records.get(record.id);
       records.set(record.id, record);
       keptUntilMs.delete(record.id);
@@ -102,6 +137,15 @@
       removeOrDefer(id, nowMs);
       rebuildUsable();
     },
+    markLeaving(id, startedAtWallMs) {
+      const known = leavingStartedAtMs.get(id);
+      if (known !== undefined && known >= startedAtWallMs) return false;
+      addLeaving(id, startedAtWallMs);
+      const record = records.get(id);
+      if (record) records.set(id, withKnownLeaving(record));
+      rebuildUsable();
+      return true;
+    },
     recordStoreFailure(nowMs) {
       lastFailureAtMs = nowMs;
     },
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -101,7 +101,7 @@
   request: PlacementRequest,
   nowMs: number,
 ): Placement | undefined {
-  const records = untriedUpstreams(fleet, request);
+  const records = eligibleUpstreams(fleet, request, nowMs);
   const states = records.map(record => fleet.upstreamStateOf(record));
   const context = createContext(fleet, request, records, states, nowMs);
   const hasUsable = states.some(({health}) => health.isUsable(nowMs));
@@ -115,18 +115,37 @@
   return best;
 }
 
+/**
+ * Returns how long all upstreams of a service want no requests from this
+ * gateway; 0 if one of them takes requests or there is none.
+ */
+export function quietServiceMs(
+  {membership, quietPeriods}: UpstreamFleet,
+  service: string,
+  nowMs: number,
+): number {
+  const records = membership.usableUpstreamsOf(service);
+  if (records.length === 0) return 0;
+  return Math.min(
+    ...records.map(record => quietPeriods.remainingMs(record, nowMs)),
+  );
+}
+
 /**
  * Returns the upstreams of this gateway's group that the request was not sent
- * to; if there are none, those of all groups.
+ * to and that take requests; if there are none, those of all groups.
  */
-function untriedUpstreams(
+function eligibleUpstreams(
   fleet: UpstreamFleet,
   {service, triedUpstreamIds}: PlacementRequest,
+  nowMs: number,
 ): UpstreamRecord[] {
-  const isUntried = ({id}: UpstreamRecord) => !triedUpstreamIds.has(id);
-  const groupRecords = fleet.upstreamsOf(service).filter(isUntried);
+  const isEligible = (record: UpstreamRecord) =>
+    !triedUpstreamIds.has(record.id) &&
+    fleet.quietPeriods.remainingMs(record, nowMs) === 0;
+  const groupRecords = fleet.upstreamsOf(service).filter(isEligible);
   if (groupRecords.length > 0) return groupRecords;
-  return fleet.membership.usableUpstreamsOf(service).filter(isUntried);
+  return fleet.membership.usableUpstreamsOf(service).filter(isEligible);
 }
 
 function createContext(
--- a/routing/fleet/src/upstream_fleet.ts
+++ b/routing/fleet/src/upstream_fleet.ts
@@ -15,6 +15,7 @@
   createPromptPartition,
   type PromptPartition,
 } from './prompt_partition.js';
+import {createQuietPeriods, type QuietPeriods} from './quiet_periods.js';
 import {createStreamLoad, type StreamLoad} from './stream_load.js';
 import {createUpstreamHealth, type UpstreamHealth} from './upstream_health.js';
 
@@ -57,6 +58,8 @@
  */
 export interface UpstreamFleet {
   readonly membership: Membership;
+  /** Periods in which upstreams want no requests from this gateway. */
+  readonly quietPeriods: QuietPeriods;
   /** Costs of the resources that placements use. */
   readonly resourceCosts: ResourceCosts;
   /** Returns the state of an upstream; creates it at the first call. */
@@ -124,6 +127,7 @@
 ): UpstreamFleet {
   const {traitsOf} = options;
   const membership = createMembership();
+  const quietPeriods = createQuietPeriods();
   const states = new Map<string, UpstreamState>();
   const services = new Map<string, ServiceState>();
   /** Requests that have not ended, oldest first. */
@@ -190,6 +194,7 @@
   };
   return {
     membership,
+    quietPeriods,
     resourceCosts: options.resourceCosts ?? DEFAULT_RESOURCE_COSTS,
     upstreamStateOf,
     serviceStateOf,
@@ -252,6 +257,7 @@
       }
     },
     prune(nowMs) {
+      quietPeriods.prune(nowMs);
       for (const [key, request] of running) {
         if (nowMs - request.placedAtMs < STALE_REQUEST_MS) break;
         endRequest(key, request, nowMs);
