fix(gateway): bound responses that never end, resume streams without events

Ruled out: dropping comments (the body would not be the upstream's whole body); a limit on the length of streams (sound ones may be long).

Test: endless_responses_test plays nine parts of a response without end, stalled streams that trickle beside slow but sound ones, and callers that send without end. errorBody, comments and the trickle failed before; heads, trailers and chunk extensions were bounded by the parser and stay so.

--- a/daemons/gateway/src/event_splitter.ts
+++ b/daemons/gateway/src/event_splitter.ts
@@ -3,10 +3,12 @@
   bytes: Buffer;
   /** Numeric `id` field; undefined for events without one, such as comments. */
   id: number | undefined;
+  /** Whether it has a field; false for one that consists of comments. */
+  hasData: boolean;
 }
 
-/** Largest incomplete event that is buffered, in bytes. */
-const MAX_EVENT_BYTES = 1_048_576;
+/** Largest event; more bytes without a complete event are no event stream. */
+export const MAX_EVENT_BYTES = 1_048_576;
 
 const LF = 0x0a;
 const CR = 0x0d;
@@ -17,8 +19,6 @@
   push(chunk: Buffer): StreamEvent[];
   /** Whether bytes of an incomplete event are buffered. */
   readonly hasPartialEvent: boolean;
-  /** Whether the incomplete event exceeds the size limit. */
-  readonly isEventTooLong: boolean;
 }
 
 /** Creates a splitter for the beginning of a stream. */
@@ -34,7 +34,11 @@
         const end = endOfEvent(bytes, start);
         if (end < 0) break;
         const event = bytes.subarray(start, end);
-        events.push({bytes: event, id: readEventId(event)});
+        events.push({
+          bytes: event,
+          id: readEventId(event),
+          hasData: hasField(event),
+        });
         start = end;
       }
       pending = bytes.subarray(start);
@@ -43,9 +47,6 @@
     get hasPartialEvent() {
       return pending.length > 0;
     },
-    get isEventTooLong() {
-      return pending.length > MAX_EVENT_BYTES;
-    },
   };
 }
 
@@ -61,6 +62,11 @@
   return -1;
 }
 
+/** Whether a line begins with a field rather than with a comment's colon. */
+function hasField(event: Buffer): boolean {
+  return /(?:^|\n)[^:\r\n]/.test(event.toString('latin1'));
+}
+
 function readEventId(event: Buffer): number | undefined {
   const match = /(?:^|\n)id: ?(\d+)\r?\n/.exec(event.toString('latin1'));
   return match ? Number(match[1]) : undefined;
--- a/daemons/gateway/src/relay_response.ts
+++ b/daemons/gateway/src/relay_response.ts
@@ -15,7 +15,7 @@
 import {applyUpstreamSignals} from './upstream_signals.js';
 
 /** Size up to which a response is buffered until it is complete, in bytes. */
-const MAX_HELD_BYTES = 1_048_576;
+export const MAX_HELD_BYTES = 1_048_576;
 
 /**
  * Sends a call whose response is not a stream. Returns the complete response;
@@ -73,7 +73,16 @@
           }
           chunks.push(chunk);
           heldBytes += chunk.length;
-          if (heldBytes > MAX_HELD_BYTES && isSuccess(status)) forwardHeld();
+          if (heldBytes <= MAX_HELD_BYTES) return;
+          if (isSuccess(status)) {
+            forwardHeld();
+            return;
+          }
+          attempt.abort();
+          settle({
+            kind: 'unknown',
+            reason: `the response with status ${status} exceeds ${MAX_HELD_BYTES} bytes`,
+          });
         },
         onEnd() {
           if (isForwarding) {
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/relay_stream.ts
@@ -1,7 +1,8 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {startAttempt} from './attempt.js';
+import {MAX_HELD_BYTES} from './relay_response.js';
 import type {AttemptOutcome, Call} from './call.js';
-import {createEventSplitter} from './event_splitter.js';
+import {createEventSplitter, MAX_EVENT_BYTES} from './event_splitter.js';
 import {
   bufferResponse,
   isCloseDelimited,
@@ -23,12 +24,12 @@
 }
 
 /**
- * Time without data after which a stream counts as stalled, as a multiple of
+ * Time without an event after which a stream counts as stalled, as a multiple of
  * the route's target gap.
  */
 const STALL_TIMEOUT_GAPS = 5;
 
-/** Shortest time without data after which a stream counts as stalled, in milliseconds. */
+/** Shortest time without an event after which a stream counts as stalled, in milliseconds. */
 const MIN_STALL_TIMEOUT_MS = 600;
 
 /** Target gap between events for routes that set none, in milliseconds. */
@@ -59,8 +60,10 @@
     let headers: IncomingHttpHeaders = {};
     /** Body of a response that is not a stream. */
     const nonStreamBody: Buffer[] = [];
+    let nonStreamBytes = 0;
     let hasNewEvent = false;
     let lastProgressAtMs = clock.monotonicMs();
+    let bytesSinceProgress = 0;
     let timer: NodeJS.Timeout | undefined;
 
     const settle = (outcome: AttemptOutcome) => {
@@ -100,13 +103,22 @@
       }
       return undefined;
     };
+    /** Parts of events and comments are no progress: a stalled upstream may send them. */
+    const recordProgress = (nowMs: number) => {
+      if (hasNewEvent) recordGap(context, call, nowMs - lastProgressAtMs);
+      lastProgressAtMs = nowMs;
+      bytesSinceProgress = 0;
+      if (hasNewEvent) return;
+      hasNewEvent = true;
+      observer.onFirstEvent(nowMs);
+    };
     const checkStall = () => {
       if (!route.isResumable) return;
       const limitMs = hasNewEvent ? stallTimeoutMs : prepared.responseTimeoutMs;
       if (limitMs === undefined) return;
       const leftMs = lastProgressAtMs + limitMs - clock.monotonicMs();
       if (leftMs <= 0 && !response.writableNeedDrain) {
-        failAttempt(`no data for ${Math.round(limitMs)} ms`);
+        failAttempt(`no event for ${Math.round(limitMs)} ms`);
         return;
       }
       timer = setTimeout(checkStall, Math.max(20, leftMs));
@@ -127,20 +139,24 @@
         onData(chunk) {
           if (!isStream()) {
             nonStreamBody.push(chunk);
+            nonStreamBytes += chunk.length;
+            if (nonStreamBytes > MAX_HELD_BYTES) {
+              failAttempt(
+                `the response with status ${status} exceeds ${MAX_HELD_BYTES} bytes`,
+              );
+            }
             return;
           }
           const nowMs = clock.monotonicMs();
-          if (hasNewEvent) recordGap(context, call, nowMs - lastProgressAtMs);
-          lastProgressAtMs = nowMs;
-          for (const {bytes, id} of splitter.push(chunk)) {
-            if (!hasNewEvent) {
-              hasNewEvent = true;
-              observer.onFirstEvent(lastProgressAtMs);
-            }
+          bytesSinceProgress += chunk.length;
+          for (const {bytes, id, hasData} of splitter.push(chunk)) {
+            if (hasData) recordProgress(nowMs);
             const gapReason = forwardEvent(bytes, id);
             if (gapReason !== undefined) return failAttempt(gapReason);
           }
-          if (splitter.isEventTooLong) failAttempt('an event is too large');
+          if (bytesSinceProgress > MAX_EVENT_BYTES) {
+            failAttempt(`no complete event in ${bytesSinceProgress} bytes`);
+          }
         },
         onEnd() {
           if (headerCodec.readResponse(headers).hasNotRun) {
--- a/development/hosting_stand_ins/src/index.ts
+++ b/development/hosting_stand_ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './endless_response.js';
 export * from './duty_stand_in.js';
 export * from './http_stand_in.js';
 export * from './store_stand_in.js';
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {sendEndlessResponse, type EndlessPart} from './endless_response.js';
 
 /** A request that an upstream received. */
 export interface ReceivedRequest {
@@ -53,6 +54,13 @@
       breakAfter?: number;
       silentAfter?: number;
     }
+  /** Sends bytes that never end in one part of the response, until the connection is closed. */
+  | {kind: 'endless'; part: EndlessPart}
+  /**
+   * Starts a stream, then sends parts of events or comments now and then, but
+   * no complete event.
+   */
+  | {kind: 'trickle'; text: string; events: number; everyMs: number}
   /** Streams events with these ids and ignores the `last-event-id` header. */
   | {kind: 'streamIds'; ids: readonly number[]; delayMs?: number};
 
@@ -70,6 +78,8 @@
   idleResetMs: number;
   /** Headers that are added to every response, for instance `server-leaving`. */
   extraHeaders: Record<string, string>;
+  /** Number of endless responses whose connections are open. */
+  openEndless: number;
   /** Chooses the response to a request. */
   chooseBehaviour: (request: ReceivedRequest) => UpstreamBehaviour;
   close(): Promise<void>;
@@ -109,6 +119,7 @@
     connections: 0,
     idleResetMs: Infinity,
     extraHeaders: {},
+    openEndless: 0,
     chooseBehaviour: () => ({kind: 'answer'}),
     close: () =>
       new Promise(resolve => {
@@ -205,6 +216,22 @@
     const events = ids.map(id => `id: ${id}\ndata: event ${id}\n\n`);
     setTimeout(() => response.end(events.join('')), delayMs);
   },
+  endless({part}, {upstream, request, entry}) {
+    upstream.openEndless++;
+    request.socket.once('close', () => upstream.openEndless--);
+    sendEndlessResponse(request.socket, part, entry.requestId);
+  },
+  trickle({text, events, everyMs}, {request, response, baseHeaders}) {
+    response.writeHead(200, {
+      ...baseHeaders,
+      'content-type': 'text/event-stream',
+    });
+    for (let id = 0; id < events; id++) {
+      response.write(`id: ${id}\ndata: event ${id}\n\n`);
+    }
+    const timer = setInterval(() => response.write(text), everyMs);
+    request.socket.once('close', () => clearInterval(timer));
+  },
   stream(behaviour, {request, response, baseHeaders, entry}) {
     const {events, gapMs = 5, breakAfter, silentAfter} = behaviour;
     response.writeHead(200, {
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -22,6 +22,9 @@
  */
 const LONG_POLL_MARGIN_MS = 300;
 
+/** Largest response that is read: the whole configuration or list of upstreams. */
+const MAX_RESPONSE_BYTES = 16_777_216;
+
 /**
  * HTTP client for the peer API of other gateways. A call makes one attempt and
  * rejects if it fails.
@@ -58,10 +61,11 @@
 export function createPeerClient(
   fleetId: () => string | undefined,
 ): PeerClient {
-  const dispatcher = new Agent({connections: 1});
+  const maxResponseSize = MAX_RESPONSE_BYTES;
+  const dispatcher = new Agent({connections: 1, maxResponseSize});
   // Long polls, one for each kind of record, use connections of their own, so
   // that they do not delay each other and the other calls.
-  const longPollDispatcher = new Agent({connections: 2});
+  const longPollDispatcher = new Agent({connections: 2, maxResponseSize});
   const call = async (
     method: 'GET' | 'POST',
     address: string,
