fix(fleet): spread requests that share no prompt parts

Cause: requests without shared parts (all of plain services) had one affinity, so that up to four of them went to the same upstream while others were idle.

Tests: place_request_test; routes_test passes again.

--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -114,6 +114,7 @@
 function choosePlacement(context: GatewayContext, call: Call, nowMs: number) {
   const {requestMetadata, service, urgency, triedUpstreamIds, route} = call;
   const request = {
+    requestId: call.requestId,
     service,
     promptTokens: requestMetadata.promptTokens,
     promptParts: requestMetadata.promptParts,
--- a/routing/fleet/src/fleet_types.ts
+++ b/routing/fleet/src/fleet_types.ts
@@ -29,6 +29,7 @@
 
 /** Request that needs an upstream, with the targets of its caller. */
 export interface PlacementRequest {
+  requestId: string;
   service: string;
   promptTokens: number;
   promptParts: readonly PromptPart[];
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -94,7 +94,7 @@
  * is none that was not tried. The main costs are the wait of the request, the
  * streams that its prefill makes late, and shared parts that are recomputed.
  * Between upstreams of equal cost all gateways choose the same one, so that a
- * shared part is prefilled only once.
+ * shared part is prefilled only once; requests without shared parts are spread.
  */
 export function placeRequest(
   fleet: UpstreamFleet,
@@ -110,7 +110,7 @@
     const state = states[i];
     if (hasUsable && !state.health.isUsable(nowMs)) return;
     const candidate = evaluate(context, record, state);
-    if (!best || isBetter(candidate, best)) best = candidate;
+    if (!best || isBetter(context, candidate, best)) best = candidate;
   });
   return best;
 }
@@ -174,7 +174,7 @@
     ),
     longPromptEngines: service.partition.longPromptEngines(records, nowMs),
     copySource,
-    affinityHash: hashText(shared.at(-1)?.id ?? ''),
+    affinityHash: hashText(shared.at(-1)?.id ?? request.requestId),
     nowMs,
   };
 }
@@ -285,8 +285,14 @@
   return tokens > MEMORY_SHARE * traits.memoryTokens ? SATURATION_COST_MS : 0;
 }
 
-function isBetter(a: Candidate, b: Candidate): boolean {
+function isBetter(
+  {sharedTokens}: PlacementContext,
+  a: Candidate,
+  b: Candidate,
+): boolean {
   const difference = a.costMs - b.costMs;
-  if (Math.abs(difference) > TIE_THRESHOLD_MS) return difference < 0;
+  // Requests that share nothing gain nothing by going to the same upstream.
+  const thresholdMs = sharedTokens > 0 ? TIE_THRESHOLD_MS : 0;
+  if (Math.abs(difference) > thresholdMs) return difference < 0;
   return a.affinityWeight > b.affinityWeight;
 }
