feat: hold every promise when the store is restored from a copy

The store may come back from a copy some seconds old: versions are given out again, so that an old condition could hold for another row's state; a lease row that fell back would repeat fencing tokens; a lost seal would be sealed with other figures; withdrawn keys, drains and removals would be undone for a while.

Ruled out: an era beside each version in all ports; a row that every transaction checks (docs/design/store_era.md).

Change: the adapter puts era and number into one rising version and tells of restores; leases, usage, configuration, membership and registry each handle them.

The stand-in of the store can be restored and states its era.

--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -77,6 +77,7 @@
       port: settings.peerPort + METRICS_PORT_OFFSET,
     },
     peerAddress: {host: settings.host, port: settings.peerPort},
+    storeRestores: store.restores,
     table: createTableService({
       store,
       table: SYSTEM_TABLE,
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -142,6 +142,9 @@
     fencingToken: number;
   };
   duty_call_failed: {operation: string; reason: string};
+  /** A restore of the store may have deleted the seal of a reported window. */
+  usage_skipped: {windowId: string};
+  store_restored: {generation: number};
   usage_reported: {windowId: string; organisations: number};
   peer_found: {peer: string};
   peer_lost: {peer: string};
--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -1,4 +1,5 @@
 export * from './clock.js';
+export * from './fencing_token.js';
 export * from './random_source.js';
 export * from './run_outcome.js';
 export * from './tier.js';
--- a/daemons/duties/src/usage_duty.ts
+++ b/daemons/duties/src/usage_duty.ts
@@ -1,6 +1,10 @@
 import type {Logger} from '@sardinestile/logger';
 import {runLease, type RunLeaseOptions} from '@sardinestile/lease';
-import type {TableService, UsageReceiver} from '@sardinestile/ports';
+import type {
+  StoreRestores,
+  TableService,
+  UsageReceiver,
+} from '@sardinestile/ports';
 import type {Clock} from '@sardinestile/types';
 import {createUsageReporter} from '@sardinestile/usage';
 import {createLeaseOptions} from './lease_options.js';
@@ -40,6 +44,8 @@
       | 'isAllowedToClaim'
     >
   >;
+  /** Restores of the store behind the table; none by default. */
+  restores?: StoreRestores;
   logger: Logger;
 }
 
@@ -69,6 +75,7 @@
     ...options.leaseOverrides,
     table,
     clock,
+    restores: options.restores,
   });
   const reporter = createUsageReporter({
     table,
@@ -77,6 +84,7 @@
     fencingToken: () => lease.fencingToken(),
     onReported: (windowId, organisations) =>
       logger.info('usage_reported', {windowId, organisations}),
+    onSkipped: windowId => logger.warn('usage_skipped', {windowId}),
     windowMs: options.windowMs,
     closeDelayMs: options.closeDelayMs,
   });
--- a/daemons/gateway/src/config_view.ts
+++ b/daemons/gateway/src/config_view.ts
@@ -21,6 +21,12 @@
  */
 const ASK_PEERS_AFTER_WAITS = 3.2;
 
+/**
+ * Time in which operators write again what a restore of the store has deleted,
+ * in milliseconds.
+ */
+const REWRITE_TIME_MS = 2_500;
+
 /** The newest configuration that this gateway knows. */
 export interface ConfigView {
   /** Returns the configuration; undefined until the first version is loaded. */
@@ -37,6 +43,14 @@
   ): Promise<ConfirmedConfig | undefined>;
   /** Calls `onApplied` with the current version, if there is one, and with each later one. */
   subscribe(onApplied: (table: RouteTable) => void): void;
+  /**
+   * Records that the store was restored from a copy. Until the operators had
+   * time to write their changes again, reads of the store confirm nothing but a
+   * later version.
+   */
+  recordRestore(): void;
+  /** Asks all peers for a later version. */
+  askAllPeers(): void;
   /** Asks a peer if the store has not confirmed the version for a while. */
   askPeersIfStale(): void;
   /** Marks the version as unconfirmed and reads the configuration again. */
@@ -60,6 +74,8 @@
   logger: Logger;
   /** Fetches the version of a peer; rejects if no peer responds. */
   fetchFromPeer: (haveVersion: number) => Promise<ConfirmedConfig>;
+  /** Fetches the versions of all peers, without those that do not respond. */
+  fetchFromAllPeers: (haveVersion: number) => Promise<ConfirmedConfig[]>;
 }
 
 /** Follows the configuration in the store; the version never decreases. */
@@ -72,6 +88,8 @@
   /** Callbacks that end the waits of peers. */
   const wakeCallbacks = new Set<() => void>();
   let isSyncing = false;
+  let versionAtRestore = -1;
+  let distrustedUntilMs = -Infinity;
 
   const apply = (table: RouteTable, source: string) => {
     if (routes && table.version <= routes.table.version) return;
@@ -102,7 +120,13 @@
           else logger.warn('config_rejected', {reason: findings.join('; ')});
         }
       },
-      onUpToDate: sentAt => freshness.confirm(sentAt),
+      onUpToDate(sentAt) {
+        const version = routes?.table.version ?? 0;
+        const isTrusted =
+          version > versionAtRestore ||
+          clock.monotonicMs() >= distrustedUntilMs;
+        if (isTrusted) freshness.confirm(sentAt);
+      },
       onFailure: reason =>
         logger.warn('store_failed', {
           operation: 'follow configuration',
@@ -146,6 +170,15 @@
       subscribers.push(onApplied);
       if (routes) onApplied(routes.table);
     },
+    recordRestore() {
+      versionAtRestore = routes?.table.version ?? -1;
+      distrustedUntilMs = clock.monotonicMs() + REWRITE_TIME_MS;
+    },
+    askAllPeers() {
+      void options
+        .fetchFromAllPeers(routes?.table.version ?? 0)
+        .then(all => all.forEach(({table}) => table && apply(table, 'peer')));
+    },
     askPeersIfStale() {
       if (isSyncing || ageMs() < askPeersAgeMs) return;
       isSyncing = true;
--- a/daemons/gateway/src/fleet_reporter.ts
+++ b/daemons/gateway/src/fleet_reporter.ts
@@ -45,7 +45,7 @@
     firstEvent: (_peer, {upstreamId, requestId}) =>
       fleet.recordFirstEvent(upstreamId, requestId, clock.monotonicMs()),
     leaving: (_peer, {upstreamId, startedAtWallMs}) =>
-      void fleet.membership.markLeaving(upstreamId, startedAtWallMs),
+      void fleet.membership.markLeaving({id: upstreamId, startedAtWallMs}),
     ended(_peer, {upstreamId, requestId, hasFailed}) {
       const nowMs = clock.monotonicMs();
       fleet.recordEnd(upstreamId, requestId, nowMs);
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
   createSlewedTime,
   createPeerAdjustedTime,
 } from '@sardinestile/freshness';
+import {NO_RESTORES} from '@sardinestile/ports';
 import {openLedgerLink, type LedgerLink} from '@sardinestile/ledger';
 import {createPeerClient, startPeerServer} from '@sardinestile/peer';
 import {startCallerListener} from './caller_listener.js';
@@ -82,10 +83,11 @@
 /** Starts a gateway; resolves when it listens for callers. */
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
   const {clock, logger, metrics, instance, table, peerAddress} = options;
+  const {storeRestores = NO_RESTORES} = options;
   let isStopping = false;
   let fleetId: string | undefined;
   const peerClient = createPeerClient(() => fleetId);
-  const peers = createPeerCalls(peerClient, () => link);
+  const peers = createPeerCalls(peerClient, () => link, logger);
   const fleet = createUpstreamFleet({
     traitsOf: name => config.routes()?.findService(name)?.engine,
     shortestTargetGapMs: name =>
@@ -128,6 +130,7 @@
     clock,
     logger,
     fetchFromPeer: haveVersion => peers.fetchConfig(haveVersion),
+    fetchFromAllPeers: haveVersion => peers.fetchAllConfigs(haveVersion),
   });
   const reporter = createFleetReporter({instance, fleet, link, clock});
   const gateways = createGatewayCount();
@@ -163,6 +166,7 @@
       peerAdjustedTimeMs,
       windowMs: options.usageWindowMs,
       leaseMs: options.leaseMs,
+      restores: storeRestores,
       peers: () => link.livePeers(),
       isStopping: () => isStopping,
       relay: relayed => peers.relayUsage(relayed),
@@ -261,7 +265,21 @@
       upstreams.reread();
     },
   });
+  storeRestores.subscribe(generation => {
+    logger.warn('store_restored', {generation});
+    config.recordRestore();
+    config.askAllPeers();
+    fleet.membership.recordRestore(clock.monotonicMs());
+    registry.recordRestore();
+    usage?.recordRestore();
+  });
+  let hasAskedPeers = false;
   const housekeeping = setInterval(() => {
+    if (!hasAskedPeers && link.livePeers().length > 0) {
+      hasAskedPeers = true;
+      // The store may have been restored just before this process started.
+      config.askAllPeers();
+    }
     pauseDetector.check();
     config.askPeersIfStale();
     upstreams.removeExpired();
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -4,6 +4,7 @@
 import type {
   HeaderCodec,
   RecordFeed,
+  StoreRestores,
   TableService,
   UpstreamScaler,
   UsageReceiver,
@@ -43,6 +44,8 @@
   upstreams: RecordFeed<UpstreamRecord>;
   /** Table with the system's own rows. */
   table: TableService;
+  /** Restores of the store from a copy; none if absent. */
+  storeRestores?: StoreRestores;
   usageReceiver: UsageReceiver | undefined;
   /** Sets the number of upstreams; undefined if the platform offers no scaling. */
   upstreamScaler: UpstreamScaler | undefined;
--- a/daemons/gateway/src/peer_registry.ts
+++ b/daemons/gateway/src/peer_registry.ts
@@ -53,7 +53,7 @@
   table: TableService;
   clock: Clock;
   logger: Logger;
-  /** Called once with the fleet id, before `onGateways`. */
+  /** Called with the fleet id before `onGateways`, and again if a restore changed it. */
   onFleetId: (fleetId: string) => void;
   /** Called after each refresh with all gateways, this one included. */
   onGateways: (gateways: RegisteredGateway[]) => void;
@@ -61,6 +61,8 @@
 
 /** Registration of this gateway. */
 export interface PeerRegistry {
+  /** Writes again what a restore of the store may have deleted. */
+  recordRestore(): void;
   /** Removes this gateway's entry and stops. */
   deregister(): Promise<void>;
   stop(): void;
@@ -70,15 +72,18 @@
 export function startPeerRegistry(options: PeerRegistryOptions): PeerRegistry {
   const {instance, address, table, logger, onGateways, clock} = options;
   const key = GATEWAY_KEY_PREFIX + instance;
-  let hasFleetId = false;
+  let fleetId: string | undefined;
+  let isFleetIdStored = false;
   let renewedAtMs = -Infinity;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
 
   const refresh = async () => {
-    if (!hasFleetId) {
-      options.onFleetId(await readFleetId(table));
-      hasFleetId = true;
+    if (!isFleetIdStored) {
+      const storedId = await readFleetId(table, fleetId);
+      if (storedId !== fleetId) options.onFleetId(storedId);
+      fleetId = storedId;
+      isFleetIdStored = true;
     }
     const nowMs = clock.wallMs();
     if (Math.abs(nowMs - renewedAtMs) >= RENEWAL_INTERVAL_MS) {
@@ -142,6 +147,13 @@
   run();
   return {
     stop,
+    recordRestore() {
+      isFleetIdStored = false;
+      renewedAtMs = -Infinity;
+      if (isStopped) return;
+      clearTimeout(timer);
+      schedule(RETRY_DELAY_MS);
+    },
     async deregister() {
       stop();
       try {
@@ -156,12 +168,18 @@
   };
 }
 
-/** Reads the fleet id; the first gateway of a fleet creates it. */
-async function readFleetId(table: TableService): Promise<string> {
-  const known = await table.get(FLEET_KEY);
-  if (known) return known.value;
-  const value = randomUUID().slice(0, FLEET_ID_LENGTH);
+/**
+ * Reads the fleet id; the first gateway of a fleet creates it. `knownId` is
+ * written again if a restore of the store has deleted it.
+ */
+async function readFleetId(
+  table: TableService,
+  knownId: string | undefined,
+): Promise<string> {
+  const stored = await table.get(FLEET_KEY);
+  if (stored) return stored.value;
+  const value = knownId ?? randomUUID().slice(0, FLEET_ID_LENGTH);
   const write = {key: FLEET_KEY, value, expectedVersion: 0};
   const {committed} = await table.transact([write]);
-  return committed ? value : readFleetId(table);
+  return committed ? value : readFleetId(table, knownId);
 }
--- a/daemons/gateway/src/upstream_signals.ts
+++ b/daemons/gateway/src/upstream_signals.ts
@@ -23,7 +23,7 @@
   const {fleet, clock, reporter, logger, metrics} = context;
   const {isLeaving, retryAfterMs} = context.headerCodec.readResponse(headers);
   const {id, startedAtWallMs, service} = upstream;
-  if (isLeaving && fleet.membership.markLeaving(id, startedAtWallMs)) {
+  if (isLeaving && fleet.membership.markLeaving(upstream)) {
     reporter.recordLeaving(id, startedAtWallMs);
     metrics.increment('sardinestile_upstreams_leaving_total', {service});
     logger.info('upstream_leaving', {upstream: id});
--- a/daemons/gateway/src/upstream_view.ts
+++ b/daemons/gateway/src/upstream_view.ts
@@ -78,7 +78,7 @@
             });
           }
           if (isSnapshot) continue;
-          if (value) membership.put(value);
+          if (value) membership.put(value, nowMs);
           else membership.remove(key, nowMs);
         }
         options.onChanged();
--- a/daemons/gateway/src/usage_duties.ts
+++ b/daemons/gateway/src/usage_duties.ts
@@ -4,7 +4,11 @@
   type DutyPeer,
 } from '@sardinestile/duties';
 import type {Logger} from '@sardinestile/logger';
-import type {TableService, UsageReceiver} from '@sardinestile/ports';
+import type {
+  StoreRestores,
+  TableService,
+  UsageReceiver,
+} from '@sardinestile/ports';
 import type {RelayedUsage} from '@sardinestile/peer';
 import type {Clock} from '@sardinestile/types';
 import {
@@ -54,6 +58,7 @@
   peerAdjustedTimeMs: () => number;
   windowMs: number;
   leaseMs: number;
+  restores: StoreRestores;
   /** Other gateways whose heartbeats arrived recently. */
   peers: () => readonly DutyPeer[];
   isStopping: () => boolean;
@@ -80,6 +85,8 @@
   fencingToken(): number | undefined;
   /** Stores the counts so far. */
   flush(): Promise<void>;
+  /** Stores again what a restore of the store may have deleted. */
+  recordRestore(): void;
   /** Stops reporting and stores the counts so far. */
   stop(): Promise<void>;
 }
@@ -159,6 +166,7 @@
     logger,
     peerAdjustedTimeMs,
     windowMs,
+    restores: options.restores,
     closeDelayMs: CLOSE_DELAY_MS,
     checkIntervalMs: REPORT_INTERVAL_MS,
     leaseOverrides: {
@@ -173,6 +181,10 @@
     source,
     storeForPeer: usage => batchWriter.store(usage),
     flush: () => flush(),
+    recordRestore() {
+      batchWriter.restored();
+      source.restored();
+    },
     isDutyHeld: () => duty.isHeld(),
     fencingToken: () => duty.fencingToken(),
     async stop() {
--- a/development/hosting_stand_ins/src/store_stand_in.ts
+++ b/development/hosting_stand_ins/src/store_stand_in.ts
@@ -1,4 +1,8 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {
+  IncomingMessage,
+  OutgoingHttpHeaders,
+  ServerResponse,
+} from 'node:http';
 import {
   readJson,
   sendJson,
@@ -69,9 +73,19 @@
       respond();
     },
   };
+  /** The era of a response is that of the time at which it is sent. */
+  const setEraWhenSent = (response: ServerResponse) => {
+    const writeHead = response.writeHead.bind(response);
+    response.writeHead = ((status: number, headers?: OutgoingHttpHeaders) =>
+      writeHead(status, {
+        ...headers,
+        'store-era': String(state.era),
+      })) as typeof response.writeHead;
+  };
   return startListener((request, response) => {
     const url = new URL(request.url ?? '/', 'http://store');
     const handler = handlers[`${request.method} ${url.pathname}`];
+    setEraWhenSent(response);
     if (handler) handler(url, request, response);
     else response.writeHead(404).end();
   });
--- a/development/hosting_stand_ins/src/store_state.ts
+++ b/development/hosting_stand_ins/src/store_state.ts
@@ -23,9 +23,26 @@
   remove?: RowId[];
 }
 
+/** Content of a store at one time. */
+export interface StoreCopy {
+  rows: ReadonlyMap<string, StoredRow>;
+  history: readonly StoredRow[];
+  historyStart: number;
+  version: number;
+}
+
 /** Rows that share one version counter, with the history of their changes. */
 export interface StoreState {
   readonly version: number;
+  /** Rises with each restore. */
+  readonly era: number;
+  /** Returns a copy for `restore`. */
+  copy(): StoreCopy;
+  /**
+   * Goes back to a copy: later writes are lost, and their versions are given
+   * out again.
+   */
+  restore(copy: StoreCopy): void;
   rows(table: string, part: string): StoredRow[];
   /**
    * Applies a transaction and returns its version; undefined if a row does not
@@ -49,7 +66,8 @@
 
 /** Creates an empty store. */
 export function createStoreState(): StoreState {
-  const rows = new Map<string, StoredRow>();
+  let rows = new Map<string, StoredRow>();
+  let era = 1;
   let history: StoredRow[] = [];
   let historyStart = 0;
   let version = 0;
@@ -96,13 +114,31 @@
     get version() {
       return version;
     },
+    get era() {
+      return era;
+    },
+    copy: () => ({
+      rows: new Map(rows),
+      history: [...history],
+      historyStart,
+      version,
+    }),
+    restore(copy) {
+      rows = new Map(copy.rows);
+      history = [...copy.history];
+      ({historyStart, version} = copy);
+      era++;
+      const callbacks = changeCallbacks;
+      changeCallbacks = [];
+      callbacks.forEach(notify => notify());
+    },
     rows: (table, part) =>
       [...rows.values()]
         .filter(row => row.table === table && row.part === part)
         .sort((a, b) => (a.key < b.key ? -1 : 1)),
     transact,
     changes(table, after) {
-      if (after < historyStart) return undefined;
+      if (after < historyStart || after > version) return undefined;
       const newest = new Map<string, StoredRow>();
       for (const row of history) {
         if (row.table === table && row.ver > after) newest.set(row.key, row);
--- a/routing/fleet/src/membership.ts
+++ b/routing/fleet/src/membership.ts
@@ -1,4 +1,5 @@
 import type {UpstreamRecord} from './fleet_types.js';
+import {createStartMemory} from './start_memory.js';
 
 /**
  * Time for which upstreams whose registration expired during a store outage are
@@ -7,9 +8,6 @@
  */
 const REGISTRATION_GRACE_MS = 2_300;
 
-/** Most upstreams whose leaving is remembered. */
-const MAX_LEAVING = 20_000;
-
 /**
  * Upstreams that exist, as far as this gateway knows. Of several records with
  * one address, the one with the latest start is used.
@@ -18,7 +16,7 @@
   /** Replaces all records by the current content of the store. */
   replaceAll(records: readonly UpstreamRecord[], nowMs: number): void;
   /** Adds or updates a record. */
-  put(record: UpstreamRecord): void;
+  put(record: UpstreamRecord, nowMs: number): void;
   /**
    * Removes a record that was deleted or became unusable. Shortly after a store
    * failure, the record is kept until the upstream had time to register again.
@@ -29,9 +27,17 @@
    * requests from then on, whatever the store contains; a later start under the
    * same id is another upstream. Returns whether this was not known.
    */
-  markLeaving(id: string, startedAtWallMs: number): boolean;
+  markLeaving(
+    upstream: Pick<UpstreamRecord, 'id' | 'startedAtWallMs'>,
+  ): boolean;
   /** Records that the store could not be read. */
   recordStoreFailure(nowMs: number): void;
+  /**
+   * Records that the store was restored from a copy. For the time that upstreams
+   * need to register again, registrations that are gone are kept, and those that
+   * were draining or removed before are not used.
+   */
+  recordRestore(nowMs: number): void;
   /**
    * Removes upstreams that did not register again in time after a store outage.
    * Returns whether any were removed.
@@ -54,12 +60,12 @@
    * upstream id.
    */
   const keptUntilMs = new Map<string, number>();
-  /**
-   * Start times of the upstreams that are known to leave, by id. They outlast
-   * the registrations, which may be removed and written again.
-   */
-  const leavingStartedAtMs = new Map<string, number>();
+  /** Upstreams that stated themselves that they are leaving. */
+  const statedLeaving = createStartMemory();
+  /** Upstreams whose registrations were draining or removed. */
+  const outOfUse = createStartMemory();
   let lastFailureAtMs = -Infinity;
+  let lastRestoreAtMs = -Infinity;
   let usable = new Map<string, UpstreamRecord[]>();
 
   const rebuildUsable = () => {
@@ -78,30 +84,33 @@
       else usable.set(record.service, [record]);
     }
   };
-  const addLeaving = (id: string, startedAtWallMs: number) => {
-    leavingStartedAtMs.delete(id);
-    leavingStartedAtMs.set(id, startedAtWallMs);
-    if (leavingStartedAtMs.size <= MAX_LEAVING) return;
-    const [oldest] = leavingStartedAtMs.keys();
-    leavingStartedAtMs.delete(oldest);
+  const deleteRecord = (id: string) => {
+    const record = records.get(id);
+    if (record) outOfUse.remember(record);
+    records.delete(id);
   };
-  /** Returns the record, as leaving if the upstream left before. */
-  const withKnownLeaving = (record: UpstreamRecord): UpstreamRecord => {
-    const {id, startedAtWallMs} = record;
+  /**
+   * Returns the record, as leaving if the upstream stated that, or if only a
+   * restore of the store has undone its leaving or removal.
+   */
+  const withKnownLeaving = (
+    record: UpstreamRecord,
+    nowMs: number,
+  ): UpstreamRecord => {
     if (record.isLeaving) {
-      addLeaving(id, startedAtWallMs);
+      outOfUse.remember(record);
       return record;
     }
-    const leftAtStartMs = leavingStartedAtMs.get(id);
-    if (leftAtStartMs === undefined) return record;
-    return startedAtWallMs > leftAtStartMs
-      ? record
-      : {...record, isLeaving: true};
+    const isJustRestored = nowMs - lastRestoreAtMs < REGISTRATION_GRACE_MS;
+    const isLeaving =
+      statedLeaving.includes(record) ||
+      (isJustRestored && outOfUse.includes(record));
+    return isLeaving ? {...record, isLeaving} : record;
   };
   const removeOrDefer = (id: string, nowMs: number) => {
     const sinceFailureMs = nowMs - lastFailureAtMs;
     if (sinceFailureMs >= REGISTRATION_GRACE_MS) {
-      records.delete(id);
+      deleteRecord(id);
       return;
     }
     if (!keptUntilMs.has(id)) {
@@ -115,13 +124,13 @@
         if (!present.has(id)) removeOrDefer(id, nowMs);
       }
       for (const record of current) {
-        records.set(record.id, withKnownLeaving(record));
+        records.set(record.id, withKnownLeaving(record, nowMs));
         keptUntilMs.delete(record.id);
       }
       rebuildUsable();
     },
-    put(registered) {
-      const record = withKnownLeaving(registered);
+    put(registered, nowMs) {
+      const record = withKnownLeaving(registered, nowMs);
       const previous = records.get(record.id);
       records.set(record.id, record);
       keptUntilMs.delete(record.id);
@@ -137,18 +146,22 @@
       removeOrDefer(id, nowMs);
       rebuildUsable();
     },
-    markLeaving(id, startedAtWallMs) {
-      const known = leavingStartedAtMs.get(id);
-      if (known !== undefined && known >= startedAtWallMs) return false;
-      addLeaving(id, startedAtWallMs);
-      const record = records.get(id);
-      if (record) records.set(id, withKnownLeaving(record));
-      rebuildUsable();
+    markLeaving(upstream) {
+      if (!statedLeaving.remember(upstream)) return false;
+      const record = records.get(upstream.id);
+      if (record && statedLeaving.includes(record)) {
+        records.set(record.id, {...record, isLeaving: true});
+        rebuildUsable();
+      }
       return true;
     },
     recordStoreFailure(nowMs) {
       lastFailureAtMs = nowMs;
     },
+    recordRestore(nowMs) {
+      lastRestoreAtMs = nowMs;
+      lastFailureAtMs = nowMs;
+    },
     removeExpired(nowMs) {
       const before = records.size;
       for (const [id, untilMs] of keptUntilMs) {
@@ -158,7 +171,7 @@
         );
         if (nowMs < limitMs) continue;
         keptUntilMs.delete(id);
-        records.delete(id);
+        deleteRecord(id);
         rebuildUsable();
       }
       return records.size < before;
--- a/routing/fleet/test/virtual_engines.ts
+++ b/routing/fleet/test/virtual_engines.ts
@@ -172,6 +172,7 @@
       ];
       const request = {
         ...kind,
+        requestId: id,
         service: 's',
         promptTokens,
         promptParts,
@@ -232,7 +233,7 @@
       coldMs: 0,
       startedAtWallMs: 0,
     };
-    fleet.membership.put(record);
+    fleet.membership.put(record, 0);
     return {
       id: record.id,
       cached: new Set<string>(),
--- a/state/lease/src/lease.ts
+++ b/state/lease/src/lease.ts
@@ -15,6 +15,11 @@
   row: LeaseRow;
   expectedVersion: number;
   sentAt: LeaseTime;
+  /**
+   * Whether the table service was restored meanwhile. The row may then exist
+   * without the claim, and another process may have got the same token.
+   */
+  isOutdated: boolean;
 }
 
 interface HeldTerm {
@@ -44,6 +49,10 @@
  * Another process claims the lease only when the row has not changed for the
  * duration of the lease plus the operation timeout, so that no operation of the
  * old holder is still in flight.
+ *
+ * After a restore of the table service every term of this process ends, and all
+ * claims wait in the same way, also for a row that the restore has deleted: its
+ * holder may not have noticed yet.
  */
 export function createLease(options: LeaseOptions): Lease {
   let term: HeldTerm | undefined;
@@ -52,6 +61,7 @@
   /** Whether the pending write failed without a clear outcome. */
   let isOutcomeUnknown = false;
   let isReading = false;
+  let hasBeenRestored = false;
 
   const read = (): LeaseCommand[] => {
     if (isReading) return [];
@@ -66,7 +76,7 @@
     const {holderId} = options;
     const writerToken = options.nextWriterToken();
     const row = {holderId, fencingToken, writerToken};
-    pending = {row, expectedVersion, sentAt};
+    pending = {row, expectedVersion, sentAt, isOutdated: false};
     isOutcomeUnknown = false;
     return [{kind: 'write', row, expectedVersion}];
   };
@@ -98,10 +108,19 @@
   const claimIfFree = (now: LeaseTime): LeaseCommand[] => {
     if (!observation) return [];
     const {lease, firstSeenAt} = observation;
-    if (!lease) return write(1, 0, now);
     const waitedMs = now.monotonicMs - firstSeenAt.monotonicMs;
-    if (waitedMs < options.durationMs + options.operationTimeoutMs) return [];
-    return write(lease.row.fencingToken + 1, lease.version, now);
+    const mustWait = lease !== undefined || hasBeenRestored;
+    if (
+      mustWait &&
+      waitedMs < options.durationMs + options.operationTimeoutMs
+    ) {
+      return [];
+    }
+    const fencingToken = Math.max(
+      (lease?.row.fencingToken ?? 0) + 1,
+      options.minFencingToken?.() ?? 1,
+    );
+    return write(fencingToken, lease?.version ?? 0, now);
   };
   const renewIfDue = (held: HeldTerm, now: LeaseTime): LeaseCommand[] => {
     const renewalMs = options.durationMs * RENEWAL_SHARE;
@@ -115,7 +134,8 @@
     now: LeaseTime,
   ): LeaseCommand[] => {
     pending = undefined;
-    if (lease?.row.writerToken === write.row.writerToken) {
+    const isOwnWrite = lease?.row.writerToken === write.row.writerToken;
+    if (lease && isOwnWrite && !write.isOutdated) {
       startTerm(write, lease.version);
       return [];
     }
@@ -144,7 +164,7 @@
       const write = pending;
       if (!write) return [];
       pending = undefined;
-      if (isCommitted) {
+      if (isCommitted && !write.isOutdated) {
         startTerm(write, version);
         return [];
       }
@@ -155,6 +175,12 @@
       isOutcomeUnknown = true;
       return read();
     },
+    restored() {
+      hasBeenRestored = true;
+      endTerm();
+      if (pending) pending.isOutdated = true;
+      return [];
+    },
     timePassed(_event, now) {
       if (pending) return isOutcomeUnknown ? read() : [];
       return term ? renewIfDue(term, now) : read();
--- a/state/lease/src/lease_types.ts
+++ b/state/lease/src/lease_types.ts
@@ -38,6 +38,12 @@
    */
   operationTimeoutMs: number;
   nextWriterToken: () => string;
+  /**
+   * Returns the lowest fencing token that may be issued now; 1 by default. It
+   * rises when the table service was restored, so that no token of a term that
+   * the restore has deleted is issued again.
+   */
+  minFencingToken?: () => number;
 }
 
 /** Events that a lease handles. */
@@ -48,6 +54,8 @@
   | {kind: 'written'; isCommitted: boolean; version?: number}
   /** The response to a write was lost; the write may have taken effect. */
   | {kind: 'writeOutcomeUnknown'}
+  /** The table service was restored from a copy and has lost its last writes. */
+  | {kind: 'restored'}
   | {kind: 'timePassed'};
 
 /** Commands that the caller of a lease has to carry out and to answer by an event. */
--- a/state/lease/src/run_lease.ts
+++ b/state/lease/src/run_lease.ts
@@ -1,5 +1,9 @@
-import type {TableService} from '@sardinestile/ports';
-import type {Clock} from '@sardinestile/types';
+import {
+  NO_RESTORES,
+  type StoreRestores,
+  type TableService,
+} from '@sardinestile/ports';
+import {firstTokenOf, type Clock} from '@sardinestile/types';
 import {createLease} from './lease.js';
 import {
   leaseRowSchema,
@@ -28,6 +32,8 @@
   isAllowedToClaim?: (isHeld: boolean) => boolean;
   /** Interval between two checks of the lease; a second by default. */
   checkIntervalMs?: number;
+  /** Restores of the store behind the table; none by default. */
+  restores?: StoreRestores;
   onAcquired: (fencingToken: number) => void;
   onLost: (fencingToken: number) => void;
 }
@@ -50,7 +56,11 @@
     key,
     checkIntervalMs: checkIntervalMs = TICK_MS,
   } = options;
-  const lease = createLease(options);
+  const restores = options.restores ?? NO_RESTORES;
+  const lease = createLease({
+    ...options,
+    minFencingToken: () => firstTokenOf(restores.generation),
+  });
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
   let heldToken: number | undefined;
@@ -115,6 +125,7 @@
     timer = setTimeout(tick, checkIntervalMs * jitterFactor);
   };
   tick();
+  restores.subscribe(() => handleEvent({kind: 'restored'}));
   return {
     fencingToken: () => (isStopped ? undefined : lease.fencingTokenAt(now())),
     isHeld,
--- a/state/lease/test/lease_test.ts
+++ b/state/lease/test/lease_test.ts
@@ -144,3 +144,58 @@
     );
   });
 });
+
+describe('createLease after a restore of the table service', () => {
+  const GENERATION_TWO = 2_000;
+  const createRestorableLease = () => {
+    let writes = 0;
+    return createLease({
+      holderId: 'a',
+      durationMs: DURATION_MS,
+      operationTimeoutMs: OPERATION_TIMEOUT_MS,
+      nextWriterToken: () => `a-${writes++}`,
+      minFencingToken: () => GENERATION_TWO,
+    });
+  };
+  const readAt = (lease: Lease, ms: number, row: StoredLease | undefined) => {
+    lease.handle({kind: 'timePassed'}, at(ms));
+    return lease.handle({kind: 'read', lease: row}, at(ms));
+  };
+  const WAIT_MS = DURATION_MS + OPERATION_TIMEOUT_MS;
+
+  it('ends the term of the holder at once', () => {
+    const lease = createTestLease('a');
+    claim(lease, 0);
+    lease.handle({kind: 'restored'}, at(600));
+    expect(lease.fencingTokenAt(at(600))).toEqual(undefined);
+  });
+
+  it('issues no token of before the restore again', () => {
+    const lease = createRestorableLease();
+    lease.handle({kind: 'restored'}, at(0));
+    expect(readAt(lease, 0, rowOf('b', 7))).toEqual([]);
+    const [write] = readAt(lease, WAIT_MS, rowOf('b', 7));
+    expect(write.kind === 'write' && write.row.fencingToken).toEqual(
+      GENERATION_TWO,
+    );
+  });
+
+  it('waits for a holder whose row the restore has deleted', () => {
+    const lease = createRestorableLease();
+    lease.handle({kind: 'restored'}, at(0));
+    expect(readAt(lease, 0, undefined)).toEqual([]);
+    expect(readAt(lease, WAIT_MS - 1, undefined)).toEqual([]);
+    expect(readAt(lease, WAIT_MS, undefined).length).toEqual(1);
+  });
+
+  it('does not hold a lease by a claim that was in flight', () => {
+    const lease = createTestLease('a');
+    lease.handle({kind: 'timePassed'}, at(0));
+    const [write] = lease.handle({kind: 'read', lease: undefined}, at(0));
+    lease.handle({kind: 'restored'}, at(100));
+    lease.handle({kind: 'writeOutcomeUnknown'}, at(200));
+    const row = write.kind === 'write' ? write.row : undefined;
+    lease.handle({kind: 'read', lease: {row: row!, version: 9}}, at(300));
+    expect(lease.fencingTokenAt(at(300))).toEqual(undefined);
+  });
+});
--- a/state/usage/src/usage_accumulator.ts
+++ b/state/usage/src/usage_accumulator.ts
@@ -1,8 +1,15 @@
 import type {TableService} from '@sardinestile/ports';
+import {keepLarger} from './keep_larger.js';
 import type {SourceUsage} from './usage_batch_writer.js';
 import {closedKey, sumsKey, windowIdAt} from './usage_keys.js';
 import {addAllUsage, addUsage, type UsageSums} from './usage_sums.js';
 
+/**
+ * Age up to which stored sums are kept to be stored again; it exceeds the age
+ * of the copies from which the store is restored.
+ */
+const RESTORE_LIMIT_MS = 30_000;
+
 /** Options for createUsageAccumulator. */
 export interface UsageAccumulatorOptions {
   /** Name of this source; unique for each start of a process. */
@@ -28,6 +35,8 @@
    * with its own; if that fails they are stored directly.
    */
   flush(storeAtPeer?: (usage: SourceUsage) => Promise<void>): Promise<void>;
+  /** Marks all kept sums as not stored, after a restore of the store may have deleted them. */
+  restored(): void;
   /** Returns the sums of the windows that still have to be written. */
   unwrittenSums(): Array<{windowId: string; sums: UsageSums}>;
   /** Returns the number of organisations in each window that is kept, for a state dump. */
@@ -36,6 +45,8 @@
 
 interface Window {
   sums: UsageSums;
+  /** Sums that were stored; a seal may contain them. */
+  storedSums: UsageSums;
   /** Version of the source's row; undefined if the outcome of the last write is unknown. */
   rowVersion: number | undefined;
   isDirty: boolean;
@@ -52,7 +63,7 @@
   const windowOf = (windowId: string) => {
     let window = windows.get(windowId);
     if (!window) {
-      window = {sums: {}, rowVersion: 0, isDirty: false};
+      window = {sums: {}, storedSums: {}, rowVersion: 0, isDirty: false};
       windows.set(windowId, window);
     }
     return window;
@@ -64,7 +75,8 @@
   const flushWindow = async (windowId: string, window: Window) => {
     const key = sumsKey(windowId, source);
     window.rowVersion ??= (await table.get(key))?.version ?? 0;
-    const value = JSON.stringify(window.sums);
+    const sums = structuredClone(window.sums);
+    const value = JSON.stringify(sums);
     const {rowVersion} = window;
     window.isDirty = false;
     window.rowVersion = undefined;
@@ -74,6 +86,7 @@
       const {committed, version} = await table.transact([write], [check]);
       if (committed) {
         window.rowVersion = version ?? rowVersion + 1;
+        window.storedSums = sums;
         return;
       }
     } catch (error) {
@@ -84,10 +97,15 @@
     const isClosed = (await table.get(check.key)) !== undefined;
     if (isClosed) await moveToCurrentWindow(windowId, window);
   };
-  /** Moves the usage that a closed window does not contain to the current window. */
+  /**
+   * Moves the usage that a closed window does not contain to the current window.
+   * What was stored before may be in the window's seal even if the row is gone
+   * since a restore of the store, and is not counted again.
+   */
   const moveToCurrentWindow = async (windowId: string, window: Window) => {
     const row = await table.get(sumsKey(windowId, source));
-    const stored = row ? (JSON.parse(row.value) as UsageSums) : {};
+    const rowSums = row ? (JSON.parse(row.value) as UsageSums) : {};
+    const stored = keepLarger(rowSums, window.storedSums);
     windows.delete(windowId);
     const current = windowOf(windowIdAt(options.wallMs(), options.windowMs));
     addAllUsage(current.sums, subtractUsage(window.sums, stored));
@@ -104,6 +122,7 @@
     window.rowVersion = undefined;
     try {
       await storeAtPeer({source, windowId, sums});
+      window.storedSums = sums;
       return true;
     } catch (error) {
       window.isDirty = true;
@@ -114,10 +133,13 @@
   const flushAll = async (
     storeAtPeer?: (usage: SourceUsage) => Promise<void>,
   ) => {
-    const currentId = windowIdAt(options.wallMs(), options.windowMs);
+    const oldestKeptId = windowIdAt(
+      options.wallMs() - RESTORE_LIMIT_MS,
+      options.windowMs,
+    );
     for (const [windowId, window] of [...windows]) {
       if (!window.isDirty) {
-        if (windowId !== currentId) windows.delete(windowId);
+        if (windowId < oldestKeptId) windows.delete(windowId);
         continue;
       }
       const isStored =
@@ -139,6 +161,12 @@
       );
       return pendingFlush;
     },
+    restored() {
+      for (const window of windows.values()) {
+        window.isDirty = true;
+        window.rowVersion = undefined;
+      }
+    },
     unwrittenSums: () =>
       [...windows]
         .filter(([, {isDirty}]) => isDirty)
--- a/state/usage/src/usage_batch_writer.ts
+++ b/state/usage/src/usage_batch_writer.ts
@@ -33,6 +33,8 @@
    * is closed, in which case nothing more of it is stored later.
    */
   store(usage: SourceUsage): Promise<void>;
+  /** Forgets the versions of the rows, after the store was restored. */
+  restored(): void;
 }
 
 interface PendingUsage {
@@ -157,5 +159,6 @@
         timer ??= setTimeout(writePending, collectMs);
       });
     },
+    restored: () => knownRows.clear(),
   };
 }
--- a/state/usage/src/usage_reporter.ts
+++ b/state/usage/src/usage_reporter.ts
@@ -1,4 +1,5 @@
 import type {TableService, UsageReceiver} from '@sardinestile/ports';
+import {generationOfToken} from '@sardinestile/types';
 import {z} from 'zod';
 import {
   CLOSED_PREFIX,
@@ -9,6 +10,7 @@
   sealKey,
   SUMS_PREFIX,
   sumsPrefix,
+  WINDOW_MS,
   windowEndMs,
   windowIdAt,
 } from './usage_keys.js';
@@ -29,10 +31,21 @@
 /** Largest number of rows per scan. */
 const SCAN_LIMIT_ROWS = 1_000;
 
+/** Windows whose sums a reporter keeps to seal them again after a restore of the store. */
+const MAX_OWN_SEALS = 32;
+
+/** Largest difference between the times of two reporters, in milliseconds. */
+const MAX_CLOCK_DIFFERENCE_MS = 1_000;
+
 const reporterRowSchema = z.object({
   fencingToken: z.number().int(),
   /** Id of the last window that was reported; empty for none. */
   reportedUntil: z.string(),
+  /**
+   * Id of the last window whose seal a restore of the store may have deleted.
+   * It may have been reported, so that it is not sealed with other figures.
+   */
+  skipUnsealedUntil: z.string().default(''),
 });
 type ReporterRow = z.infer<typeof reporterRowSchema>;
 
@@ -49,6 +62,8 @@
   fencingToken: () => number | undefined;
   /** Called after a window was reported, with its number of organisations. */
   onReported: (windowId: string, organisations: number) => void;
+  /** Called for a window that is not reported, as a restore may have deleted its seal. */
+  onSkipped?: (windowId: string) => void;
 }
 
 /** Closes, seals and reports usage windows while this process holds the reporter lease. */
@@ -62,10 +77,15 @@
   options: UsageReporterOptions,
 ): UsageReporter {
   const {table, receiver, windowMs} = options;
+  const lengthMs = windowMs ?? WINDOW_MS;
   const closeDelayMs = options.closeDelayMs ?? CLOSE_DELAY_MS;
 
   /** Earliest time at which the next window can be due, as far as is known. */
   let nextDueMs = -Infinity;
+  /** Fencing token of the term in which the reporter's row was last read. */
+  let lastToken: number | undefined;
+  /** Sums of the windows that this process sealed last, by window. */
+  const ownSeals = new Map<string, UsageSums>();
   let nextRemovalMs = options.wallMs() + REMOVAL_INTERVAL_MS;
 
   /**
@@ -76,13 +96,26 @@
   const readReporterRow = async () => {
     const fencingToken = options.fencingToken();
     if (fencingToken === undefined) return undefined;
+    lastToken = fencingToken;
     const row = await table.get(REPORTER_KEY);
     const current = row
       ? reporterRowSchema.parse(JSON.parse(row.value))
-      : {fencingToken: 0, reportedUntil: ''};
+      : {fencingToken: 0, reportedUntil: '', skipUnsealedUntil: ''};
     if (current.fencingToken > fencingToken) return undefined;
-    return {state: {...current, fencingToken}, version: row?.version ?? 0};
+    const wasRestored =
+      generationOfToken(current.fencingToken) < generationOfToken(fencingToken);
+    const skipUnsealedUntil = wasRestored
+      ? lastDueWindow()
+      : current.skipUnsealedUntil;
+    const state = {...current, fencingToken, skipUnsealedUntil};
+    return {state, version: row?.version ?? 0, wasRestored};
   };
+  /** Returns the id of the last window that another reporter may have sealed by now. */
+  const lastDueWindow = () =>
+    windowIdAt(
+      options.wallMs() + MAX_CLOCK_DIFFERENCE_MS - closeDelayMs - lengthMs,
+      windowMs,
+    );
   /** Writes the reporter's row along with other rows; undefined if another process wrote first. */
   const writeReporterRow = async (
     state: ReporterRow,
@@ -125,7 +158,8 @@
   };
   /**
    * Returns the sealed sums of a window, and seals them first if necessary.
-   * Sealing makes every reporter send the same figures.
+   * Sealing makes every reporter send the same figures. Undefined sums are those
+   * of a window that a restore may have unsealed.
    */
   const sealWindow = async (
     windowId: string,
@@ -138,12 +172,23 @@
       const row = await writeReporterRow(state, version);
       return row && {...row, sums: parseSums(sealed.value)};
     }
-    const sums = await sumWindow(windowId);
+    const ownSeal = ownSeals.get(windowId);
+    if (!ownSeal && windowId <= state.skipUnsealedUntil) {
+      const row = await writeReporterRow(state, version);
+      return row && {...row, sums: undefined};
+    }
+    const sums = ownSeal ?? (await sumWindow(windowId));
     const value = JSON.stringify(sums);
     const seal = {key, value, expectedVersion: 0};
     const row = await writeReporterRow(state, version, [seal]);
+    if (row) keepSeal(windowId, sums);
     return row && {...row, sums};
   };
+  const keepSeal = (windowId: string, sums: UsageSums) => {
+    ownSeals.set(windowId, sums);
+    const [oldest] = ownSeals.keys();
+    if (ownSeals.size > MAX_OWN_SEALS) ownSeals.delete(oldest);
+  };
   const sendReports = async (windowId: string, sums: UsageSums) => {
     const organisations = Object.entries(sums).map(([organisation, usage]) => ({
       windowId,
@@ -166,7 +211,9 @@
     if (!reporterRow) return false;
     const {state, version} = reporterRow;
     const sealed = await sealWindow(windowId, state, version);
-    if (!sealed || !(await sendReports(windowId, sealed.sums))) return false;
+    if (!sealed) return false;
+    if (!sealed.sums) options.onSkipped?.(windowId);
+    else if (!(await sendReports(windowId, sealed.sums))) return false;
     const next = {...state, reportedUntil: windowId};
     return (await writeReporterRow(next, sealed.version)) !== undefined;
   };
@@ -176,10 +223,16 @@
     return row?.key.slice(SUMS_PREFIX.length).split('/')[0];
   };
   const findDueWindow = async (): Promise<string | undefined> => {
-    if (options.wallMs() < nextDueMs) return undefined;
+    // A new term may follow a restore, which changes what is due.
+    const isSameTerm = options.fencingToken() === lastToken;
+    if (isSameTerm && options.wallMs() < nextDueMs) return undefined;
     const reporterRow = await readReporterRow();
     if (!reporterRow) return undefined;
     const {reportedUntil} = reporterRow.state;
+    if (reporterRow.wasRestored) {
+      const {state, version} = reporterRow;
+      if (!(await writeReporterRow(state, version))) return undefined;
+    }
     const windowId = reportedUntil
       ? windowIdAt(windowEndMs(reportedUntil, windowMs), windowMs)
       : await findOldestWindow();
--- a/state/usage/test/usage_reporter_test.ts
+++ b/state/usage/test/usage_reporter_test.ts
@@ -1,6 +1,7 @@
 import {describe, it} from 'node:test';
 import type {Row, TableService} from '@sardinestile/ports';
 import {expect} from 'earl';
+import {firstTokenOf} from '@sardinestile/types';
 import {createUsageReporter, createUsageAccumulator} from '../src/index.js';
 
 const WINDOW_MS = 5_000;
@@ -71,3 +72,72 @@
     expect(rows.has('usage/reporter')).toEqual(true);
   });
 });
+
+describe('createUsageReporter after a restore of the store', () => {
+  const startMs = 1_700_000_000_000;
+  const windowId = '01700000000000';
+  const nextWindowId = '01700000005000';
+  const setUp = () => {
+    const {table, rows} = createMemoryTable();
+    const state = {nowMs: startMs, generation: 1};
+    const reports: Array<{windowId: string; requests: number}> = [];
+    const skipped: string[] = [];
+    const startReporter = () =>
+      createUsageReporter({
+        table,
+        receiver: {
+          async report({windowId: id, organisations}) {
+            const requests = organisations.reduce(
+              (sum, usage) => sum + usage.requests,
+              0,
+            );
+            reports.push({windowId: id, requests});
+            return true;
+          },
+        },
+        wallMs: () => state.nowMs,
+        windowMs: WINDOW_MS,
+        closeDelayMs: 1_000,
+        fencingToken: () => firstTokenOf(state.generation),
+        onReported: () => undefined,
+        onSkipped: id => skipped.push(id),
+      });
+    const store = (id: string, requests: number) => {
+      const value = JSON.stringify({
+        org: {requests, promptTokens: 0, outputTokens: 0},
+      });
+      const key = `usage/sums/${id}/source`;
+      return table.transact([{key, value, expectedVersion: null}]);
+    };
+    return {table, rows, state, reports, skipped, startReporter, store};
+  };
+
+  for (const isSameReporter of [true, false]) {
+    const name = isSameReporter ? 'the reporter' : 'another reporter';
+    it(`never lets ${name} report a window with other figures`, async () => {
+      const {rows, state, reports, startReporter, store, skipped} = setUp();
+      const reporter = startReporter();
+      // Lets the reporter's row exist before the copy is made.
+      await store(windowId, 3);
+      await reporter.run();
+      const copy = new Map(rows);
+      await store(windowId, 5);
+      state.nowMs = startMs + WINDOW_MS + 1_500;
+      await reporter.run();
+      expect(reports).toEqual([{windowId, requests: 5}]);
+
+      rows.clear();
+      copy.forEach((row, key) => rows.set(key, row));
+      state.generation = 2;
+      await store(nextWindowId, 7);
+      const next = isSameReporter ? reporter : startReporter();
+      await next.run();
+      state.nowMs += WINDOW_MS;
+      await next.run();
+      const ofWindow = reports.filter(report => report.windowId === windowId);
+      expect(new Set(ofWindow.map(({requests}) => requests)).size).toEqual(1);
+      expect(skipped).toEqual(isSameReporter ? [] : [windowId]);
+      expect(reports.at(-1)).toEqual({windowId: nextWindowId, requests: 7});
+    });
+  }
+});
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -175,6 +175,7 @@
     headerCodec: platformHeaderCodec,
     configuration: createConfigurationFeed(store),
     upstreams: createUpstreamFeed(store),
+    storeRestores: store.restores,
     table: createTableService({store, table: 'system', partition: 'p'}),
     usageReceiver: createUsageReceiver({
       calls: dutyCalls,
