fix(peer): give up calls whose connection hangs

Cause: undici does not abort a request that waits for its connection, and its limit for connecting is 10 s.

Ruled out: AbortSignal.timeout being collected (a run that forces collections aborts in time); the writer of the counts (it was gone, not slow).

--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -3,3 +3,4 @@
 export * from './random_source.js';
 export * from './run_outcome.js';
 export * from './tier.js';
+export * from './with_timeout.js';
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -1,6 +1,7 @@
 import {SardinestileError} from '@sardinestile/errors';
-import {Agent, request} from 'undici';
 import type {LogPosition} from '@sardinestile/shared_feed';
+import {withTimeout} from '@sardinestile/types';
+import {Agent, request} from 'undici';
 import {
   CONFIG_PATH,
   confirmedConfigSchema,
@@ -61,25 +62,44 @@
 export function createPeerClient(
   fleetId: () => string | undefined,
 ): PeerClient {
-  const maxResponseSize = MAX_RESPONSE_BYTES;
-  const dispatcher = new Agent({connections: 1, maxResponseSize});
+  const limits = {
+    maxResponseSize: MAX_RESPONSE_BYTES,
+    connect: {timeout: CALL_TIMEOUT_MS},
+  };
+  const dispatcher = new Agent({connections: 1, ...limits});
   // Long polls, one for each kind of record, use connections of their own, so
   // that they do not delay each other and the other calls.
-  const longPollDispatcher = new Agent({connections: 2, maxResponseSize});
+  const longPollDispatcher = new Agent({connections: 2, ...limits});
   const call = async (
     method: 'GET' | 'POST',
     address: string,
     path: string,
     {body, waitMs}: {body?: unknown; waitMs?: number} = {},
   ): Promise<unknown> => {
+    const timeoutMs =
+      waitMs === undefined ? CALL_TIMEOUT_MS : waitMs + LONG_POLL_MARGIN_MS;
+    const controller = new AbortController();
+    // undici does not abort a request that waits for its connection, so that the
+    // timeout does not rely on the signal.
+    return withTimeout(
+      send(method, address, path, {body, waitMs, signal: controller.signal}),
+      timeoutMs,
+      () => controller.abort(),
+    );
+  };
+  const send = async (
+    method: 'GET' | 'POST',
+    address: string,
+    path: string,
+    options: {body?: unknown; waitMs?: number; signal: AbortSignal},
+  ): Promise<unknown> => {
+    const {body, waitMs, signal} = options;
     const response = await request(`http://${address}${path}`, {
       method,
       dispatcher: waitMs === undefined ? dispatcher : longPollDispatcher,
       headers: {[FLEET_HEADER]: fleetId() ?? ''},
       body: body === undefined ? undefined : JSON.stringify(body),
-      signal: AbortSignal.timeout(
-        waitMs === undefined ? CALL_TIMEOUT_MS : waitMs + LONG_POLL_MARGIN_MS,
-      ),
+      signal,
     });
     const text = await response.body.text();
     if (response.statusCode !== 200) {
