fix(usage): try the other way to the store at once when one fails

Ruled out: the relay itself (peers answered that the window was closed).

Change: createUsageStoreRoute tries the other way in the same step and remembers for ten seconds which one failed.

--- a/daemons/gateway/src/usage_duties.ts
+++ b/daemons/gateway/src/usage_duties.ts
@@ -14,7 +14,7 @@
 import {
   createUsageAccumulator,
   createUsageBatchWriter,
-  type SourceUsage,
+  createUsageStoreRoute,
   type UsageAccumulator,
 } from '@sardinestile/usage';
 
@@ -112,12 +112,17 @@
       logger.warn('peer_failed', {operation: 'store usage', reason}),
   });
   const batchWriter = createUsageBatchWriter({table, collectMs: COLLECT_MS});
-  const storeInBatch = (usage: SourceUsage) => {
-    const address = options.writerAddress();
-    return address === undefined
-      ? batchWriter.store(usage)
-      : options.relayTo(address, usage);
-  };
+  const storeInBatch = createUsageStoreRoute({
+    storeOwn: usage => batchWriter.store(usage),
+    storeAtPeer(usage) {
+      const address = options.writerAddress();
+      return address === undefined
+        ? options.relay(usage)
+        : options.relayTo(address, usage);
+    },
+    prefersPeer: () => options.writerAddress() !== undefined,
+    nowMs: () => clock.monotonicMs(),
+  });
   /** Asks peers to store the counts that this gateway could not store. */
   const relayUnsaved = async () => {
     for (const {windowId, sums} of source.unwrittenSums()) {
--- a/state/usage/src/index.ts
+++ b/state/usage/src/index.ts
@@ -4,3 +4,4 @@
 export * from './usage_sums.js';
 export * from './read_sealed_usage.js';
 export * from './usage_batch_writer.js';
+export * from './usage_store_route.js';
--- a/testing/hosting/test/store_restore_test.ts
+++ b/testing/hosting/test/store_restore_test.ts
@@ -18,6 +18,9 @@
 /** Time after a restore at which operators and upstreams write again, in milliseconds. */
 const REWRITE_AFTER_MS = 1_000;
 
+/** Calls of a gateway of which some would reach an upstream that it still uses. */
+const CALLS_TO_BE_SURE = 20;
+
 describe('a store that is restored from a copy', () => {
   let cluster: GatewayCluster;
   let gateways: TestGateway[] = [];
@@ -125,7 +128,9 @@
     const receivedByBoth = () => left.received.length + removed.received.length;
     await waitUntil('both upstreams to be out of use', async () => {
       const countBefore = receivedByBoth();
-      for (const gateway of gateways) await call(gateway);
+      for (let round = 0; round < CALLS_TO_BE_SURE; round++) {
+        for (const gateway of gateways) await call(gateway);
+      }
       return receivedByBoth() === countBefore;
     });
     const countBefore = receivedByBoth();
