feat(gateway): recover what engines have cached after a restart

Cause: a gateway that starts knows of no prompt cache.

Ruled out: standing calls for the engines' cache events (one for each pair of gateway and engine); the store (docs/design/cache_recovery.md).

Change: a gateway asks some peers, else the live gateways of its group read each engine's list once and tell each other. A gateway that hears of a new peer answers at once, so that peers are live in milliseconds instead of half a second.

--- a/cli/sardinestile/src/exit_code.ts
+++ b/cli/sardinestile/src/exit_code.ts
@@ -21,6 +21,7 @@
   VERSION_CONFLICT: EXIT_CODES.versionConflict,
   STORE_UNAVAILABLE: EXIT_CODES.unreachable,
   PEER_UNAVAILABLE: EXIT_CODES.unreachable,
+  UPSTREAM_FAILED: EXIT_CODES.unreachable,
   FENCED: 4,
   NOT_FOUND: EXIT_CODES.notFound,
   UNAUTHORIZED: EXIT_CODES.failed,
--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -2,6 +2,7 @@
 import {
   createConfigurationFeed,
   createDutyCalls,
+  createPromptCacheReader,
   createStoreClient,
   createTableService,
   createUpstreamFeed,
@@ -78,6 +79,7 @@
     },
     peerAddress: {host: settings.host, port: settings.peerPort},
     storeRestores: store.restores,
+    promptCacheReader: createPromptCacheReader(),
     table: createTableService({
       store,
       table: SYSTEM_TABLE,
--- a/core/errors/src/error_code.ts
+++ b/core/errors/src/error_code.ts
@@ -5,6 +5,7 @@
   | 'VERSION_CONFLICT'
   | 'STORE_UNAVAILABLE'
   | 'PEER_UNAVAILABLE'
+  | 'UPSTREAM_FAILED'
   | 'FENCED'
   | 'NOT_FOUND'
   | 'UNAUTHORIZED'
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -129,6 +129,8 @@
     peer?: string;
   };
   upstream_failed: {upstream: string; reason: string};
+  /** `source` is `peer` or `engines`. */
+  caches_recovered: {source: string; engines: number};
   upstream_leaving: {upstream: string};
   upstream_quiet: {upstream: string; quietMs: number};
   lease_acquired: {duty: string; fencingToken: number};
--- a/core/ports/src/index.ts
+++ b/core/ports/src/index.ts
@@ -1,6 +1,7 @@
 export * from './header_codec.js';
 export * from './instance_list.js';
 export * from './object_store.js';
+export * from './prompt_cache_reader.js';
 export * from './record_feed.js';
 export * from './store_restores.js';
 export * from './table_service.js';
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import {NO_RESTORES} from '@sardinestile/ports';
 import {openLedgerLink, type LedgerLink} from '@sardinestile/ledger';
 import {createPeerClient, startPeerServer} from '@sardinestile/peer';
+import {createCacheRecovery} from './cache_recovery.js';
 import {startCallerListener} from './caller_listener.js';
 import {createConfigView, type ConfigView} from './config_view.js';
 import {createConnectionPool} from './connection_pool.js';
@@ -20,7 +21,7 @@
 import {refreshGauges} from './gauges.js';
 import type {DeploymentLimits, GatewayOptions} from './gateway_options.js';
 import {createPeerCalls} from './peer_calls.js';
-import {startPeerRegistry} from './peer_registry.js';
+import {startPeerRegistry, type RegisteredGateway} from './peer_registry.js';
 import {createRetryBudgets} from './retry_budgets.js';
 import {startScalingDuties} from './scaling_duties.js';
 import {createSharedConfig} from './shared_config.js';
@@ -134,6 +135,16 @@
   });
   const reporter = createFleetReporter({instance, fleet, link, clock});
   const gateways = createGatewayCount();
+  const cacheRecovery = createCacheRecovery({
+    instance,
+    fleet,
+    reader: options.promptCacheReader,
+    livePeers: () => link.livePeers(),
+    peerClient,
+    clock,
+    logger,
+  });
+  let groupPeers: readonly RegisteredGateway[] | undefined;
   const registry = startPeerRegistry({
     instance,
     address: peerAddress,
@@ -151,6 +162,7 @@
       gateways.observe(registered.length, ownGroup.length);
       fleet.setGroup(group);
       link.setAddresses(ownGroup.map(peer => peer.address));
+      groupPeers = ownGroup.filter(peer => peer.instance !== instance);
     },
   });
   const peerAdjustedTimeMs = createPeerAdjustedTime(slewedTimeMs, () =>
@@ -250,6 +262,8 @@
       config.getConfirmedConfig(haveVersion, waitMs),
     getUpstreamChanges: (since, waitMs) =>
       sharedUpstreams.getUpstreamChanges(since, waitMs),
+    getCachedParts: () => cacheRecovery.getCachedParts(),
+    applyCachedParts: cached => cacheRecovery.applyCachedParts(cached),
     async storeUsage(relayed) {
       if (!usage) throw new Error('this gateway reports no usage');
       await usage.storeForPeer(relayed);
@@ -274,7 +288,16 @@
     usage?.recordRestore();
   });
   let hasAskedPeers = false;
+  const recoverCaches = () => {
+    const table = config.routes()?.table;
+    if (!table || !groupPeers || !upstreams.isLoaded) return;
+    const engines = table.services
+      .filter(({engine}) => engine)
+      .flatMap(({name}) => fleet.upstreamsOf(name));
+    void cacheRecovery.recover(engines, groupPeers);
+  };
   const housekeeping = setInterval(() => {
+    recoverCaches();
     if (!hasAskedPeers && link.livePeers().length > 0) {
       hasAskedPeers = true;
       // The store may have been restored just before this process started.
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -3,6 +3,7 @@
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {
   HeaderCodec,
+  PromptCacheReader,
   RecordFeed,
   StoreRestores,
   TableService,
@@ -47,6 +48,8 @@
   /** Restores of the store from a copy; none if absent. */
   storeRestores?: StoreRestores;
   usageReceiver: UsageReceiver | undefined;
+  /** Reads the engines' prompt caches after a restart; not read if absent. */
+  promptCacheReader?: PromptCacheReader;
   /** Sets the number of upstreams; undefined if the platform offers no scaling. */
   upstreamScaler: UpstreamScaler | undefined;
   usageWindowMs: number;
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -78,6 +78,10 @@
   idleResetMs: number;
   /** Headers that are added to every response, for instance `server-leaving`. */
   extraHeaders: Record<string, string>;
+  /** Entries of the list of cached prompt parts. */
+  cachedParts: Array<[string, string, number, string]>;
+  /** Number of times that the list was read. */
+  cacheListCalls: number;
   /** Number of endless responses whose connections are open. */
   openEndless: number;
   /** Chooses the response to a request. */
@@ -99,6 +103,13 @@
       socket.resetAndDestroy();
       return;
     }
+    if (request.url === '/api/kv-list') {
+      upstream.cacheListCalls++;
+      response.end(
+        JSON.stringify({epoch: 1, next: 1, held: upstream.cachedParts}),
+      );
+      return;
+    }
     response.once('finish', () => idleSinceMs.set(socket, performance.now()));
     void readRequest(request).then(entry => {
       received.push(entry);
@@ -119,6 +130,8 @@
     connections: 0,
     idleResetMs: Infinity,
     extraHeaders: {},
+    cachedParts: [],
+    cacheListCalls: 0,
     openEndless: 0,
     chooseBehaviour: () => ({kind: 'answer'}),
     close: () =>
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -171,6 +171,8 @@
     const peer = getOrCreatePeer({host: from.address, port: from.port});
     if (peer.instance === undefined) {
       logger.info('peer_found', {peer: packet.instance});
+      // The peer may not know yet that this gateway is live.
+      transmit([], [peer]);
     } else if (peer.startedAtMs !== packet.startedAtMs) {
       observer.onPeerLost(peer.instance);
     }
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -3,12 +3,15 @@
 import {withTimeout} from '@sardinestile/types';
 import {Agent, request} from 'undici';
 import {
+  CACHED_PARTS_PATH,
+  cachedPartsSchema,
   CONFIG_PATH,
   confirmedConfigSchema,
   FLEET_HEADER,
   upstreamChangesSchema,
   UPSTREAMS_PATH,
   USAGE_PATH,
+  type CachedParts,
   type ConfirmedConfig,
   type RelayedUsage,
   type UpstreamChanges,
@@ -52,6 +55,10 @@
     since: LogPosition | undefined,
     waitMs: number,
   ): Promise<UpstreamChanges>;
+  /** Fetches the cached prompt parts that the peer knows. */
+  fetchCachedParts(address: string): Promise<CachedParts>;
+  /** Tells the peer which prompt parts engines have in their caches. */
+  sendCachedParts(address: string, cached: CachedParts): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -135,6 +142,11 @@
         await call('GET', address, path, {waitMs}),
       );
     },
+    fetchCachedParts: async address =>
+      cachedPartsSchema.parse(await call('GET', address, CACHED_PARTS_PATH)),
+    async sendCachedParts(address, cached) {
+      await call('POST', address, CACHED_PARTS_PATH, {body: cached});
+    },
     async close() {
       await dispatcher.destroy();
       await longPollDispatcher.destroy();
--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -78,6 +78,20 @@
  */
 export type UpstreamChanges = z.infer<typeof upstreamChangesSchema>;
 
+/** Prompt parts that engines have in their caches, as a gateway knows them. */
+export const cachedPartsSchema = z.object({
+  upstreams: z.array(
+    z.object({
+      upstreamId: z.string(),
+      /** Id and tokens of each part; arrays, since traffic is billed by the byte. */
+      parts: z.array(z.tuple([z.string(), z.number()])),
+    }),
+  ),
+});
+
+/** Prompt parts that engines have in their caches, as a gateway knows them. */
+export type CachedParts = z.infer<typeof cachedPartsSchema>;
+
 /**
  * Header with the requester's fleet; checked because an address may be
  * reassigned to another fleet.
@@ -96,5 +110,8 @@
  */
 export const UPSTREAMS_PATH = '/peer/upstreams';
 
+/** Path that returns the cached prompt parts by GET and accepts some by POST. */
+export const CACHED_PARTS_PATH = '/peer/cached-parts';
+
 /** Path that accepts usage counts by POST. */
 export const USAGE_PATH = '/peer/usage';
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -5,18 +5,21 @@
 } from 'node:http';
 import type {LogPosition} from '@sardinestile/shared_feed';
 import {
+  CACHED_PARTS_PATH,
+  cachedPartsSchema,
   CONFIG_PATH,
   FLEET_HEADER,
   relayedUsageSchema,
   UPSTREAMS_PATH,
   USAGE_PATH,
+  type CachedParts,
   type ConfirmedConfig,
   type RelayedUsage,
   type UpstreamChanges,
 } from './peer_messages.js';
 
 /** Limit of a request body. */
-const MAX_MESSAGE_BYTES = 262_144;
+const MAX_MESSAGE_BYTES = 1_048_576;
 
 /** Options for startPeerServer. */
 export interface PeerServerOptions {
@@ -40,6 +43,10 @@
     since: LogPosition | undefined,
     waitMs: number,
   ) => Promise<UpstreamChanges | undefined>;
+  /** Returns the cached prompt parts; undefined if this gateway knows too little. */
+  getCachedParts: () => CachedParts | undefined;
+  /** Takes over cached prompt parts that another gateway has read. */
+  applyCachedParts: (cached: CachedParts) => void;
   /** Stores usage counts for another gateway; rejects if the store is unavailable. */
   storeUsage: (usage: RelayedUsage) => Promise<void>;
 }
@@ -69,6 +76,15 @@
       const waitMs = Number(searchParams.get('waitMs'));
       return options.getUpstreamChanges(readPosition(searchParams), waitMs);
     },
+    async [`GET ${CACHED_PARTS_PATH}`]() {
+      return options.getCachedParts();
+    },
+    async [`POST ${CACHED_PARTS_PATH}`](_url, request) {
+      options.applyCachedParts(
+        cachedPartsSchema.parse(await readJson(request)),
+      );
+      return {};
+    },
     async [`POST ${USAGE_PATH}`](_url, request) {
       const usage = relayedUsageSchema.parse(await readJson(request));
       await options.storeUsage(usage);
--- a/routing/fleet/src/prompt_cache.ts
+++ b/routing/fleet/src/prompt_cache.ts
@@ -7,6 +7,8 @@
   tokens: number;
   /** Whether a request with this part got its first event. */
   isPrefilled: boolean;
+  /** Whether other requests may share it: it was not the last part of a prompt. */
+  isShared: boolean;
 }
 
 /**
@@ -30,13 +32,20 @@
   touch(parts: readonly PromptPart[]): void;
   /** Records that the prefill of a prompt is complete. */
   markPrefilled(parts: readonly PromptPart[]): void;
+  /**
+   * Adds parts that the engine is known to have, as the least recently used
+   * ones and as far as there is room.
+   */
+  restore(parts: readonly PromptPart[]): void;
+  /** Returns the prefilled parts that other requests may share. */
+  prefilledSharedParts(): PromptPart[];
 }
 
 /** Creates an empty cache for an engine whose memory holds `memoryTokens`. */
 export function createPromptCache(memoryTokens: number): PromptCache {
   const limitTokens = memoryTokens * CACHED_SHARE;
   /** Cached parts by id, least recently used first. */
-  const cachedParts = new Map<string, CachedPart>();
+  let cachedParts = new Map<string, CachedPart>();
   let usedTokens = 0;
   const sumLeading = (
     parts: readonly PromptPart[],
@@ -64,6 +73,7 @@
         cachedParts.set(id, {
           tokens,
           isPrefilled: previous?.isPrefilled ?? false,
+          isShared: i < parts.length - 1 || previous?.isShared === true,
         });
       }
       for (const [id, {tokens}] of cachedParts) {
@@ -72,6 +82,19 @@
         usedTokens -= tokens;
       }
     },
+    restore(parts) {
+      const restored = new Map<string, CachedPart>();
+      for (const {id, tokens} of parts) {
+        if (cachedParts.has(id) || usedTokens + tokens > limitTokens) continue;
+        usedTokens += tokens;
+        restored.set(id, {tokens, isPrefilled: true, isShared: true});
+      }
+      cachedParts = new Map([...restored, ...cachedParts]);
+    },
+    prefilledSharedParts: () =>
+      [...cachedParts].flatMap(([id, {tokens, isPrefilled, isShared}]) =>
+        isPrefilled && isShared ? [{id, tokens}] : [],
+      ),
     markPrefilled(parts) {
       for (const {id} of parts) {
         const part = cachedParts.get(id);
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -3,6 +3,7 @@
 import {
   createConfigurationFeed,
   createDutyCalls,
+  createPromptCacheReader,
   createStoreClient,
   createTableService,
   createUpstreamFeed,
@@ -93,6 +94,7 @@
   const duties = await startDutyStandIn();
   const upstreams: UpstreamStandIn[] = [];
   const gateways: TestGateway[] = [];
+  let startedGateways = 0;
   const closeCallbacks: Array<() => Promise<void>> = [
     () => duties.listener.close(),
   ];
@@ -133,7 +135,7 @@
         store,
         duties,
         {...DEFAULT_LIMITS, ...limits},
-        `front-${gateways.length + 1}`,
+        `front-${++startedGateways}`,
         clock,
       );
       gateways.push(testGateway);
@@ -176,6 +178,7 @@
     configuration: createConfigurationFeed(store),
     upstreams: createUpstreamFeed(store),
     storeRestores: store.restores,
+    promptCacheReader: createPromptCacheReader(),
     table: createTableService({store, table: 'system', partition: 'p'}),
     usageReceiver: createUsageReceiver({
       calls: dutyCalls,
