fix(ledger): keep groups of gateways apart, and start them faster

Cause: a gateway kept every peer whose datagrams it ever got, and each heartbeat kept the other side's alive.

Change: gateways that are registered in other groups are dropped and ignored; those that are not registered yet are kept. Rows are read again 1.5 s after the start, then at intervals that grow with the fleet. A reader also confirms that there is no configuration yet; a gateway without one is not ready.

--- a/daemons/gateway/src/config_view.ts
+++ b/daemons/gateway/src/config_view.ts
@@ -153,17 +153,18 @@
     routes: () => routes,
     ageMs,
     async getConfirmedConfig(haveVersion, waitMs) {
-      if (waitMs > 0 && routes?.table.version === haveVersion) {
+      if (waitMs > 0 && (routes?.table.version ?? 0) === haveVersion) {
         await waitForNextVersion(waitMs);
       }
       const age = ageMs();
-      if (!routes || !Number.isFinite(age)) return undefined;
-      const {table} = routes;
+      if (!Number.isFinite(age)) return undefined;
+      const table = routes?.table;
       return {
-        version: table.version,
+        // Operators may not have written a first version yet.
+        version: table?.version ?? 0,
         ageMs: age,
         storeVersion: feed.version,
-        table: table.version === haveVersion ? undefined : table,
+        table: table?.version === haveVersion ? undefined : table,
       };
     },
     subscribe(onApplied) {
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -161,7 +161,13 @@
       const ownGroup = selectGroup(registered, peer => peer.instance, group);
       gateways.observe(registered.length, ownGroup.length);
       fleet.setGroup(group);
-      link.setAddresses(ownGroup.map(peer => peer.address));
+      const ownNames = new Set(ownGroup.map(peer => peer.instance));
+      link.setAddresses(
+        ownGroup.map(peer => peer.address),
+        registered
+          .filter(peer => !ownNames.has(peer.instance))
+          .map(peer => peer.address),
+      );
       groupPeers = ownGroup.filter(peer => peer.instance !== instance);
     },
   });
@@ -322,7 +328,10 @@
   config.subscribe(({limits}) => listener.applyLimits(limits));
 
   const isReady = () =>
-    !isStopping && upstreams.isLoaded && config.ageMs() <= maxKeyAgeMs();
+    !isStopping &&
+    config.routes() !== undefined &&
+    upstreams.isLoaded &&
+    config.ageMs() <= maxKeyAgeMs();
   const textServers = await startTextServers({
     readinessAddress: options.readinessAddress,
     metricsAddress: options.metricsAddress,
--- a/daemons/gateway/src/peer_registry.ts
+++ b/daemons/gateway/src/peer_registry.ts
@@ -15,8 +15,20 @@
 const GATEWAY_KEY_PREFIX = 'gateway/';
 const GATEWAY_KEY_END = 'gateway0';
 
-/** Interval at which the gateways' rows are read, in milliseconds. */
-const REFRESH_INTERVAL_MS = 10_000;
+/** Shortest interval at which the gateways' rows are read, in milliseconds. */
+const MIN_REFRESH_INTERVAL_MS = 10_000;
+
+/**
+ * Time from the start to the second read, in milliseconds: gateways that start
+ * together do not see each other's rows in the first one.
+ */
+const SECOND_REFRESH_DELAY_MS = 1_500;
+
+/**
+ * Gateways from which the interval grows with their number, so that the reads of
+ * the whole fleet do not. Heartbeats tell of new gateways in between.
+ */
+const GATEWAYS_AT_MIN_INTERVAL = 16;
 
 /** Delay before the retry of a failed refresh, in milliseconds. */
 const RETRY_DELAY_MS = 1_000;
@@ -75,6 +87,8 @@
   let fleetId: string | undefined;
   let isFleetIdStored = false;
   let renewedAtMs = -Infinity;
+  let refreshIntervalMs = MIN_REFRESH_INTERVAL_MS;
+  let isFirstRefresh = true;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
 
@@ -113,6 +127,9 @@
       const name = row.key.slice(GATEWAY_KEY_PREFIX.length);
       gateways.push({instance: name, address: peerAddress});
     }
+    refreshIntervalMs =
+      MIN_REFRESH_INTERVAL_MS *
+      Math.max(1, gateways.length / GATEWAYS_AT_MIN_INTERVAL);
     // Another gateway removed this entry by mistake; the next refresh adds it.
     if (!rows.some(row => row.key === key)) renewedAtMs = -Infinity;
     if (!isStopped) onGateways(gateways);
@@ -125,7 +142,10 @@
   };
   const run = () => {
     refresh().then(
-      () => schedule(REFRESH_INTERVAL_MS),
+      () => {
+        schedule(isFirstRefresh ? SECOND_REFRESH_DELAY_MS : refreshIntervalMs);
+        isFirstRefresh = false;
+      },
       (error: Error) => {
         logger.warn('store_failed', {
           operation: 'look for gateways',
--- a/daemons/gateway/src/shared_config.ts
+++ b/daemons/gateway/src/shared_config.ts
@@ -15,7 +15,7 @@
  * Time for which a gateway reads the store after a call to a reader failed, in
  * milliseconds.
  */
-const STORE_FALLBACK_MS = 5_000;
+const STORE_FALLBACK_MS = 3_000;
 
 /** Key of the only record of the feed. */
 const CONFIG_KEY = 'config';
--- a/daemons/gateway/src/shared_upstreams.ts
+++ b/daemons/gateway/src/shared_upstreams.ts
@@ -28,7 +28,7 @@
  * Time for which a gateway reads the store after a call to a reader failed, in
  * milliseconds. The link between the gateways detects a dead reader sooner.
  */
-const STORE_FALLBACK_MS = 5_000;
+const STORE_FALLBACK_MS = 3_000;
 
 /** Options for `createSharedUpstreams`. */
 export interface SharedUpstreamsOptions {
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -73,8 +73,15 @@
   send(update: LedgerUpdate, isUrgent: boolean): void;
   /** Sets the fleet. Until then the link sends nothing and ignores what it receives. */
   joinFleet(fleetId: string): void;
-  /** Replaces the addresses to which heartbeats are sent; live peers are kept. */
-  setAddresses(addresses: readonly PeerAddress[]): void;
+  /**
+   * Replaces the addresses to which heartbeats are sent. Live peers that are not
+   * registered yet are kept; those of other groups are dropped, and what they
+   * send is ignored.
+   */
+  setAddresses(
+    addresses: readonly PeerAddress[],
+    otherGroupAddresses: readonly PeerAddress[],
+  ): void;
   /** Returns the peers that are within the peer timeout. */
   livePeers(): LivePeer[];
   close(): void;
@@ -102,6 +109,8 @@
   const startedAtMs = clock.wallMs();
   const socket = createSocket('udp4');
   const peers = new Map<string, Peer>();
+  /** Addresses of gateways that belong to other groups. */
+  let otherGroups: ReadonlySet<string> = new Set();
   let pendingUpdates: LedgerUpdate[] = [];
   let flushTimer: NodeJS.Timeout | undefined;
   let isFlushScheduled = false;
@@ -111,7 +120,7 @@
     peer.instance !== undefined &&
     clock.monotonicMs() - peer.lastReceivedAtMs < PEER_TIMEOUT_MS;
   const getOrCreatePeer = (peerAddress: PeerAddress) => {
-    const key = `${peerAddress.host}:${peerAddress.port}`;
+    const key = toKey(peerAddress);
     let peer = peers.get(key);
     if (!peer) {
       peer = {
@@ -154,6 +163,10 @@
     const targets = [...peers.values()].filter(isLive);
     if (updates.length > 0 && targets.length > 0) transmit(updates, targets);
   };
+  const dropPeer = (key: string, peer: Peer) => {
+    peers.delete(key);
+    if (peer.instance !== undefined) observer.onPeerLost(peer.instance);
+  };
   // Reports peers that timed out, then sends a heartbeat to every known address.
   const sendHeartbeats = () => {
     for (const peer of peers.values()) {
@@ -168,6 +181,7 @@
     const packet = decodeLedgerMessage(bytes);
     if (!packet || packet.fleetId !== fleetId) return;
     if (packet.instance === instance) return;
+    if (otherGroups.has(toKey({host: from.address, port: from.port}))) return;
     const peer = getOrCreatePeer({host: from.address, port: from.port});
     if (peer.instance === undefined) {
       logger.info('peer_found', {peer: packet.instance});
@@ -207,16 +221,17 @@
     joinFleet(id) {
       fleetId = id;
     },
-    setAddresses(addresses) {
+    setAddresses(addresses, otherGroupAddresses) {
       const peerAddresses = addresses.filter(
         ({host, port}) => host !== address.host || port !== address.port,
       );
-      const addressKeys = new Set(
-        peerAddresses.map(({host, port}) => `${host}:${port}`),
-      );
+      const addressKeys = new Set(peerAddresses.map(toKey));
+      otherGroups = new Set(otherGroupAddresses.map(toKey));
       peerAddresses.forEach(getOrCreatePeer);
       for (const [key, peer] of peers) {
-        if (!addressKeys.has(key) && !isLive(peer)) peers.delete(key);
+        if (addressKeys.has(key)) continue;
+        if (otherGroups.has(key)) dropPeer(key, peer);
+        else if (!isLive(peer)) peers.delete(key);
       }
       sendHeartbeats();
     },
@@ -242,3 +257,7 @@
     },
   };
 }
+
+function toKey({host, port}: PeerAddress): string {
+  return `${host}:${port}`;
+}
--- a/protocol/ledger/test/ledger_link_test.ts
+++ b/protocol/ledger/test/ledger_link_test.ts
@@ -82,7 +82,7 @@
     const otherFleet = await openTestLink('c', 'two');
     const addresses = [first, second, otherFleet].map(({address}) => address);
     for (const {link} of [first, second, otherFleet]) {
-      link.setAddresses(addresses);
+      link.setAddresses(addresses, []);
     }
     await sleep(50);
     first.link.send(UPDATES[0], true);
