feat(gateway): log what a request had when its connection was lost

Change: attempt_ended of a lost connection has hadHeaders and promptParts. A lost connection is told apart from an invalid response and from a timeout of the gateway's own. No decision changes.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -92,6 +92,10 @@
     upstream: string;
     outcome: string;
     reason?: string;
+    /** Of a lost connection: whether the headers of the response had arrived. */
+    hadHeaders?: boolean;
+    /** Of a lost connection: ids of the request's prompt parts. */
+    promptParts?: string;
     status?: number;
     firstEventMs?: number;
     lastEventId?: number;
--- a/daemons/gateway/src/attempt.ts
+++ b/daemons/gateway/src/attempt.ts
@@ -2,6 +2,13 @@
 import type {Dispatcher} from 'undici';
 import type {UpstreamConnection} from './connection_pool.js';
 
+/** Codes of errors that mean that the upstream's end of the connection is gone. */
+const LOST_CONNECTION_CODES: ReadonlySet<string> = new Set([
+  'ECONNRESET',
+  'EPIPE',
+  'UND_ERR_SOCKET',
+]);
+
 /** Request to send to an upstream. */
 export interface AttemptRequest {
   method: string;
@@ -15,6 +22,8 @@
 export interface AttemptFailure {
   /** Whether any byte of the request may have reached the upstream. */
   isSent: boolean;
+  /** Whether the connection ended or was reset, rather than carried an invalid response. */
+  isConnectionLost: boolean;
   reason: string;
 }
 
@@ -73,7 +82,7 @@
         if (!finish()) return;
         if (connection.wasReset()) {
           const reason = 'the connection was reset during the response';
-          handlers.onFailure({isSent, reason});
+          handlers.onFailure({isSent, isConnectionLost: true, reason});
           return;
         }
         connection.release();
@@ -81,7 +90,12 @@
       },
       onResponseError(_controller, error) {
         connection.destroy();
-        if (finish()) handlers.onFailure({isSent, reason: error.message});
+        if (!finish()) return;
+        const isConnectionLost = LOST_CONNECTION_CODES.has(
+          (error as NodeJS.ErrnoException).code ?? '',
+        );
+        const reason = error.message;
+        handlers.onFailure({isSent, isConnectionLost, reason});
       },
     },
   );
--- a/daemons/gateway/src/call.ts
+++ b/daemons/gateway/src/call.ts
@@ -49,9 +49,20 @@
   /** No byte of the request was sent; this does not count as an attempt. */
   | {kind: 'notSent'; reason: string}
   /** The request may have run; its response is missing or incomplete. */
-  | {kind: 'unknown'; reason: string}
+  | UnknownOutcome
   | {kind: 'interrupted'; reason: InterruptReason};
 
+/** Outcome of an attempt whose response is missing or incomplete. */
+export interface UnknownOutcome {
+  kind: 'unknown';
+  reason: string;
+  /** Present if the upstream's end of the connection was lost. */
+  lostConnection?: {
+    /** Whether the headers of the response had arrived. */
+    hadHeaders: boolean;
+  };
+}
+
 /** Complete response of an upstream. */
 export interface BufferedResponse {
   status: number;
--- a/daemons/gateway/src/call_records.ts
+++ b/daemons/gateway/src/call_records.ts
@@ -96,6 +96,7 @@
     upstream: prepared.placement.upstream.id,
     outcome: outcome.kind,
     reason: 'reason' in outcome ? outcome.reason : undefined,
+    ...describeLostConnection(call, outcome),
     status: statusOf(outcome),
     firstEventMs: firstEventMs && Math.round(firstEventMs),
     lastEventId: call.lastEventId,
@@ -145,6 +146,16 @@
   return response.statusCode < 400 ? 'served' : 'failed';
 }
 
+/** Fields that tell which requests an upstream had begun to answer when it ended. */
+function describeLostConnection(call: Call, outcome: AttemptOutcome) {
+  if (outcome.kind !== 'unknown' || !outcome.lostConnection) return {};
+  const {promptParts} = call.requestMetadata;
+  return {
+    hadHeaders: outcome.lostConnection.hadHeaders,
+    promptParts: promptParts.map(({id}) => id).join(',') || undefined,
+  };
+}
+
 function statusOf(outcome: AttemptOutcome): number | undefined {
   if (outcome.kind === 'answered') return outcome.status;
   return outcome.kind === 'heldAnswer' ? outcome.response.status : undefined;
--- a/daemons/gateway/src/relay_response.ts
+++ b/daemons/gateway/src/relay_response.ts
@@ -100,9 +100,13 @@
           const buffered = bufferResponse(headerCodec, status, headers, chunks);
           settle({kind: 'heldAnswer', response: buffered});
         },
-        onFailure({isSent, reason}) {
+        onFailure({isSent, isConnectionLost, reason}) {
           if (isForwarding) call.response.destroy();
-          settle({kind: isSent ? 'unknown' : 'notSent', reason});
+          if (!isSent) return settle({kind: 'notSent', reason});
+          const lostConnection = isConnectionLost
+            ? {hadHeaders: status > 0}
+            : undefined;
+          settle({kind: 'unknown', reason, lostConnection});
         },
       },
     );
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/relay_stream.ts
@@ -176,6 +176,9 @@
             settle({
               kind: 'unknown',
               reason: 'the stream ended without a complete event',
+              lostConnection: isCloseDelimited(headers)
+                ? {hadHeaders: true}
+                : undefined,
             });
           } else {
             startResponse();
@@ -183,8 +186,12 @@
             settle({kind: 'answered', status});
           }
         },
-        onFailure({isSent, reason}) {
-          settle({kind: isSent ? 'unknown' : 'notSent', reason});
+        onFailure({isSent, isConnectionLost, reason}) {
+          if (!isSent) return settle({kind: 'notSent', reason});
+          const lostConnection = isConnectionLost
+            ? {hadHeaders: status > 0}
+            : undefined;
+          settle({kind: 'unknown', reason, lostConnection});
         },
       },
     );
