test(gateway): a prompt part that ends each upstream that answers it

The upstream stand-in can crash: it begins an event, then ends with all its connections, and nothing listens at its address until another one starts.

--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -15,6 +15,8 @@
   url: string;
   headers: IncomingHttpHeaders;
   body: Buffer;
+  /** Time by performance.now() at which it had arrived. */
+  receivedAtMs: number;
   /** Whether the upstream processed the request. */
   wasProcessed: boolean;
   /** Whether the connection was closed before the response was complete. */
@@ -61,6 +63,8 @@
    * no complete event.
    */
   | {kind: 'trickle'; text: string; events: number; everyMs: number}
+  /** Begins to write an event stream after `afterMs`, then ends with all its connections. */
+  | {kind: 'crash'; afterMs: number}
   /** Streams events with these ids and ignores the `last-event-id` header. */
   | {kind: 'streamIds'; ids: readonly number[]; delayMs?: number};
 
@@ -84,8 +88,14 @@
   cacheListCalls: number;
   /** Number of endless responses whose connections are open. */
   openEndless: number;
+  /** Time by performance.now() at which it crashed; undefined while it runs. */
+  crashedAtMs: number | undefined;
+  /** Called when it crashes. */
+  onCrash: () => void;
   /** Chooses the response to a request. */
   chooseBehaviour: (request: ReceivedRequest) => UpstreamBehaviour;
+  /** Ends at once, with all connections; nothing listens at the address any more. */
+  crash(): void;
   close(): Promise<void>;
 }
 
@@ -133,7 +143,16 @@
     cachedParts: [],
     cacheListCalls: 0,
     openEndless: 0,
+    crashedAtMs: undefined,
+    onCrash: () => undefined,
     chooseBehaviour: () => ({kind: 'answer'}),
+    crash() {
+      if (upstream.crashedAtMs !== undefined) return;
+      upstream.crashedAtMs = performance.now();
+      server.close();
+      server.closeAllConnections();
+      upstream.onCrash();
+    },
     close: () =>
       new Promise(resolve => {
         server.close(() => resolve());
@@ -148,6 +167,7 @@
   for await (const chunk of request) chunks.push(chunk as Buffer);
   return {
     requestId: String(request.headers['request-id']),
+    receivedAtMs: performance.now(),
     method: request.method ?? '',
     url: request.url ?? '',
     headers: request.headers,
@@ -221,6 +241,17 @@
       );
     }, 20);
   },
+  crash({afterMs}, {upstream, response, baseHeaders}) {
+    setTimeout(() => {
+      if (response.destroyed) return;
+      response.writeHead(200, {
+        ...baseHeaders,
+        'content-type': 'text/event-stream',
+      });
+      response.write('id: 0\ndata: ha');
+      setTimeout(() => upstream.crash(), 2);
+    }, afterMs);
+  },
   streamIds({ids, delayMs = 0}, {response, baseHeaders}) {
     response.writeHead(200, {
       ...baseHeaders,
--- /dev/null
+++ b/testing/hosting/test/crashing_prompts_test.ts
@@ -0,0 +1,167 @@
+import {describe} from 'node:test';
+import type {UpstreamStandIn} from '@sardinestile/hosting_stand_ins';
+import {itOrKnownRed} from '@sardinestile/known_red';
+import {expect} from 'earl';
+import {
+  createGatewayCluster,
+  createKeyedHeaders,
+  ROUTE_PATHS,
+  waitUntil,
+  type GatewayCluster,
+  type RawResponse,
+  type TestGateway,
+} from '../src/index.js';
+
+/** Time within which gateways in contact act on what they learned, in milliseconds. */
+const CONTACT_MS = 3_000;
+
+/** Crashes after which the time starts in which gateways have to stop. */
+const CRASHES_BEFORE_STOP = 5;
+
+/** Requests with a harmful part that may still reach upstreams after that time. */
+const MAX_LATE_REQUESTS = 3;
+
+/** Times after a crash at which the registration expires and a new upstream starts. */
+const REGISTRATION_EXPIRY_MS = 1_500;
+const RESTART_MS = 1_000;
+
+const HARMFUL_PART = 'bad0bad0';
+
+/** Response of one request of the load. */
+interface LoadResult {
+  isHarmful: boolean;
+  sentAtMs: number;
+  durationMs: number;
+  response: RawResponse;
+}
+
+describe('a prompt part that ends each upstream that begins to answer it', () => {
+  itOrKnownRed(
+    'is kept from the upstreams after a few crashes, and what shares its other parts is served',
+    async () => {
+      const cluster = await createGatewayCluster(0);
+      let upstreams: UpstreamStandIn[] = [];
+      try {
+        upstreams = await startCrashingUpstreams(cluster, 5);
+        const gateways = await startGateways(cluster, 4);
+        const endMs = performance.now() + 9_000;
+        const results = await sendLoad(gateways, endMs);
+        const crashTimesMs = upstreams
+          .flatMap(({crashedAtMs}) => crashedAtMs ?? [])
+          .sort((a, b) => a - b);
+        const fifthMs = crashTimesMs[CRASHES_BEFORE_STOP - 1] ?? Infinity;
+        const late = upstreams
+          .flatMap(({received}) => received)
+          .filter(isHarmful)
+          .filter(({receivedAtMs}) => receivedAtMs > fifthMs + CONTACT_MS);
+        expect(late.length <= MAX_LATE_REQUESTS).toEqual(true);
+
+        const lastSeconds = results.filter(
+          ({sentAtMs}) => sentAtMs > endMs - 3_000,
+        );
+        const sound = lastSeconds.filter(result => !result.isHarmful);
+        const served = sound.filter(({response}) => response.status === 200);
+        expect(served.length / sound.length > 0.95).toEqual(true);
+
+        const refused = lastSeconds.filter(result => result.isHarmful);
+        expect(refused.length > 0).toEqual(true);
+        for (const {response, durationMs} of refused) {
+          expect(response.status).toEqual(503);
+          expect(durationMs < 1_000).toEqual(true);
+          expect(response.body).toInclude('harmfulPrompt');
+        }
+        const lines = gateways.flatMap(({logs}) => logs);
+        expect(
+          lines.some(
+            line =>
+              line.includes('event=prompt_part_quarantined') &&
+              line.includes(HARMFUL_PART),
+          ),
+        ).toEqual(true);
+      } finally {
+        for (const upstream of upstreams) upstream.onCrash = () => undefined;
+        await new Promise(resolve => setTimeout(resolve, RESTART_MS));
+        await cluster.close();
+      }
+    },
+  );
+});
+
+/** Starts upstreams that crash on the harmful part and are replaced after a crash. */
+async function startCrashingUpstreams(
+  cluster: GatewayCluster,
+  count: number,
+): Promise<UpstreamStandIn[]> {
+  const all: UpstreamStandIn[] = [];
+  const start = async () => {
+    const upstream = await cluster.addUpstream(`u${all.length + 1}`);
+    all.push(upstream);
+    upstream.chooseBehaviour = request =>
+      isHarmful(request)
+        ? {kind: 'crash', afterMs: 60}
+        : {kind: 'stream', events: 4, gapMs: 20};
+    upstream.onCrash = () => {
+      setTimeout(
+        () => cluster.store.remove('servers', upstream.id),
+        REGISTRATION_EXPIRY_MS,
+      );
+      setTimeout(() => void start(), RESTART_MS);
+    };
+  };
+  for (let i = 0; i < count; i++) await start();
+  return all;
+}
+
+async function startGateways(
+  cluster: GatewayCluster,
+  count: number,
+): Promise<TestGateway[]> {
+  const gateways: TestGateway[] = [];
+  for (let i = 0; i < count; i++) gateways.push(await cluster.startGateway());
+  await waitUntil('the gateways to find each other', () =>
+    gateways.every(
+      ({logs}) =>
+        logs.filter(line => line.includes('event=peer_found')).length >=
+        count - 1,
+    ),
+  );
+  return gateways;
+}
+
+/** Sends sound requests, and harmful ones that share their key and first part, to all gateways. */
+async function sendLoad(
+  gateways: readonly TestGateway[],
+  endMs: number,
+): Promise<LoadResult[]> {
+  const pending: Array<Promise<LoadResult>> = [];
+  const send = async (
+    isHarmful: boolean,
+    number: number,
+  ): Promise<LoadResult> => {
+    const sentAtMs = performance.now();
+    const middle = isHarmful ? HARMFUL_PART : `5a${number % 7}`;
+    const response = await gateways[number % gateways.length].call({
+      path: ROUTE_PATHS.stream,
+      headers: createKeyedHeaders(`${isHarmful ? 'h' : 's'}${number}`, {
+        Model: 'm',
+        'Token-Counts': '170,40',
+        'Prompt-Prefix': `aa:100,${middle}:50,${number.toString(16)}ff:20`,
+      }),
+    });
+    const durationMs = performance.now() - sentAtMs;
+    return {isHarmful, sentAtMs, durationMs, response};
+  };
+  for (let number = 0; performance.now() < endMs; number++) {
+    pending.push(send(number % 3 === 2, number));
+    await new Promise(resolve => setTimeout(resolve, 40));
+  }
+  return Promise.all(pending);
+}
+
+function isHarmful({
+  headers,
+}: {
+  headers: Record<string, string | string[] | undefined>;
+}): boolean {
+  return String(headers['prompt-prefix']).includes(HARMFUL_PART);
+}
