fix(gateway): reset unframed responses that end early

What callers saw: a stream without a length or chunks whose upstream ended inside an event was closed in order after the last complete event, so that it looked complete; the same when a gateway closed before its end. Cause: an early end was always a close of the connection. That shows where a response is framed; a response that ends with its connection needs a reset. Ruled out: forwarding the incomplete event, which a caller may take for one. Change: one function ends responses early, and resets those that are delimited by the close of their connection; failed, forwarded and timed-out responses and the stop of the process use it.

--- a/daemons/gateway/src/caller_listener.ts
+++ b/daemons/gateway/src/caller_listener.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {CallerLimits} from '@sardinestile/route_table';
+import {breakOff} from './response_framing.js';
 
 /** Time limit for receiving a complete request, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 60_000;
@@ -66,7 +67,7 @@
 ): Promise<CallerListener> {
   let isDraining = false;
   let drainingSinceMs = Infinity;
-  let openRequests = 0;
+  const openResponses = new Set<ServerResponse>();
   let lastRequestAtMs = performance.now();
   const server = createServer(
     {
@@ -76,11 +77,11 @@
       noDelay: true,
     },
     (request, response) => {
-      openRequests++;
+      openResponses.add(response);
       lastRequestAtMs = performance.now();
       if (isDraining) response.shouldKeepAlive = false;
       void options.handler(request, response).finally(() => {
-        openRequests--;
+        openResponses.delete(response);
         lastRequestAtMs = performance.now();
         // A response that started before the drain announced keep-alive.
         if (isDraining) closeAfterResponse(response);
@@ -95,13 +96,14 @@
       server.keepAliveTimeout = idleTimeoutMs + IDLE_TIMEOUT_SLACK_MS;
     },
     get openRequests() {
-      return openRequests;
+      return openResponses.size;
     },
     get isRefusingRequests() {
       return performance.now() - drainingSinceMs > ACCEPT_WHILE_DRAINING_MS;
     },
     close() {
       server.close();
+      openResponses.forEach(breakOff);
       server.closeAllConnections();
     },
     drain(limitMs) {
@@ -116,7 +118,7 @@
           if (hasStoppedAccepting) server.closeIdleConnections();
           const isQuiet =
             hasStoppedAccepting &&
-            openRequests === 0 &&
+            openResponses.size === 0 &&
             nowMs - lastRequestAtMs > DRAIN_QUIET_MS;
           if (!isQuiet && nowMs < drainEndAtMs) return;
           clearInterval(timer);
--- a/daemons/gateway/src/finish_call.ts
+++ b/daemons/gateway/src/finish_call.ts
@@ -1,4 +1,4 @@
-import {makeCloseDelimited} from './response_framing.js';
+import {breakOff, makeCloseDelimited} from './response_framing.js';
 import type {BufferedResponse, Call, InterruptReason} from './call.js';
 import type {GatewayContext} from './gateway_context.js';
 import {refuse, type GatewayRefusal} from './refuse.js';
@@ -15,8 +15,7 @@
 ): void {
   const {response} = call;
   if (response.headersSent) {
-    // Closes the connection so that the caller sees the response as incomplete.
-    response.destroy();
+    breakOff(response);
     return;
   }
   if (heldResponse) {
@@ -41,7 +40,7 @@
   context.metrics.increment('sardinestile_calls_interrupted_total', {reason});
   if (reason === 'callerLeft') return;
   if (call.response.headersSent) {
-    call.response.destroy();
+    breakOff(call.response);
     return;
   }
   refuse(context, call, 'timedOut');
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import {startScalingDuties} from './scaling_duties.js';
 import {createSharedConfig} from './shared_config.js';
 import {createSharedUpstreams} from './shared_upstreams.js';
+import {breakOff} from './response_framing.js';
 import {serveCall} from './serve_call.js';
 import {chooseStoreReader} from './store_reader.js';
 import {startTextServers} from './text_server.js';
@@ -384,7 +385,7 @@
     handler: (request, response) =>
       serveCall(context, request, response).catch((error: Error) => {
         logger.error('call_failed', {reason: error.stack ?? error.message});
-        response.destroy();
+        breakOff(response);
       }),
   });
   config.subscribe(({limits}) => listener.applyLimits(limits));
--- a/daemons/gateway/src/relay_response.ts
+++ b/daemons/gateway/src/relay_response.ts
@@ -2,6 +2,7 @@
 import {startAttempt} from './attempt.js';
 import type {AttemptOutcome, Call} from './call.js';
 import {
+  breakOff,
   bufferResponse,
   isCloseDelimited,
   makeCloseDelimited,
@@ -101,7 +102,7 @@
           settle({kind: 'heldAnswer', response: buffered});
         },
         onFailure({isSent, isConnectionLost, reason}) {
-          if (isForwarding) call.response.destroy();
+          if (isForwarding) breakOff(call.response);
           if (!isSent) return settle({kind: 'notSent', reason});
           const lostConnection = isConnectionLost
             ? {hadHeaders: status > 0}
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -38,6 +38,17 @@
   | {kind: 'resetUnframed'}
   /** Sends a body without a length and closes the connection at its end. */
   | {kind: 'unframed'; body: string}
+  /**
+   * Streams events without a length or chunks and closes the connection in order,
+   * after the last event or inside the one with the id `endsInside`; keeps it open if
+   * `isHeldOpen`.
+   */
+  | {
+      kind: 'unframedStream';
+      events: number;
+      endsInside?: number;
+      isHeldOpen?: boolean;
+    }
   /** Closes the connection before the announced length is sent. */
   | {kind: 'truncate'}
   /** Sends the response of another request. */
@@ -219,6 +230,23 @@
     response.writeHead(200, baseHeaders);
     response.end(body);
   },
+  unframedStream(
+    {events, endsInside = events, isHeldOpen},
+    {response, baseHeaders, entry},
+  ) {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+    response.writeHead(200, {
+      ...baseHeaders,
+      'content-type': 'text/event-stream',
+    });
+    const first = Number(entry.headers['last-event-id'] ?? -1) + 1;
+    for (let id = first; id < Math.min(events, endsInside); id++) {
+      response.write(`id: ${id}\ndata: event ${id}\n\n`);
+    }
+    if (isHeldOpen) return;
+    response.end(endsInside < events ? `id: ${endsInside}\ndata: ha` : '');
+  },
   truncate(_behaviour, {request, response, baseHeaders}) {
     response.writeHead(200, {...baseHeaders, 'content-length': 100});
     response.write('half');
--- a/testing/hosting/src/raw_request.ts
+++ b/testing/hosting/src/raw_request.ts
@@ -8,8 +8,13 @@
   body: string;
   /** Whether the body is complete by its length or its chunks. */
   isComplete: boolean;
+  /** Whether the connection was reset rather than closed in order. */
+  wasReset: boolean;
 }
 
+/** What the bytes of a response tell. */
+export type ParsedResponse = Omit<RawResponse, 'wasReset'>;
+
 /** Options for sendRawRequest. */
 export interface RawRequestOptions {
   /** Host and port to connect to. */
@@ -36,6 +41,7 @@
   return new Promise((resolve, reject) => {
     const socket = connect(Number(port), ip);
     let received = Buffer.alloc(0);
+    let wasReset = false;
     const timer = setTimeout(() => {
       socket.destroy();
       reject(
@@ -47,14 +53,16 @@
     const finish = () => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(parseResponse(received));
+      resolve({...parseResponse(received), wasReset});
     };
     socket.on('data', (chunk: Buffer) => {
       received = Buffer.concat([received, chunk]);
       if (parseResponse(received).isComplete) finish();
     });
     socket.on('close', finish);
-    socket.on('error', () => undefined);
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      wasReset = error.code === 'ECONNRESET';
+    });
     const lines = [`${method} ${path} HTTP/1.1`, `Host: ${host}`];
     for (const [name, value] of Object.entries(headers)) {
       lines.push(`${name}: ${value}`);
@@ -68,7 +76,7 @@
 }
 
 /** Parses the bytes of a response that have arrived so far. */
-export function parseResponse(bytes: Buffer): RawResponse {
+export function parseResponse(bytes: Buffer): ParsedResponse {
   const text = bytes.toString('latin1');
   const headEnd = text.indexOf('\r\n\r\n');
   if (headEnd < 0) return {status: 0, headers: {}, body: '', isComplete: false};
--- a/testing/hosting/test/streams_test.ts
+++ b/testing/hosting/test/streams_test.ts
@@ -55,6 +55,45 @@
       ...more,
     });
 
+  describe('without a length or chunks', () => {
+    it('end in order when the upstream has sent all events', async () => {
+      behaveOnce({kind: 'unframedStream', events: 4});
+      const response = await call(ROUTE_PATHS.stream, 'unframed');
+      expect(eventIds(response)).toEqual(numbersBelow(4));
+      expect(response.wasReset).toEqual(false);
+    });
+
+    it('are reset, rather than look complete, when the upstream ends inside an event', async () => {
+      behaveOnce({kind: 'unframedStream', events: 6, endsInside: 3});
+      const response = await call(ROUTE_PATHS.stream, 'unframed-broken');
+      expect(response.wasReset).toEqual(true);
+    });
+
+    it('are reset when the gateway closes before their end', async () => {
+      const closing = await cluster.startGateway();
+      behaveOnce({kind: 'unframedStream', events: 6, isHeldOpen: true});
+      const response = closing.call({
+        path: ROUTE_PATHS.stream,
+        headers: createKeyedHeaders('unframed-closed'),
+      });
+      await waitUntil('the stream to begin', () =>
+        receivedRequests().some(
+          ({requestId}) => requestId === 'unframed-closed',
+        ),
+      );
+      await new Promise(resolve => setTimeout(resolve, 200));
+      await closing.handle.close();
+      expect((await response).wasReset).toEqual(true);
+    });
+
+    it('are resumed, where that is allowed, when the upstream ends inside an event', async () => {
+      behaveOnce({kind: 'unframedStream', events: 10, endsInside: 3});
+      const response = await call(ROUTE_PATHS.resumable, 'unframed-resumed');
+      expect(eventIds(response)).toEqual(numbersBelow(10));
+      expect(response.wasReset).toEqual(false);
+    });
+  });
+
   it('forward events in order and end when the upstream ends', async () => {
     behaveOnce({kind: 'stream', events: 10});
     const response = await call(ROUTE_PATHS.stream, 's1');
