refactor(gateway): put the sharing of evidence into a module of its own

gateway.ts had grown with the quarantine. A test replaces all gateways: the successor keeps the part from the upstreams, as it reads the row at its start.

--- a/daemons/gateway/src/evidence_store.ts
+++ b/daemons/gateway/src/evidence_store.ts
@@ -22,6 +22,9 @@
 /** Interval of reads otherwise, in milliseconds. */
 const CALM_INTERVAL_MS = 10_000;
 
+/** Largest size of the row, in bytes. */
+const MAX_ROW_BYTES = 49_152;
+
 /** Writes that are tried if other gateways write meanwhile. */
 const MAX_WRITE_TRIES = 4;
 
@@ -42,8 +45,8 @@
 export interface EvidenceStore {
   /** Writes the evidence soon, after it has changed. */
   scheduleWrite(): void;
-  /** Writes again what a restore of the store may have deleted. */
-  recordRestore(): void;
+  /** Reads the store again, and writes what it lacks. */
+  reread(): void;
   stop(): void;
 }
 
@@ -67,7 +70,7 @@
       const stored = row ? rowSchema.parse(JSON.parse(row.value)) : [];
       for (const item of stored) quarantine.record(item, 'other');
       hasRead = true;
-      const items = quarantine.items();
+      const items = fitIntoRow(quarantine.items());
       if (!options.isReader() || isSameEvidence(items, stored)) return;
       const {committed} = await table.transact([
         {
@@ -115,7 +118,10 @@
     scheduleWrite() {
       if (options.isReader()) schedule(WRITE_DELAY_MS);
     },
-    recordRestore: () => schedule(0),
+    reread() {
+      hasRead = false;
+      schedule(0);
+    },
     stop() {
       isStopped = true;
       clearTimeout(timer);
@@ -123,6 +129,15 @@
   };
 }
 
+/** Returns the first items that fit into the row; harmful parts come first. */
+function fitIntoRow(items: readonly EvidenceItem[]): readonly EvidenceItem[] {
+  let bytes = 0;
+  return items.filter(item => {
+    bytes += JSON.stringify(item).length + 1;
+    return bytes < MAX_ROW_BYTES;
+  });
+}
+
 function isSameEvidence(
   one: readonly EvidenceItem[],
   other: readonly EvidenceItem[],
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -9,11 +9,6 @@
   createPeerAdjustedTime,
 } from '@sardinestile/freshness';
 import {NO_RESTORES} from '@sardinestile/ports';
-import {hashText, rendezvousWeight} from '@sardinestile/placement';
-import {
-  createPartQuarantine,
-  type PartQuarantine,
-} from '@sardinestile/quarantine';
 import {openLedgerLink, type LedgerLink} from '@sardinestile/ledger';
 import {createPeerClient, startPeerServer} from '@sardinestile/peer';
 import {createCacheRecovery} from './cache_recovery.js';
@@ -21,8 +16,7 @@
 import {createConfigView, type ConfigView} from './config_view.js';
 import {createConnectionPool} from './connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './crash_watch.js';
-import {startEvidenceStore, type EvidenceStore} from './evidence_store.js';
-import {createFleetReporter, type FleetReporter} from './fleet_reporter.js';
+import {createFleetReporter} from './fleet_reporter.js';
 import {createGatewayCount} from './gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
 import {refreshGauges} from './gauges.js';
@@ -32,6 +26,10 @@
 import {createRetryBudgets} from './retry_budgets.js';
 import {startScalingDuties} from './scaling_duties.js';
 import {createSharedConfig} from './shared_config.js';
+import {
+  startSharedQuarantine,
+  type SharedQuarantine,
+} from './shared_quarantine.js';
 import {createSharedUpstreams} from './shared_upstreams.js';
 import {breakOff} from './response_framing.js';
 import {serveCall} from './serve_call.js';
@@ -76,15 +74,6 @@
 /** Greatest age of a followed confirmation, as a share of the key revocation limit. */
 const MAX_FOLLOWED_AGE_SHARE = 0.5;
 
-/**
- * Interval at which a gateway repeats a piece of evidence to its peers, in
- * milliseconds: datagrams may be lost, and a peer may have started later.
- */
-const EVIDENCE_REPEAT_INTERVAL_MS = 500;
-
-/** Repeats that a gateway receives in that interval on average. */
-const EVIDENCE_REPEATS_RECEIVED = 4;
-
 /** Largest size of a request's headers, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
 
@@ -155,27 +144,12 @@
     fetchFromPeer: haveVersion => peers.fetchConfig(haveVersion),
     fetchFromAllPeers: haveVersion => peers.fetchAllConfigs(haveVersion),
   });
-  const quarantine = createPartQuarantine({
-    nowMs: () => Math.round(peerAdjustedTimeMs()),
-    isTrialGateway: key =>
-      chooseByRendezvous(registeredNames, hashText(key)) === instance,
-    onItem(item) {
-      reporter.reportEvidence(item);
-      evidenceStore?.scheduleWrite();
-    },
-    onQuarantined({partId, crashes}) {
-      metrics.increment('sardinestile_prompt_parts_quarantined_total', {});
-      logger.warn('prompt_part_quarantined', {promptPart: partId, crashes});
-    },
-    onReleased: partId =>
-      logger.info('prompt_part_released', {promptPart: partId}),
-  });
   const reporter = createFleetReporter({
     instance,
     fleet,
     link,
     clock,
-    onEvidence: item => quarantine.record(item, 'other'),
+    onEvidence: item => quarantine.recordFromPeer(item),
   });
   const gateways = createGatewayCount();
   const cacheRecovery = createCacheRecovery({
@@ -189,7 +163,6 @@
   });
   let groupPeers: readonly RegisteredGateway[] | undefined;
   let registeredNames: readonly string[] = [instance];
-  let groupCount = 1;
   const registry = startPeerRegistry({
     instance,
     address: peerAddress,
@@ -207,7 +180,6 @@
       const ownGroup = selectGroup(registered, peer => peer.instance, group);
       gateways.observe(registered.length, ownGroup.length);
       fleet.setGroup(group);
-      groupCount = group.count;
       const ownNames = new Set(ownGroup.map(peer => peer.instance));
       link.setAddresses(
         ownGroup.map(peer => peer.address),
@@ -221,13 +193,17 @@
   const peerAdjustedTimeMs = createPeerAdjustedTime(slewedTimeMs, () =>
     link.livePeers().map(({clockOffsetMs}) => clockOffsetMs),
   );
-  const evidenceStore: EvidenceStore = startEvidenceStore({
+  const quarantine: SharedQuarantine = startSharedQuarantine({
+    instance,
     table,
-    quarantine,
-    isReader: () => chooseStoreReader(instance, link.livePeers()) === undefined,
+    fleetTimeMs: peerAdjustedTimeMs,
+    livePeers: () => link.livePeers(),
+    registeredNames: () => registeredNames,
     hasUnheardGateways: () =>
-      groupCount > 1 || link.livePeers().length < (groupPeers?.length ?? 0),
+      1 + link.livePeers().length < registeredNames.length,
+    reporter,
     logger,
+    metrics,
   });
   const usage =
     options.usageReceiver &&
@@ -279,7 +255,7 @@
     countUsage: organisation =>
       usage?.source.record(organisation, {promptTokens: 0, outputTokens: 0}),
     reporter,
-    quarantine,
+    quarantine: quarantine.parts,
     get crashWatch() {
       return crashWatch;
     },
@@ -344,6 +320,7 @@
       logger.warn('process_stood_still', {gapMs: Math.round(pauseMs)});
       config.invalidate();
       upstreams.reread();
+      quarantine.reread();
     },
   });
   storeRestores.subscribe(generation => {
@@ -353,7 +330,7 @@
     fleet.membership.recordRestore(clock.monotonicMs());
     registry.recordRestore();
     usage?.recordRestore();
-    evidenceStore.recordRestore();
+    quarantine.reread();
   });
   let hasAskedPeers = false;
   const recoverCaches = () => {
@@ -372,17 +349,12 @@
       config.askAllPeers();
     }
     pauseDetector.check();
-    quarantine.evaluate();
+    quarantine.parts.evaluate();
     config.askPeersIfStale();
     upstreams.removeExpired();
     fleet.prune(clock.monotonicMs());
   }, HOUSEKEEPING_INTERVAL_MS);
 
-  const evidenceRepeats = setInterval(
-    () => repeatEvidence(quarantine, reporter, link.livePeers().length),
-    EVIDENCE_REPEAT_INTERVAL_MS,
-  );
-
   // Starts last, since serving requests needs all other parts.
   const listener = await startCallerListener({
     ...options.callerAddress,
@@ -415,8 +387,7 @@
     isClosed = true;
     isStopping = true;
     clearInterval(housekeeping);
-    clearInterval(evidenceRepeats);
-    evidenceStore.stop();
+    quarantine.stop();
     listener.close();
     scaling?.stop();
     await usage?.stop();
@@ -458,26 +429,6 @@
   };
 }
 
-/** Sends a random piece of evidence, less often the more peers do the same. */
-function repeatEvidence(
-  quarantine: PartQuarantine,
-  reporter: FleetReporter,
-  peerCount: number,
-): void {
-  const items = quarantine.items();
-  if (Math.random() * peerCount >= EVIDENCE_REPEATS_RECEIVED) return;
-  const item = items[Math.floor(Math.random() * items.length)];
-  if (item) reporter.reportEvidence(item);
-}
-
-/** Returns the name with the highest weight for the key; the same one in every process. */
-function chooseByRendezvous(names: readonly string[], keyHash: number): string {
-  const weightOf = (name: string) => rendezvousWeight(keyHash, hashText(name));
-  return names.reduce((best, name) =>
-    weightOf(name) > weightOf(best) ? name : best,
-  );
-}
-
 function formatAddress({host, port}: {host: string; port: number}): string {
   return `${host}:${port}`;
 }
--- a/testing/hosting/test/crashing_prompts_test.ts
+++ b/testing/hosting/test/crashing_prompts_test.ts
@@ -76,9 +76,30 @@
         ),
       ).toEqual(true);
     } finally {
-      for (const upstream of upstreams) upstream.onCrash = () => undefined;
-      await new Promise(resolve => setTimeout(resolve, RESTART_MS));
-      await cluster.close();
+      await stopCrashing(cluster, upstreams);
+    }
+  });
+
+  it('is still kept from the upstreams after all gateways were replaced', async () => {
+    const cluster = await createGatewayCluster(0);
+    let upstreams: UpstreamStandIn[] = [];
+    try {
+      upstreams = await startCrashingUpstreams(cluster, 5);
+      const gateways = await startGateways(cluster, 2);
+      await sendLoad(gateways, performance.now() + 4_000);
+      await Promise.all(gateways.map(({handle}) => handle.close()));
+      const crashes = countCrashes(upstreams);
+      expect(crashes > 0).toEqual(true);
+      const successor = await cluster.startGateway();
+      const results = await sendLoad([successor], performance.now() + 2_000);
+      const harmful = results.filter(result => result.isHarmful);
+      expect(harmful.length > 0).toEqual(true);
+      expect(harmful.every(({response}) => response.status === 503)).toEqual(
+        true,
+      );
+      expect(countCrashes(upstreams)).toEqual(crashes);
+    } finally {
+      await stopCrashing(cluster, upstreams);
     }
   });
 });
@@ -108,6 +129,20 @@
   return all;
 }
 
+function countCrashes(upstreams: readonly UpstreamStandIn[]): number {
+  return upstreams.filter(({crashedAtMs}) => crashedAtMs !== undefined).length;
+}
+
+/** Closes the cluster after the last replacement of an upstream. */
+async function stopCrashing(
+  cluster: GatewayCluster,
+  upstreams: readonly UpstreamStandIn[],
+): Promise<void> {
+  for (const upstream of upstreams) upstream.onCrash = () => undefined;
+  await new Promise(resolve => setTimeout(resolve, RESTART_MS));
+  await cluster.close();
+}
+
 async function startGateways(
   cluster: GatewayCluster,
   count: number,
