fix(gateway): divide the connections of an upstream among all that open them

Cause: each gateway took the connection limit of an upstream divided by the gateways of its group. Where a service has fewer upstreams than the fleet has groups, all groups send to each of them, so that a fleet of three groups could open three times the limit, and upstreams reset what is beyond it. Ruled out as other cases: retry budgets (divided by the fleet), quiet periods (they bind each gateway by itself), drains (stored). Change: connectionShare divides by the fleet in that case.

--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -8,21 +8,13 @@
 import type {QuarantineVerdict} from '@sardinestile/quarantine';
 import type {RouteKind} from '@sardinestile/route_table';
 import type {BufferedResponse, Call} from './call.js';
+import {connectionShare} from './connection_share.js';
 import {endInterrupted, finishCall} from './finish_call.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
 import {refuse, type GatewayRefusal} from './refuse.js';
 import {MIN_FAILURE_STATUS, runAttempt} from './run_attempt.js';
 
-/**
- * Connections to one upstream that a gateway may open even if its share of the
- * limit is smaller.
- */
-const MIN_CONNECTIONS_PER_UPSTREAM = 2;
-
-/** Connection limit of an upstream whose service is not in the configuration. */
-const DEFAULT_CONNECTIONS_PER_UPSTREAM = 100;
-
 /**
  * Time without a response after which a call is retried elsewhere, as a
  * multiple of the route's target latency.
@@ -222,14 +214,14 @@
   placement: Placement,
   nowMs: number,
 ): PreparedAttempt | undefined {
-  const service = context.routes()?.findService(call.service);
-  const limit = Math.max(
-    MIN_CONNECTIONS_PER_UPSTREAM,
-    Math.floor(
-      (service?.maxConnections ?? DEFAULT_CONNECTIONS_PER_UPSTREAM) /
-        context.gateways.inGroup,
-    ),
-  );
+  const {fleet, gateways} = context;
+  const maxConnections = context
+    .routes()
+    ?.findService(call.service)?.maxConnections;
+  const limit = connectionShare(fleet, gateways, {
+    name: call.service,
+    maxConnections,
+  });
   const {address} = placement.upstream;
   const canRetry = CAN_RETRY[call.route.kind](call);
   const connection = context.connections.acquire(address, limit, canRetry);
--- a/routing/fleet/src/upstream_fleet.ts
+++ b/routing/fleet/src/upstream_fleet.ts
@@ -75,6 +75,11 @@
    * group.
    */
   upstreamsOf(service: string): readonly UpstreamRecord[];
+  /**
+   * Whether the gateways of all groups send to the upstreams of a service, since
+   * there are fewer of them than groups.
+   */
+  isSharedByGroups(service: string): boolean;
   /** Sets the group of this gateway. */
   setGroup(group: GroupAssignment): void;
   /**
@@ -137,8 +142,12 @@
   const quietPeriods = createQuietPeriods();
   const heardShareOfGroup = options.heardShareOfGroup ?? (() => 1);
   const requestLimits = createRequestLimits({
-    heardShare: upstream =>
-      heardShareOfGroup() / (isSharedByGroups(upstream) ? group.count : 1),
+    heardShare({id}) {
+      const service = membership.get(id)?.service ?? '';
+      return (
+        heardShareOfGroup() / (isSharedByGroups(service) ? group.count : 1)
+      );
+    },
   });
   const states = new Map<string, UpstreamState>();
   const services = new Map<string, ServiceState>();
@@ -162,11 +171,8 @@
     }
     return groupUpstreams;
   };
-  const isSharedByGroups = ({id}: Pick<UpstreamRecord, 'id'>) => {
-    const record = membership.get(id);
-    if (!record || group.count === 1) return false;
-    return membership.usableUpstreamsOf(record.service).length < group.count;
-  };
+  const isSharedByGroups = (service: string) =>
+    membership.usableUpstreamsOf(service).length < group.count;
   const upstreamStateOf = ({id, service}: UpstreamRecord): UpstreamState => {
     let state = states.get(id);
     if (!state) {
@@ -213,6 +219,7 @@
     membership,
     quietPeriods,
     requestLimits,
+    isSharedByGroups,
     resourceCosts: options.resourceCosts ?? DEFAULT_RESOURCE_COSTS,
     upstreamStateOf,
     serviceStateOf,
--- /dev/null
+++ b/routing/fleet/test/upstream_fleet_test.ts
@@ -0,0 +1,53 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createUpstreamFleet} from '../src/index.js';
+
+const createFleetWith = (upstreams: number) => {
+  const fleet = createUpstreamFleet({
+    traitsOf: () => undefined,
+    shortestTargetGapMs: () => Infinity,
+  });
+  for (let i = 0; i < upstreams; i++) {
+    const record = {
+      id: `u${i}`,
+      service: 'pool',
+      address: `127.0.0.1:${i}`,
+      availabilityZone: 'a',
+      places: 4,
+      isLeaving: false,
+      coldMs: 0,
+      startedAtWallMs: 0,
+    };
+    fleet.membership.put(record, 0);
+  }
+  fleet.setGroup({index: 0, count: 3});
+  return fleet;
+};
+
+describe('createUpstreamFleet', () => {
+  describe('with several groups of gateways', () => {
+    it('divides the upstreams of a service if there are enough', () => {
+      const fleet = createFleetWith(6);
+      expect(fleet.upstreamsOf('pool').length).toEqual(2);
+      expect(fleet.isSharedByGroups('pool')).toEqual(false);
+    });
+
+    it('lets all groups send to them if there are fewer than groups', () => {
+      const fleet = createFleetWith(2);
+      expect(fleet.upstreamsOf('pool').length).toEqual(2);
+      expect(fleet.isSharedByGroups('pool')).toEqual(true);
+    });
+
+    it('leaves a third of a stated limit to each group that sends to the upstream', () => {
+      for (const [upstreams, waitMs] of [
+        [6, 1_000],
+        [2, 3_000],
+      ]) {
+        const {requestLimits, upstreamsOf} = createFleetWith(upstreams);
+        const [upstream] = upstreamsOf('pool');
+        requestLimits.state(upstream, 1, 0);
+        expect(Math.round(requestLimits.waitMs(upstream, 0))).toEqual(waitMs);
+      }
+    });
+  });
+});
