test(soak): draw harmful prompt parts and stated limits as faults

Upstreams crash on a harmful part and are replaced, or state a limit; both come beside kills, freezes, clock steps, store faults and drains.

--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -101,12 +101,14 @@
   openEndless: number;
   /** Time by performance.now() at which it crashed; undefined while it runs. */
   crashedAtMs: number | undefined;
+  /** Request that made it crash. */
+  crashedBy: ReceivedRequest | undefined;
   /** Called when it crashes. */
   onCrash: () => void;
   /** Chooses the response to a request. */
   chooseBehaviour: (request: ReceivedRequest) => UpstreamBehaviour;
   /** Ends at once, with all connections; nothing listens at the address any more. */
-  crash(): void;
+  crash(cause: ReceivedRequest): void;
   close(): Promise<void>;
 }
 
@@ -155,10 +157,12 @@
     cacheListCalls: 0,
     openEndless: 0,
     crashedAtMs: undefined,
+    crashedBy: undefined,
     onCrash: () => undefined,
     chooseBehaviour: () => ({kind: 'answer'}),
-    crash() {
+    crash(cause) {
       if (upstream.crashedAtMs !== undefined) return;
+      upstream.crashedBy = cause;
       upstream.crashedAtMs = performance.now();
       server.close();
       server.closeAllConnections();
@@ -269,7 +273,7 @@
       );
     }, 20);
   },
-  crash({afterMs}, {upstream, response, baseHeaders}) {
+  crash({afterMs}, {upstream, entry, response, baseHeaders}) {
     setTimeout(() => {
       if (response.destroyed) return;
       response.writeHead(200, {
@@ -277,7 +281,7 @@
         'content-type': 'text/event-stream',
       });
       response.write('id: 0\ndata: ha');
-      setTimeout(() => upstream.crash(), 2);
+      setTimeout(() => upstream.crash(entry), 2);
     }, afterMs);
   },
   streamIds({ids, delayMs = 0}, {response, baseHeaders}) {
--- /dev/null
+++ b/testing/soak/src/faults.ts
@@ -0,0 +1,160 @@
+import type {
+  UpstreamBehaviour,
+  UpstreamStandIn,
+} from '@sardinestile/hosting_stand_ins';
+import type {GatewayCluster} from '@sardinestile/hosting_tests';
+import {SOAK_BOUNDS, type GatewayProcess} from './gateway_process.js';
+import {pickRandom, type SoakContext} from './soak_context.js';
+import type {ProxyMode} from './tcp_proxy.js';
+import {createUsualBehaviour} from './usual_upstream.js';
+
+/** Time until a gateway that was ended is ready again, in milliseconds. */
+const RESTART_MS = 1_500;
+
+type Fault = (soak: SoakContext) => string;
+
+/** Faults by name. Each one injects the fault and returns a description for the log. */
+export const FAULTS: Readonly<Record<string, Fault>> = {
+  kill(soak) {
+    const gateway = pickRandom(soak.exposedGateways, soak.random);
+    disturb(soak, RESTART_MS, gateway);
+    return sendSignal(gateway, 'SIGKILL');
+  },
+  killAll(soak) {
+    disturb(soak, RESTART_MS);
+    soak.gateways.forEach(gateway => gateway.signal('SIGKILL'));
+    return 'SIGKILL to all';
+  },
+  stop(soak) {
+    const gateway = pickRandom(soak.exposedGateways, soak.random);
+    disturb(soak, SOAK_BOUNDS.grace_s * 1_000 + RESTART_MS, gateway);
+    return sendSignal(gateway, 'SIGTERM');
+  },
+  freeze(soak) {
+    const gateway = pickRandom(soak.exposedGateways, soak.random);
+    const durationMs = 500 + soak.random() * 4_000;
+    disturb(soak, durationMs, gateway);
+    soak.runLater(durationMs, () => gateway.signal('SIGCONT'));
+    return sendSignal(gateway, 'SIGSTOP');
+  },
+  clock(soak) {
+    const {exposedGateways, random, runLater} = soak;
+    const stepped = exposedGateways.filter(() => random() < 0.4);
+    const durationMs = 1_000 + random() * 3_000;
+    for (const gateway of stepped) {
+      disturb(soak, durationMs, gateway);
+      gateway.signal('SIGUSR2');
+    }
+    runLater(durationMs, () =>
+      stepped.forEach(gateway => gateway.signal('SIGUSR2')),
+    );
+    const names = stepped.map(({name}) => name).join(', ');
+    return `clock step of ${names || 'no gateway'}`;
+  },
+  settings({exposedGateways, random}) {
+    const gateway = pickRandom(exposedGateways, random);
+    gateway.rewriteSettings();
+    return sendSignal(gateway, 'SIGHUP');
+  },
+  store(soak) {
+    const {gateways, random, runLater} = soak;
+    const modes: ProxyMode[] = [
+      'delay',
+      'cutAnswers',
+      'silenceOpen',
+      'resetOpen',
+      'refuse',
+    ];
+    const mode = pickRandom(modes, random);
+    const gateway = pickRandom(soak.exposedGateways, random);
+    const proxy = soak.storeProxies[gateways.indexOf(gateway)];
+    proxy.setMode(mode);
+    const durationMs = 500 + random() * 3_000;
+    disturb(soak, durationMs, gateway);
+    runLater(durationMs, () => proxy.setMode('pass'));
+    return `store of ${gateway.name}: ${mode}`;
+  },
+  history({cluster}) {
+    cluster.store.discardHistory();
+    return 'change history of the store dropped';
+  },
+  harmful(soak) {
+    const {harmfulParts, sentHarmfulParts, random, runLater} = soak;
+    const part = `bad${harmfulParts.length}`;
+    harmfulParts.push(part);
+    sentHarmfulParts.add(part);
+    runLater(4_000 + random() * 6_000, () => sentHarmfulParts.delete(part));
+    return `requests with the harmful part ${part}`;
+  },
+  limit({cluster, limits, random, runLater}) {
+    const upstream = pickRandom(runningUpstreams(cluster), random);
+    const requestsPerS = pickRandom([1, 2, 8], random);
+    const fromMs = performance.now();
+    const untilMs = fromMs + 4_000 + random() * 6_000;
+    limits.push({upstreamId: upstream.id, requestsPerS, fromMs, untilMs});
+    upstream.extraHeaders = {'server-limit': String(requestsPerS)};
+    runLater(untilMs - fromMs, () => (upstream.extraHeaders = {}));
+    return `${upstream.id} states a limit of ${requestsPerS} a second`;
+  },
+  upstream({cluster, random, runLater}) {
+    const upstream = pickRandom(runningUpstreams(cluster), random);
+    const behaviours: UpstreamBehaviour[] = [
+      {kind: 'reset'},
+      {kind: 'refuse'},
+      {kind: 'silent'},
+      {kind: 'truncate'},
+      {kind: 'crossed'},
+      {kind: 'resetUnframed'},
+      {kind: 'misdirect'},
+    ];
+    const behaviour = pickRandom(behaviours, random);
+    const previous = upstream.chooseBehaviour;
+    upstream.chooseBehaviour = request =>
+      random() < 0.5 ? behaviour : previous(request);
+    runLater(500 + random() * 2_000, () => {
+      upstream.chooseBehaviour = createUsualBehaviour(random);
+    });
+    return `${upstream.id}: ${behaviour.kind}`;
+  },
+  drain({cluster, random, runLater}) {
+    const upstream = pickRandom(runningUpstreams(cluster), random);
+    cluster.register(upstream, {state: 'draining'});
+    runLater(1_500, () => {
+      if (upstream.crashedAtMs === undefined) cluster.register(upstream);
+    });
+    return `${upstream.id} is draining`;
+  },
+  revoke({cluster, keys, revokedKeys}) {
+    const key = keys.shift()!;
+    const next = `key-${revokedKeys.size + 2}`;
+    keys.push(next);
+    cluster.configure(config => {
+      config.tenants[0].api_keys = [...keys];
+    });
+    revokedKeys.set(key, performance.now());
+    return `${key} is revoked`;
+  },
+  configure({cluster}) {
+    return `version ${cluster.configure()}`;
+  },
+};
+
+function runningUpstreams({upstreams}: GatewayCluster): UpstreamStandIn[] {
+  return upstreams.filter(({crashedAtMs}) => crashedAtMs === undefined);
+}
+
+/** Records that a fault affects a gateway, or all of them, from now on. */
+function disturb(
+  {disturbances}: SoakContext,
+  durationMs: number,
+  gateway?: GatewayProcess,
+): void {
+  const fromMs = performance.now();
+  const untilMs = fromMs + durationMs;
+  disturbances.push({gateway: gateway?.name, fromMs, untilMs});
+}
+
+function sendSignal(gateway: GatewayProcess, name: NodeJS.Signals): string {
+  gateway.signal(name);
+  return `${name} to ${gateway.name}`;
+}
--- a/testing/soak/src/guarantees.ts
+++ b/testing/soak/src/guarantees.ts
@@ -18,8 +18,12 @@
   gateway: string;
   /** Time by performance.now(). */
   sentAtMs: number;
+  /** Part that its prompt shares with other requests; only streams have a prompt. */
+  promptPart?: string;
   /** Missing while the request runs, and after it timed out. */
   response?: RawResponse;
+  /** Time at which the response ended, by performance.now(). */
+  endedAtMs?: number;
 }
 
 /** Time by performance.now() at which the store acknowledged the revocation, by key. */
--- a/testing/soak/src/index.ts
+++ b/testing/soak/src/index.ts
@@ -1,2 +1,3 @@
 export * from './gateway_process.js';
 export * from './run_soak.js';
+export * from './soak_context.js';
--- /dev/null
+++ b/testing/soak/src/usual_upstream.ts
@@ -0,0 +1,46 @@
+import type {
+  ReceivedRequest,
+  UpstreamBehaviour,
+  UpstreamStandIn,
+} from '@sardinestile/hosting_stand_ins';
+import {ROUTE_PATHS, type GatewayCluster} from '@sardinestile/hosting_tests';
+import {EVENTS_PER_STREAM} from './guarantees.js';
+
+/** Times after a crash at which the registration expires and another upstream starts. */
+const REGISTRATION_EXPIRY_MS = 1_500;
+const UPSTREAM_RESTART_MS = 800;
+
+/** Sets the usual behaviour, and replaces the upstream after a crash. */
+export function prepareUpstream(
+  cluster: GatewayCluster,
+  upstream: UpstreamStandIn,
+  random: () => number,
+): void {
+  upstream.chooseBehaviour = createUsualBehaviour(random);
+  upstream.onCrash = () => {
+    setTimeout(
+      () => cluster.store.remove('servers', upstream.id),
+      REGISTRATION_EXPIRY_MS,
+    );
+    setTimeout(() => {
+      const id = `u${cluster.upstreams.length + 1}`;
+      void cluster
+        .addUpstream(id)
+        .then(next => prepareUpstream(cluster, next, random));
+    }, UPSTREAM_RESTART_MS);
+  };
+}
+
+/** Creates a behaviour that answers each route correctly, with a random delay. */
+export function createUsualBehaviour(
+  random: () => number,
+): (request: ReceivedRequest) => UpstreamBehaviour {
+  return ({url, headers}) => {
+    if (String(headers['prompt-prefix']).includes('bad')) {
+      return {kind: 'crash', afterMs: 40 + random() * 120};
+    }
+    return url === ROUTE_PATHS.stream || url === ROUTE_PATHS.resumable
+      ? {kind: 'stream', events: EVENTS_PER_STREAM, gapMs: 5 + random() * 60}
+      : {kind: 'answer', delayMs: random() * 80};
+  };
+}
