fix(gateway): notice crashes behind responses that look complete

Cause: an upstream that crashes between two events of a response without a length or chunks ends it in order. The gateway took it for an answer, which cleared the part that had crashed the upstream, and another part was blamed. A stream without a new event clears nothing. A row with evidence that is not valid is replaced, and logged. Gauges show the parts in quarantine and the upstreams with a limit.

--- a/daemons/gateway/src/call.ts
+++ b/daemons/gateway/src/call.ts
@@ -2,6 +2,9 @@
 import type {RequestMetadata} from '@sardinestile/ports';
 import type {KeyHolder, Route} from '@sardinestile/route_table';
 
+/** Lowest HTTP status that counts as a failure of the upstream. */
+export const MIN_FAILURE_STATUS = 500;
+
 /** A caller's request that was matched to its route. */
 export interface Call {
   request: IncomingMessage;
@@ -41,7 +44,12 @@
 /** Outcome of one attempt. */
 export type AttemptOutcome =
   /** The complete response was sent to the caller. */
-  | {kind: 'answered'; status: number}
+  | {
+      kind: 'answered';
+      status: number;
+      /** Whether the response had no length and ended when its connection closed. */
+      isCloseDelimited: boolean;
+    }
   /** The upstream's complete response is buffered and not sent to the caller yet. */
   | {kind: 'heldAnswer'; response: BufferedResponse}
   /** The upstream stated that the request has not run and will not run. */
--- a/daemons/gateway/src/crash_watch.ts
+++ b/daemons/gateway/src/crash_watch.ts
@@ -1,7 +1,7 @@
 import {connect} from 'node:net';
 import type {Placement} from '@sardinestile/fleet';
 import {toSharedParts, type SharedPart} from '@sardinestile/quarantine';
-import type {AttemptOutcome, Call} from './call.js';
+import {MIN_FAILURE_STATUS, type AttemptOutcome, type Call} from './call.js';
 import type {GatewayContext} from './gateway_context.js';
 
 /**
@@ -32,18 +32,20 @@
   endedAtMs: number;
 }
 
-/** Requests of one upstream whose connections were lost. */
+/** Requests of one upstream whose connections ended, for a reason that is not known yet. */
 interface Loss {
   placement: Placement;
   /** Time of the first loss, in Unix milliseconds on which the gateways agree. */
   atMs: number;
   /** Parts of the requests that were not answered, by id. */
   parts: Map<string, SharedPart>;
+  /** Calls whose responses look complete. */
+  answered: Call[];
 }
 
 /** Tells upstreams that crashed apart from lost connections. */
 export interface CrashWatch {
-  /** Records the end of an attempt, which may be a sign of a crash. */
+  /** Records the end of an attempt, which may be an answer or a sign of a crash. */
   observe(attempt: WatchedAttempt): void;
 }
 
@@ -57,6 +59,8 @@
   /** Lost requests by upstream, until its check. */
   const losses = new Map<string, Loss>();
 
+  const recordAnswer = ({requestMetadata}: Call) =>
+    context.quarantine.recordAnswer(requestMetadata.promptParts);
   const reportCrash = ({placement, atMs, parts}: Loss) => {
     const {id, startedAtWallMs, service} = placement.upstream;
     context.metrics.increment('sardinestile_upstream_crashes_total', {service});
@@ -80,31 +84,62 @@
     const isRefused = await refusesConnections(address);
     losses.delete(id);
     const isLeaving = context.fleet.membership.get(id)?.isLeaving ?? true;
-    if (isRefused && !isLeaving) reportCrash(loss);
+    if (!isRefused) loss.answered.forEach(recordAnswer);
+    else if (!isLeaving) reportCrash(loss);
+  };
+  const recordLoss = (attempt: WatchedAttempt) => {
+    const shared = toSharedParts(attempt.call.requestMetadata.promptParts);
+    if (shared.length === 0) return;
+    const {placement} = attempt;
+    const {id} = placement.upstream;
+    let loss = losses.get(id);
+    if (!loss) {
+      const atMs = Math.round(context.fleetTimeMs());
+      const first: Loss = {placement, atMs, parts: new Map(), answered: []};
+      losses.set(id, first);
+      setTimeout(() => void check(first), CHECK_DELAY_MS);
+      loss = first;
+    }
+    if (isAnswer(attempt)) loss.answered.push(attempt.call);
+    if (isHarmless(attempt)) return;
+    for (const part of shared) loss.parts.set(part.id, part);
   };
   return {
-    observe({call, placement, outcome, firstEventAtMs, endedAtMs}) {
-      if (outcome.kind !== 'unknown' || !outcome.lostConnection) return;
-      const shared = toSharedParts(call.requestMetadata.promptParts);
-      if (shared.length === 0) return;
-      const {id} = placement.upstream;
-      const isHarmless =
-        firstEventAtMs !== undefined &&
-        endedAtMs - firstEventAtMs >= HARMLESS_AFTER_MS;
-      let loss = losses.get(id);
-      if (!loss) {
-        const atMs = Math.round(context.fleetTimeMs());
-        const first: Loss = {placement, atMs, parts: new Map()};
-        losses.set(id, first);
-        setTimeout(() => void check(first), CHECK_DELAY_MS);
-        loss = first;
-      }
-      if (isHarmless) return;
-      for (const part of shared) loss.parts.set(part.id, part);
+    observe(attempt) {
+      const {outcome, call} = attempt;
+      const isLost = outcome.kind === 'unknown' && outcome.lostConnection;
+      // An upstream that crashes between two events ends such a response in order.
+      const mayHideCrash = isCloseDelimited(outcome) && !isHarmless(attempt);
+      if (isLost || (isAnswer(attempt) && mayHideCrash)) recordLoss(attempt);
+      else if (isAnswer(attempt)) recordAnswer(call);
     },
   };
 }
 
+/** Whether the upstream went on for long after it had begun to answer. */
+function isHarmless({firstEventAtMs, endedAtMs}: WatchedAttempt): boolean {
+  return (
+    firstEventAtMs !== undefined &&
+    endedAtMs - firstEventAtMs >= HARMLESS_AFTER_MS
+  );
+}
+
+/** Whether the upstream answered the request, completely as far as can be seen. */
+function isAnswer({outcome, call, firstEventAtMs}: WatchedAttempt): boolean {
+  if (outcome.kind === 'heldAnswer') {
+    return outcome.response.status < MIN_FAILURE_STATUS;
+  }
+  const isStream = call.route.kind === 'stream';
+  return (
+    outcome.kind === 'answered' && (!isStream || firstEventAtMs !== undefined)
+  );
+}
+
+function isCloseDelimited(outcome: AttemptOutcome): boolean {
+  if (outcome.kind === 'heldAnswer') return outcome.response.isCloseDelimited;
+  return outcome.kind === 'answered' && outcome.isCloseDelimited;
+}
+
 /** Whether nothing listens at the address, rather than that it is unreachable. */
 function refusesConnections(address: string): Promise<boolean> {
   const [host, port] = address.split(':');
--- a/daemons/gateway/src/evidence_store.ts
+++ b/daemons/gateway/src/evidence_store.ts
@@ -62,12 +62,25 @@
   /** Whether the evidence of before the start is known. */
   let hasRead = false;
 
+  /** Returns the items of the row; none, so that it is replaced, if it is not valid. */
+  const decodeRow = (value: string): readonly EvidenceItem[] => {
+    try {
+      return rowSchema.parse(JSON.parse(value));
+    } catch (error) {
+      const operation = `decode the row ${EVIDENCE_KEY}`;
+      logger.warn('store_failed', {
+        operation,
+        reason: (error as Error).message,
+      });
+      return [];
+    }
+  };
   /** Takes over the stored evidence; writes the merged evidence if it is different. */
   const sync = async () => {
     if (hasRead && !options.isReader()) return;
     for (let i = 0; i < MAX_WRITE_TRIES; i++) {
       const row = await table.get(EVIDENCE_KEY);
-      const stored = row ? rowSchema.parse(JSON.parse(row.value)) : [];
+      const stored = row ? decodeRow(row.value) : [];
       for (const item of stored) quarantine.record(item, 'other');
       hasRead = true;
       const items = fitIntoRow(quarantine.items());
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -30,6 +30,11 @@
   );
   metrics.setGauge('sardinestile_duty_held_by_some', {}, +duty.isHeldBySome());
   metrics.setGauge('sardinestile_duty_token', {}, duty.fencingToken() ?? 0);
+  metrics.setGauge(
+    'sardinestile_prompt_parts_quarantined',
+    {},
+    context.quarantine.harmfulParts().length,
+  );
   const {open, idle} = connections.counts();
   metrics.setGauge('sardinestile_connections_open', {}, open);
   metrics.setGauge('sardinestile_connections_idle', {}, idle);
@@ -40,6 +45,11 @@
       states.reduce((total, state) => total + value(state), 0);
     const labels = {service: name};
     metrics.setGauge('sardinestile_upstreams', labels, records.length);
+    metrics.setGauge(
+      'sardinestile_upstreams_limited',
+      labels,
+      records.filter(record => fleet.requestLimits.isLimited(record)).length,
+    );
     metrics.setGauge(
       'sardinestile_upstreams_resting',
       labels,
--- a/daemons/gateway/src/relay_response.ts
+++ b/daemons/gateway/src/relay_response.ts
@@ -89,7 +89,11 @@
         onEnd() {
           if (isForwarding) {
             call.response.end();
-            settle({kind: 'answered', status});
+            settle({
+              kind: 'answered',
+              status,
+              isCloseDelimited: isCloseDelimited(headers),
+            });
             return;
           }
           if (headerCodec.readResponse(headers).hasNotRun) {
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/relay_stream.ts
@@ -186,7 +186,11 @@
           } else {
             startResponse();
             response.end();
-            settle({kind: 'answered', status});
+            settle({
+              kind: 'answered',
+              status,
+              isCloseDelimited: isCloseDelimited(headers),
+            });
           }
         },
         onFailure({isSent, isConnectionLost, reason}) {
--- a/daemons/gateway/src/run_attempt.ts
+++ b/daemons/gateway/src/run_attempt.ts
@@ -1,5 +1,5 @@
 import type {UpstreamFleet, Placement} from '@sardinestile/fleet';
-import type {AttemptOutcome, Call} from './call.js';
+import {MIN_FAILURE_STATUS, type AttemptOutcome, type Call} from './call.js';
 import {recordAttemptEnd, recordAttemptStart} from './call_records.js';
 import {HARMLESS_AFTER_MS} from './crash_watch.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -7,9 +7,6 @@
 import {relayResponse} from './relay_response.js';
 import {relayStream} from './relay_stream.js';
 
-/** Lowest HTTP status that counts as a failure of the upstream. */
-export const MIN_FAILURE_STATUS = 500;
-
 /**
  * Longest time from sending a request to losing its connection that points to
  * a stale connection, in milliseconds. It covers a round trip between zones
@@ -84,7 +81,6 @@
     learnFirstEventTime(fleet, call, placement, firstEventMs);
   }
   applyOutcome(context, call, outcome);
-  if (wasAnswered(outcome)) context.quarantine.recordAnswer(promptParts);
   if (isConclusive) {
     context.crashWatch.observe({
       call,
@@ -128,18 +124,10 @@
   if (outcome.kind === 'unknown' || outcome.kind === 'heldAnswer') {
     call.mayHaveRun = true;
   }
-  if (outcome.kind === 'heldAnswer' && wasAnswered(outcome)) {
-    countUsage(context, call);
-  }
-}
-
-/** Whether the upstream answered the request completely and without a failure. */
-function wasAnswered(outcome: AttemptOutcome): boolean {
-  if (outcome.kind === 'answered') return true;
-  return (
+  const isServed =
     outcome.kind === 'heldAnswer' &&
-    outcome.response.status < MIN_FAILURE_STATUS
-  );
+    outcome.response.status < MIN_FAILURE_STATUS;
+  if (isServed) countUsage(context, call);
 }
 
 /** Updates the estimates of the engine's speed with the time to the first event. */
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -7,13 +7,13 @@
 } from '@sardinestile/fleet';
 import type {QuarantineVerdict} from '@sardinestile/quarantine';
 import type {RouteKind} from '@sardinestile/route_table';
-import type {BufferedResponse, Call} from './call.js';
+import {MIN_FAILURE_STATUS, type BufferedResponse, type Call} from './call.js';
 import {connectionShare} from './connection_share.js';
 import {endInterrupted, finishCall} from './finish_call.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
 import {refuse, type GatewayRefusal} from './refuse.js';
-import {MIN_FAILURE_STATUS, runAttempt} from './run_attempt.js';
+import {runAttempt} from './run_attempt.js';
 
 /**
  * Time without a response after which a call is retried elsewhere, as a
--- a/daemons/gateway/src/shared_quarantine.ts
+++ b/daemons/gateway/src/shared_quarantine.ts
@@ -61,7 +61,7 @@
       store.scheduleWrite();
     },
     onQuarantined({partId, crashes}) {
-      metrics.increment('sardinestile_prompt_parts_quarantined_total', {});
+      metrics.increment('sardinestile_prompt_part_quarantines_total', {});
       logger.warn('prompt_part_quarantined', {promptPart: partId, crashes});
     },
     onReleased: partId =>
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -74,8 +74,11 @@
    * no complete event.
    */
   | {kind: 'trickle'; text: string; events: number; everyMs: number}
-  /** Begins to write an event stream after `afterMs`, then ends with all its connections. */
-  | {kind: 'crash'; afterMs: number}
+  /**
+   * Begins to write an event stream after `afterMs`, then ends with all its connections;
+   * if `isUnframed`, without a length or chunks and after a complete event.
+   */
+  | {kind: 'crash'; afterMs: number; isUnframed?: boolean}
   /** Streams events with these ids and ignores the `last-event-id` header. */
   | {kind: 'streamIds'; ids: readonly number[]; delayMs?: number};
 
@@ -273,14 +276,20 @@
       );
     }, 20);
   },
-  crash({afterMs}, {upstream, entry, response, baseHeaders}) {
+  crash(
+    {afterMs, isUnframed = false},
+    {upstream, entry, response, baseHeaders},
+  ) {
     setTimeout(() => {
       if (response.destroyed) return;
+      response.useChunkedEncodingByDefault = !isUnframed;
       response.writeHead(200, {
         ...baseHeaders,
         'content-type': 'text/event-stream',
       });
-      response.write('id: 0\ndata: ha');
+      response.write(
+        isUnframed ? 'id: 0\ndata: event 0\n\n' : 'id: 0\ndata: ha',
+      );
       setTimeout(() => upstream.crash(entry), 2);
     }, afterMs);
   },
--- a/testing/hosting/test/crashing_prompts_test.ts
+++ b/testing/hosting/test/crashing_prompts_test.ts
@@ -80,6 +80,28 @@
     }
   });
 
+  it('is found if the responses look complete, since they end with their connections', async () => {
+    const cluster = await createGatewayCluster(0);
+    let upstreams: UpstreamStandIn[] = [];
+    try {
+      upstreams = await startCrashingUpstreams(cluster, 5, true);
+      const gateways = await startGateways(cluster, 2);
+      await sendLoad(gateways, performance.now() + 5_000);
+      for (const gateway of gateways) {
+        const lines = gateway.logs.filter(line =>
+          line.includes('event=prompt_part_quarantined'),
+        );
+        expect(lines.length).toEqual(1);
+        expect(lines[0]).toInclude(HARMFUL_PART);
+        expect(await gateway.scrape()).toInclude(
+          'sardinestile_prompt_parts_quarantined 1',
+        );
+      }
+    } finally {
+      await stopCrashing(cluster, upstreams);
+    }
+  });
+
   it('is still kept from the upstreams after all gateways were replaced', async () => {
     const cluster = await createGatewayCluster(0);
     let upstreams: UpstreamStandIn[] = [];
@@ -108,6 +130,7 @@
 async function startCrashingUpstreams(
   cluster: GatewayCluster,
   count: number,
+  isUnframed = false,
 ): Promise<UpstreamStandIn[]> {
   const all: UpstreamStandIn[] = [];
   const start = async () => {
@@ -115,7 +138,7 @@
     all.push(upstream);
     upstream.chooseBehaviour = request =>
       isHarmful(request)
-        ? {kind: 'crash', afterMs: 60}
+        ? {kind: 'crash', afterMs: 60, isUnframed}
         : {kind: 'stream', events: 4, gapMs: 20};
     upstream.onCrash = () => {
       setTimeout(
