--- a/testing/soak/src/faults.ts
+++ b/testing/soak/src/faults.ts
@@ -87,7 +87,8 @@
     return `requests with the harmful part ${part}`;
   },
   limit({cluster, limits, random, runLater}) {
-    const upstream = pickRandom(runningUpstreams(cluster), random);
+    const upstream = pickRunningUpstream(cluster, random);
+    if (!upstream) return 'no upstream runs';
     const requestsPerS = pickRandom([1, 2, 8], random);
     const fromMs = performance.now();
     const untilMs = fromMs + 4_000 + random() * 6_000;
@@ -97,7 +98,8 @@
     return `${upstream.id} states a limit of ${requestsPerS} a second`;
   },
   upstream({cluster, random, runLater}) {
-    const upstream = pickRandom(runningUpstreams(cluster), random);
+    const upstream = pickRunningUpstream(cluster, random);
+    if (!upstream) return 'no upstream runs';
     const behaviours: UpstreamBehaviour[] = [
       {kind: 'reset'},
       {kind: 'refuse'},
@@ -117,7 +119,8 @@
     return `${upstream.id}: ${behaviour.kind}`;
   },
   drain({cluster, random, runLater}) {
-    const upstream = pickRandom(runningUpstreams(cluster), random);
+    const upstream = pickRunningUpstream(cluster, random);
+    if (!upstream) return 'no upstream runs';
     cluster.register(upstream, {state: 'draining'});
     runLater(1_500, () => {
       if (upstream.crashedAtMs === undefined) cluster.register(upstream);
@@ -139,8 +142,15 @@
   },
 };
 
-function runningUpstreams({upstreams}: GatewayCluster): UpstreamStandIn[] {
-  return upstreams.filter(({crashedAtMs}) => crashedAtMs === undefined);
+/** Returns a random upstream that has not crashed; undefined if there is none. */
+function pickRunningUpstream(
+  {upstreams}: GatewayCluster,
+  random: () => number,
+): UpstreamStandIn | undefined {
+  const running = upstreams.filter(
+    ({crashedAtMs}) => crashedAtMs === undefined,
+  );
+  return running.length > 0 ? pickRandom(running, random) : undefined;
 }
 
 /** Records that a fault affects a gateway, or all of them, from now on. */
