--- a/testing/soak/src/faults.ts
+++ b/testing/soak/src/faults.ts
@@ -92,9 +92,17 @@
     const requestsPerS = pickRandom([1, 2, 8], random);
     const fromMs = performance.now();
     const untilMs = fromMs + 4_000 + random() * 6_000;
+    // A new limit replaces the one that the upstream states.
+    for (const earlier of limits) {
+      if (earlier.upstreamId !== upstream.id) continue;
+      earlier.untilMs = Math.min(earlier.untilMs, fromMs);
+    }
     limits.push({upstreamId: upstream.id, requestsPerS, fromMs, untilMs});
-    upstream.extraHeaders = {'server-limit': String(requestsPerS)};
-    runLater(untilMs - fromMs, () => (upstream.extraHeaders = {}));
+    const headers = {'server-limit': String(requestsPerS)};
+    upstream.extraHeaders = headers;
+    runLater(untilMs - fromMs, () => {
+      if (upstream.extraHeaders === headers) upstream.extraHeaders = {};
+    });
     return `${upstream.id} states a limit of ${requestsPerS} a second`;
   },
   upstream({cluster, random, runLater}) {
