fix(quarantine): count all crashes of a part before its first trial

Cause: crashes within 200 ms of the last counted one are taken for the same, so that a part under which six upstreams crashed in a burst could count as one with three, and was tried after 30 s rather than ten minutes. Change: the delay also considers the crash records in which the part was a suspect, one for each upstream. The new case of part_quarantine_test failed before.

--- a/routing/quarantine/src/crash_evidence.ts
+++ b/routing/quarantine/src/crash_evidence.ts
@@ -36,6 +36,8 @@
   /** Returns the record of a part that is harmful: it was not answered since its last crash. */
   harmfulPart(partId: string): HarmfulPart | undefined;
   harmfulParts(): readonly HarmfulPart[];
+  /** Number of crashes that are known in which the part was a suspect. */
+  crashCount(partId: string): number;
   /** Whether an upstream crashed under the part since the last answer to a request with it. */
   isUnderSuspicion(partId: string): boolean;
   /** Returns the evidence that others need: no explained crash and no answered part. */
@@ -118,6 +120,10 @@
     harmfulPart,
     harmfulParts: () =>
       [...harmful.keys()].flatMap(partId => harmfulPart(partId) ?? []),
+    crashCount: partId =>
+      [...crashes.values()].filter(({parts}) =>
+        parts.some(({id}) => id === partId),
+      ).length,
     isUnderSuspicion: partId =>
       harmfulPart(partId) !== undefined ||
       [...crashes.values()].some(
--- a/routing/quarantine/src/part_quarantine.ts
+++ b/routing/quarantine/src/part_quarantine.ts
@@ -116,8 +116,10 @@
       share({...part, crashes, lastCrashAtMs: item.atMs});
     }
   };
-  const trialDelayMs = ({crashes}: HarmfulPart) => {
-    const furtherCrashes = crashes - CRASHES_BEYOND_DOUBT;
+  const trialDelayMs = ({partId, crashes}: HarmfulPart) => {
+    // The part may have crashed several upstreams at the same moment.
+    const known = Math.max(crashes, evidence.crashCount(partId));
+    const furtherCrashes = known - CRASHES_BEYOND_DOUBT;
     if (furtherCrashes < 0) return EARLY_TRIAL_DELAY_MS;
     return Math.min(MAX_TRIAL_DELAY_MS, TRIAL_DELAY_MS * 2 ** furtherCrashes);
   };
--- a/routing/quarantine/test/part_quarantine_test.ts
+++ b/routing/quarantine/test/part_quarantine_test.ts
@@ -161,6 +161,14 @@
       expect(isRefused('bad')).toEqual(true);
     });
 
+    it('does not come soon if some of many crashes came at one moment', () => {
+      for (let i = 0; i < 3; i++) crash('p');
+      for (let i = 0; i < 3; i++) crashAt(nowMs, 'p');
+      settle();
+      nowMs += 31_000;
+      expect(isRefused('p')).toEqual(true);
+    });
+
     it('needs a trial by the gateway that is chosen for it', () => {
       isTrialGateway = false;
       nowMs += 11 * MINUTE_MS;
