--- /dev/null
+++ b/protocol/ledger/test/ledger_codec_test.ts
@@ -0,0 +1,83 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  decodeLedgerMessage,
+  encodeLedgerMessage,
+  type LedgerMessage,
+  type LedgerUpdate,
+} from '../src/index.js';
+
+const UPDATES: LedgerUpdate[] = [
+  {
+    kind: 'placed',
+    requestId: 'r',
+    upstreamId: 'u',
+    promptParts: [{id: 'a', tokens: 5}],
+    uncachedTokens: 1,
+    promptTokens: 5,
+    urgency: 2,
+    targetGapMs: 200,
+  },
+  {kind: 'firstEvent', requestId: 'r', upstreamId: 'u'},
+  {kind: 'ended', requestId: 'r', upstreamId: 'u', hasFailed: true},
+  {kind: 'leaving', upstreamId: 'u', startedAtWallMs: 7},
+  {kind: 'limit', upstreamId: 'u', startedAtWallMs: 7, limitPerS: 0.5},
+  {
+    kind: 'crash',
+    upstreamId: 'u',
+    startedAtWallMs: 7,
+    atMs: 9,
+    parts: [
+      {id: 'a', depth: 0},
+      {id: 'b', depth: 1},
+    ],
+  },
+  {kind: 'answer', partId: 'a', atMs: 9},
+  {kind: 'harmful', partId: 'b', crashes: 3, lastCrashAtMs: 9},
+];
+
+const messageWith = (...updates: LedgerUpdate[]): LedgerMessage => ({
+  fleetId: 'f',
+  instance: 'front-1',
+  startedAtMs: 1,
+  slewedWallMs: 2,
+  status: {isStopping: false, hasSeenDutyHeld: true},
+  updates,
+});
+
+describe('encodeLedgerMessage', () => {
+  for (const update of UPDATES) {
+    it(`keeps an update of kind ${update.kind}`, () => {
+      const message = messageWith(update);
+      expect(decodeLedgerMessage(encodeLedgerMessage(message))).toEqual(
+        message,
+      );
+    });
+  }
+
+  it('keeps the end of a limit', () => {
+    const message = messageWith({
+      kind: 'limit',
+      upstreamId: 'u',
+      startedAtWallMs: 7,
+      limitPerS: undefined,
+    });
+    const decoded = decodeLedgerMessage(encodeLedgerMessage(message));
+    expect(decoded?.updates[0]).toEqual(message.updates[0]);
+  });
+});
+
+describe('decodeLedgerMessage', () => {
+  it('skips updates of kinds that a later version may send', () => {
+    const [first] = UPDATES;
+    const text = encodeLedgerMessage(messageWith(first)).toString();
+    const changed = text.replace('[["p"', '[["?",1],["p"');
+    expect(decodeLedgerMessage(Buffer.from(changed))?.updates).toEqual([first]);
+  });
+
+  it('rejects a message whose update lacks a field', () => {
+    const text = encodeLedgerMessage(messageWith(UPDATES[1])).toString();
+    const changed = text.replace('["f","r","u"]', '["f","r"]');
+    expect(decodeLedgerMessage(Buffer.from(changed))).toEqual(undefined);
+  });
+});
