--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -5,9 +5,9 @@
   decodeLedgerMessage,
   encodeLedgerMessage,
   type LedgerMessage,
-  type LedgerUpdate,
   type SenderStatus,
 } from './ledger_codec.js';
+import type {LedgerUpdate} from './ledger_update.js';
 
 /** Longest delay of an update while more updates are collected for one datagram. */
 const MAX_BATCH_DELAY_MS = 10;
--- /dev/null
+++ b/protocol/ledger/src/ledger_update.ts
@@ -0,0 +1,70 @@
+import {
+  harmfulPartSchema,
+  partAnswerSchema,
+  upstreamCrashSchema,
+} from '@sardinestile/quarantine';
+import {z} from 'zod';
+
+/** A gateway sent a request to an upstream. */
+const placedSchema = z.object({
+  kind: z.literal('placed'),
+  requestId: z.string(),
+  upstreamId: z.string(),
+  promptParts: z.array(z.object({id: z.string(), tokens: z.number()})),
+  uncachedTokens: z.number(),
+  promptTokens: z.number(),
+  urgency: z.number(),
+  targetGapMs: z.number().optional(),
+});
+
+/** An upstream returned the first event of a request. */
+const firstEventSchema = z.object({
+  kind: z.literal('firstEvent'),
+  requestId: z.string(),
+  upstreamId: z.string(),
+});
+
+/** A request ended at an upstream. */
+const endedSchema = z.object({
+  kind: z.literal('ended'),
+  requestId: z.string(),
+  upstreamId: z.string(),
+  /** Absent if the way the request ended is no evidence of the upstream's health. */
+  hasFailed: z.boolean().optional(),
+});
+
+/** An upstream stated in a response that it is leaving. */
+const leavingSchema = z.object({
+  kind: z.literal('leaving'),
+  upstreamId: z.string(),
+  /** Start of the upstream in Unix milliseconds; a later start is another upstream. */
+  startedAtWallMs: z.number(),
+});
+
+/** An upstream stated another limit for the requests of all gateways together. */
+const limitSchema = z.object({
+  kind: z.literal('limit'),
+  upstreamId: z.string(),
+  /** Start of the upstream in Unix milliseconds; a later start is another upstream. */
+  startedAtWallMs: z.number(),
+  /** Requests a second; absent if it states no limit any more. */
+  limitPerS: z.number().nonnegative().optional(),
+});
+
+/**
+ * A change in the state of one request at one upstream, or of an upstream, or
+ * evidence about prompt parts that crash upstreams.
+ */
+export const ledgerUpdateSchema = z.discriminatedUnion('kind', [
+  placedSchema,
+  firstEventSchema,
+  endedSchema,
+  leavingSchema,
+  limitSchema,
+  upstreamCrashSchema,
+  partAnswerSchema,
+  harmfulPartSchema,
+]);
+
+/** A change in the state of one request at one upstream, or of an upstream. */
+export type LedgerUpdate = z.infer<typeof ledgerUpdateSchema>;
--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -11,5 +11,6 @@
 export * from './prompt_partition.js';
 export * from './quiet_periods.js';
 export * from './request_limits.js';
+export * from './service_pause.js';
 export * from './stream_load.js';
 export * from './upstream_health.js';
