fix(ledger): drop updates after the link was closed

Cause: a request that ends while the process stops reports its end; the flush came after the socket was closed and threw ERR_SOCKET_DGRAM_NOT_RUNNING out of a timer, which ends the process. Since responses are broken off at the stop, this is the usual case with open streams. Traced by that error. Change: a closed link sends nothing. The new case of ledger_link_test failed before with the same error.

--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -115,6 +115,7 @@
   let flushTimer: NodeJS.Timeout | undefined;
   let isFlushScheduled = false;
   let fleetId: string | undefined;
+  let isClosed = false;
 
   const isLive = (peer: Peer) =>
     peer.instance !== undefined &&
@@ -136,7 +137,8 @@
     return peer;
   };
   const transmit = (updates: LedgerUpdate[], targets: Peer[]) => {
-    if (fleetId === undefined) return;
+    // Requests that end while the process stops are still reported.
+    if (isClosed || fleetId === undefined) return;
     const message: LedgerMessage = {
       fleetId,
       instance,
@@ -251,6 +253,7 @@
           : [],
       ),
     close() {
+      isClosed = true;
       clearInterval(heartbeatTimer);
       clearTimeout(flushTimer);
       socket.close();
--- a/protocol/ledger/test/ledger_link_test.ts
+++ b/protocol/ledger/test/ledger_link_test.ts
@@ -94,4 +94,17 @@
     expect(otherFleet.received).toEqual([]);
     for (const {link} of [first, second, otherFleet]) link.close();
   });
+
+  it('drops updates of requests that end after it was closed', async () => {
+    const first = await openTestLink('a', 'one');
+    const second = await openTestLink('b', 'one');
+    first.link.setAddresses([second.address], []);
+    await sleep(50);
+    first.link.close();
+    first.link.send(UPDATES[1], true);
+    first.link.send(UPDATES[2], false);
+    await sleep(50);
+    expect(second.received).toEqual([]);
+    second.link.close();
+  });
 });
