test(quarantine): list the seeds in which sound parts are blamed

The test of mass kills played seeds 1 to 10 under a title that said however often. Run by hand, seeds 14, 27, 32, 53 and 56 of 60 blame one or two sound parts; they are tests of their own now, with the same check, and listed in KNOWN-RED.txt. Seeds 1 to 10 are checked as before.

--- a/routing/quarantine/src/find_harmful_parts.ts
+++ b/routing/quarantine/src/find_harmful_parts.ts
@@ -3,7 +3,7 @@
 /** Crashes after which the only part that explains them counts as harmful. */
 const CRASHES_WITH_ONE_SUSPECT = 3;
 
-/** Crashes after which several parts that explain them equally well do. */
+/** Crashes after which several parts that explain them equally well count as harmful. */
 const CRASHES_WITH_MANY_SUSPECTS = 5;
 
 /** Number of crash times after which a part that was answered before counts as harmful. */
--- a/routing/quarantine/test/virtual_fleet_test.ts
+++ b/routing/quarantine/test/virtual_fleet_test.ts
@@ -1,4 +1,5 @@
 import {describe, it} from 'node:test';
+import {itOrKnownRed} from '@sardinestile/known_red';
 import {expect} from 'earl';
 import {
   countLateRequests,
@@ -96,21 +97,25 @@
   });
 
   describe('for reasons outside the requests', () => {
-    it('blames no part, however often many upstreams are killed together', () => {
-      for (const seed of SEEDS) {
-        const kills = Array.from({length: 30}, (_, i) => ({
-          atMs: 500 + 800 * i,
-          share: i % 3 === 0 ? 1 : 0.3,
-        }));
-        const result = runVirtualFleet({
-          ...BASE,
-          seed,
-          gateways: 4,
-          harmfulPerSecond: 0,
-          kills,
-        });
-        expect([...result.falselyBlamed]).toEqual([]);
-      }
+    /** Kills 30 to 100% of the upstreams 30 times. */
+    const findBlamedParts = (seed: number) => {
+      const kills = Array.from({length: 30}, (_, i) => ({
+        atMs: 500 + 800 * i,
+        share: i % 3 === 0 ? 1 : 0.3,
+      }));
+      const load = {...BASE, seed, gateways: 4, harmfulPerSecond: 0, kills};
+      return [...runVirtualFleet(load).falselyBlamed];
+    };
+
+    it('blames no part when many upstreams are killed together', () => {
+      for (const seed of SEEDS) expect(findBlamedParts(seed)).toEqual([]);
     });
+
+    for (const seed of [14, 27, 32, 53, 56]) {
+      itOrKnownRed(
+        `blames no part when many upstreams are killed together, seed ${seed}`,
+        () => expect(findBlamedParts(seed)).toEqual([]),
+      );
+    }
   });
 });
