refactor: say once how gateways meet and what the ledger encodes

Two tests waited for gateways to find each other in the same lines, and the codec of the ledger was tested in two files; no check is lost. The refusal upstreamsLimited no longer says that all upstreams have reached their limits, since some may have asked for quiet.

--- a/daemons/gateway/src/refuse.ts
+++ b/daemons/gateway/src/refuse.ts
@@ -25,7 +25,8 @@
   },
   upstreamsLimited: {
     status: 503,
-    message: 'all upstreams of the service have reached their limits',
+    message:
+      'no upstream of the service takes a request before its limit allows it',
   },
   harmfulPrompt: {
     status: 503,
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -158,8 +158,8 @@
 const PAUSE_REFUSALS: Readonly<
   Record<ServicePause['cause'], {code: GatewayRefusal; reason: string}>
 > = {
-  quiet: {code: 'upstreamsQuiet', reason: 'want no requests'},
-  limited: {code: 'upstreamsLimited', reason: 'have reached their limits'},
+  quiet: {code: 'upstreamsQuiet', reason: 'all asked for quiet'},
+  limited: {code: 'upstreamsLimited', reason: 'their limits are reached'},
 };
 
 /**
@@ -177,7 +177,7 @@
   const {code, reason} = PAUSE_REFUSALS[pause.cause];
   refuse(context, call, code, {
     retryAfterMs: pause.waitMs + call.urgency * RETURN_DELAY_PER_RANK_MS,
-    reason: `all upstreams of ${call.service} ${reason} for ${Math.round(pause.waitMs)} ms`,
+    reason: `no upstream of ${call.service} takes a request for ${Math.round(pause.waitMs)} ms: ${reason}`,
   });
   return true;
 }
--- a/protocol/ledger/test/ledger_codec_test.ts
+++ b/protocol/ledger/test/ledger_codec_test.ts
@@ -55,6 +55,16 @@
     });
   }
 
+  it('keeps several updates in order, and that the sender is stopping', () => {
+    const status = {isStopping: true, hasSeenDutyHeld: false};
+    const updates: LedgerUpdate[] = [
+      ...UPDATES,
+      {kind: 'ended', requestId: 'r2', upstreamId: 'u', hasFailed: undefined},
+    ];
+    const message = {...messageWith(...updates), status};
+    expect(decodeLedgerMessage(encodeLedgerMessage(message))).toEqual(message);
+  });
+
   it('keeps the end of a limit', () => {
     const message = messageWith({
       kind: 'limit',
@@ -75,6 +85,12 @@
     expect(decodeLedgerMessage(Buffer.from(changed))?.updates).toEqual([first]);
   });
 
+  it('returns undefined for a payload that is not a valid message', () => {
+    for (const text of ['', 'x', '[]', '["f","a",1,2,0,[["p"]]]', '{"a":1}']) {
+      expect(decodeLedgerMessage(Buffer.from(text))).toEqual(undefined);
+    }
+  });
+
   it('rejects a message whose update lacks a field', () => {
     const text = encodeLedgerMessage(messageWith(UPDATES[1])).toString();
     const changed = text.replace('["f","r","u"]', '["f","r"]');
--- a/protocol/ledger/test/ledger_link_test.ts
+++ b/protocol/ledger/test/ledger_link_test.ts
@@ -3,12 +3,7 @@
 import {createLogger} from '@sardinestile/logger';
 import {createSystemClock} from '@sardinestile/types';
 import {expect} from 'earl';
-import {
-  decodeLedgerMessage,
-  encodeLedgerMessage,
-  openLedgerLink,
-  type LedgerUpdate,
-} from '../src/index.js';
+import {openLedgerLink, type LedgerUpdate} from '../src/index.js';
 
 const UPDATES: LedgerUpdate[] = [
   {
@@ -55,26 +50,6 @@
 
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
-describe('ledger codec', () => {
-  it('decodes an encoded message to an equal message', () => {
-    const message = {
-      fleetId: 'f',
-      instance: 'a',
-      startedAtMs: 5,
-      slewedWallMs: 7,
-      status: {isStopping: true, hasSeenDutyHeld: false},
-      updates: UPDATES,
-    };
-    expect(decodeLedgerMessage(encodeLedgerMessage(message))).toEqual(message);
-  });
-
-  it('returns undefined for a payload that is not a valid message', () => {
-    for (const text of ['', 'x', '[]', '["f","a",1,2,0,[["p"]]]', '{"a":1}']) {
-      expect(decodeLedgerMessage(Buffer.from(text))).toEqual(undefined);
-    }
-  });
-});
-
 describe('openLedgerLink', () => {
   it('exchanges updates only with peers of its own fleet, even if it knows addresses of another fleet', async () => {
     const first = await openTestLink('a', 'one');
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -228,6 +228,23 @@
   return testGateway;
 }
 
+/** Starts gateways and waits until each has found all others. */
+export async function startConnectedGateways(
+  cluster: GatewayCluster,
+  count: number,
+): Promise<TestGateway[]> {
+  const gateways: TestGateway[] = [];
+  for (let i = 0; i < count; i++) gateways.push(await cluster.startGateway());
+  await waitUntil('the gateways to find each other', () =>
+    gateways.every(
+      ({logs}) =>
+        logs.filter(line => line.includes('event=peer_found')).length >=
+        count - 1,
+    ),
+  );
+  return gateways;
+}
+
 /** Polls a condition until it holds; throws after the timeout. */
 export async function waitUntil(
   description: string,
--- a/testing/hosting/test/crashing_prompts_test.ts
+++ b/testing/hosting/test/crashing_prompts_test.ts
@@ -5,7 +5,7 @@
   createGatewayCluster,
   createKeyedHeaders,
   ROUTE_PATHS,
-  waitUntil,
+  startConnectedGateways,
   type GatewayCluster,
   type RawResponse,
   type TestGateway,
@@ -40,7 +40,7 @@
     let upstreams: UpstreamStandIn[] = [];
     try {
       upstreams = await startCrashingUpstreams(cluster, 5);
-      const gateways = await startGateways(cluster, 4);
+      const gateways = await startConnectedGateways(cluster, 4);
       const endMs = performance.now() + 9_000;
       const results = await sendLoad(gateways, endMs);
       const crashTimesMs = upstreams
@@ -85,7 +85,7 @@
     let upstreams: UpstreamStandIn[] = [];
     try {
       upstreams = await startCrashingUpstreams(cluster, 5, true);
-      const gateways = await startGateways(cluster, 2);
+      const gateways = await startConnectedGateways(cluster, 2);
       await sendLoad(gateways, performance.now() + 5_000);
       for (const gateway of gateways) {
         const lines = gateway.logs.filter(line =>
@@ -107,7 +107,7 @@
     let upstreams: UpstreamStandIn[] = [];
     try {
       upstreams = await startCrashingUpstreams(cluster, 5);
-      const gateways = await startGateways(cluster, 2);
+      const gateways = await startConnectedGateways(cluster, 2);
       await sendLoad(gateways, performance.now() + 4_000);
       await Promise.all(gateways.map(({handle}) => handle.close()));
       const crashes = countCrashes(upstreams);
@@ -166,22 +166,6 @@
   await cluster.close();
 }
 
-async function startGateways(
-  cluster: GatewayCluster,
-  count: number,
-): Promise<TestGateway[]> {
-  const gateways: TestGateway[] = [];
-  for (let i = 0; i < count; i++) gateways.push(await cluster.startGateway());
-  await waitUntil('the gateways to find each other', () =>
-    gateways.every(
-      ({logs}) =>
-        logs.filter(line => line.includes('event=peer_found')).length >=
-        count - 1,
-    ),
-  );
-  return gateways;
-}
-
 /** Sends sound requests, and harmful ones that share their key and first part, to all gateways. */
 async function sendLoad(
   gateways: readonly TestGateway[],
--- a/testing/hosting/test/request_limits_test.ts
+++ b/testing/hosting/test/request_limits_test.ts
@@ -5,7 +5,7 @@
   createGatewayCluster,
   createKeyedHeaders,
   ROUTE_PATHS,
-  waitUntil,
+  startConnectedGateways,
   type GatewayCluster,
   type RawResponse,
   type TestGateway,
@@ -28,14 +28,7 @@
   let count = 0;
   beforeEach(async () => {
     cluster = await createGatewayCluster(2);
-    gateways = [];
-    for (let i = 0; i < 4; i++) gateways.push(await cluster.startGateway());
-    await waitUntil('the gateways to find each other', () =>
-      gateways.every(
-        ({logs}) =>
-          logs.filter(line => line.includes('event=peer_found')).length >= 3,
-      ),
-    );
+    gateways = await startConnectedGateways(cluster, 4);
   });
   afterEach(() => cluster.close());
 
