--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -94,6 +94,8 @@
     reason?: string;
     /** Of a lost connection: whether the headers of the response had arrived. */
     hadHeaders?: boolean;
+    /** Of a lost connection: equal for requests with equal path, caller and body. */
+    fingerprint?: string;
     /** Of a lost connection: ids of the request's prompt parts. */
     promptParts?: string;
     status?: number;
--- a/daemons/gateway/src/call.ts
+++ b/daemons/gateway/src/call.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestMetadata} from '@sardinestile/ports';
+import type {RequestProfile} from '@sardinestile/quarantine';
 import type {KeyHolder, Route} from '@sardinestile/route_table';
 
 /** Lowest HTTP status that counts as a failure of the upstream. */
@@ -18,6 +19,8 @@
   urgency: number;
   configVersion: number;
   body: Buffer | null;
+  /** What it has in common with other requests that crash upstreams. */
+  profile: RequestProfile;
   arrivedAtMs: number;
   /** End of the route's time limit. */
   routeDeadlineAtMs: number;
--- a/daemons/gateway/src/call_records.ts
+++ b/daemons/gateway/src/call_records.ts
@@ -152,6 +152,7 @@
   const {promptParts} = call.requestMetadata;
   return {
     hadHeaders: outcome.lostConnection.hadHeaders,
+    fingerprint: call.profile.fingerprint(),
     promptParts: promptParts.map(({id}) => id).join(',') || undefined,
   };
 }
--- a/daemons/gateway/src/serve_call.ts
+++ b/daemons/gateway/src/serve_call.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {elapsedMs, readClocks} from '@sardinestile/freshness';
+import {createRequestProfile} from '@sardinestile/quarantine';
 import {chooseTarget, type RouteIndex} from '@sardinestile/route_table';
 import type {Call, InterruptReason} from './call.js';
 import {isCallerPresent} from './caller_presence.js';
@@ -49,7 +50,9 @@
   }
   // The configuration may have changed while the request was read.
   const current = context.routes() ?? index;
-  const route = current.match(request.headers.host ?? '', request.url ?? '/');
+  const {headers, url: path = '/'} = request;
+  const {host = ''} = headers;
+  const route = current.match(host, path);
   if (!route) {
     refuse(context, exchange, 'unknownRoute');
     return;
@@ -85,6 +88,13 @@
     urgency: current.urgencyOf(route, organisation),
     configVersion: current.table.version,
     body: body.body,
+    profile: createRequestProfile({
+      host,
+      path,
+      organisation: organisation?.name,
+      body: body.body,
+      promptParts: requestMetadata.promptParts,
+    }),
     arrivedAtMs,
     routeDeadlineAtMs: arrivedAtMs + route.timeoutMs,
     callerDeadlineAtMs:
