test(gateway): requests that end each upstream that runs them

The upstreams that crash and are replaced move from crashing_prompts_test to a file of their own; the stand-in can end before it has written anything, as plain services do.

--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -76,9 +76,15 @@
   | {kind: 'trickle'; text: string; events: number; everyMs: number}
   /**
    * Begins to write an event stream after `afterMs`, then ends with all its connections;
-   * if `isUnframed`, without a length or chunks and after a complete event.
+   * if `isUnframed`, without a length or chunks and after a complete event; if
+   * `isUnanswered`, before it has written anything.
    */
-  | {kind: 'crash'; afterMs: number; isUnframed?: boolean}
+  | {
+      kind: 'crash';
+      afterMs: number;
+      isUnframed?: boolean;
+      isUnanswered?: boolean;
+    }
   /** Streams events with these ids and ignores the `last-event-id` header. */
   | {kind: 'streamIds'; ids: readonly number[]; delayMs?: number};
 
@@ -277,11 +283,15 @@
     }, 20);
   },
   crash(
-    {afterMs, isUnframed = false},
+    {afterMs, isUnframed = false, isUnanswered = false},
     {upstream, entry, response, baseHeaders},
   ) {
     setTimeout(() => {
       if (response.destroyed) return;
+      if (isUnanswered) {
+        upstream.crash(entry);
+        return;
+      }
       response.useChunkedEncodingByDefault = !isUnframed;
       response.writeHead(200, {
         ...baseHeaders,
--- a/testing/hosting/src/index.ts
+++ b/testing/hosting/src/index.ts
@@ -1,3 +1,4 @@
+export * from './crashing_upstreams.js';
 export * from './gateway_cluster.js';
 export * from './initial_configuration.js';
 export * from './raw_request.js';
--- a/testing/hosting/test/crashing_prompts_test.ts
+++ b/testing/hosting/test/crashing_prompts_test.ts
@@ -1,11 +1,12 @@
 import {describe, it} from 'node:test';
-import type {UpstreamStandIn} from '@sardinestile/hosting_stand_ins';
 import {expect} from 'earl';
 import {
   createGatewayCluster,
   createKeyedHeaders,
   ROUTE_PATHS,
   startConnectedGateways,
+  startCrashingUpstreams,
+  type CrashingUpstreams,
   type GatewayCluster,
   type RawResponse,
   type TestGateway,
@@ -20,10 +21,6 @@
 /** Requests with a harmful part that may still reach upstreams after that time. */
 const MAX_LATE_REQUESTS = 3;
 
-/** Times after a crash at which the registration expires and a new upstream starts. */
-const REGISTRATION_EXPIRY_MS = 1_500;
-const RESTART_MS = 1_000;
-
 const HARMFUL_PART = 'bad0bad0';
 
 /** Response of one request of the load. */
@@ -37,18 +34,15 @@
 describe('a prompt part that ends each upstream that begins to answer it', () => {
   it('is kept from the upstreams after a few crashes, and what shares its other parts is served', async () => {
     const cluster = await createGatewayCluster(0);
-    let upstreams: UpstreamStandIn[] = [];
+    const upstreams = await startUpstreams(cluster);
     try {
-      upstreams = await startCrashingUpstreams(cluster, 5);
       const gateways = await startConnectedGateways(cluster, 4);
       const endMs = performance.now() + 9_000;
       const results = await sendLoad(gateways, endMs);
-      const crashTimesMs = upstreams
-        .flatMap(({crashedAtMs}) => crashedAtMs ?? [])
-        .sort((a, b) => a - b);
-      const fifthMs = crashTimesMs[CRASHES_BEFORE_STOP - 1] ?? Infinity;
+      const fifthMs =
+        upstreams.crashTimesMs()[CRASHES_BEFORE_STOP - 1] ?? Infinity;
       const late = upstreams
-        .flatMap(({received}) => received)
+        .received()
         .filter(isHarmful)
         .filter(({receivedAtMs}) => receivedAtMs > fifthMs + CONTACT_MS);
       expect(late.length <= MAX_LATE_REQUESTS).toEqual(true);
@@ -76,15 +70,14 @@
         ),
       ).toEqual(true);
     } finally {
-      await stopCrashing(cluster, upstreams);
+      await upstreams.close();
     }
   });
 
   it('is found if the responses look complete, since they end with their connections', async () => {
     const cluster = await createGatewayCluster(0);
-    let upstreams: UpstreamStandIn[] = [];
+    const upstreams = await startUpstreams(cluster, true);
     try {
-      upstreams = await startCrashingUpstreams(cluster, 5, true);
       const gateways = await startConnectedGateways(cluster, 2);
       await sendLoad(gateways, performance.now() + 5_000);
       for (const gateway of gateways) {
@@ -98,19 +91,18 @@
         );
       }
     } finally {
-      await stopCrashing(cluster, upstreams);
+      await upstreams.close();
     }
   });
 
   it('is still kept from the upstreams after all gateways were replaced', async () => {
     const cluster = await createGatewayCluster(0);
-    let upstreams: UpstreamStandIn[] = [];
+    const upstreams = await startUpstreams(cluster);
     try {
-      upstreams = await startCrashingUpstreams(cluster, 5);
       const gateways = await startConnectedGateways(cluster, 2);
       await sendLoad(gateways, performance.now() + 4_000);
       await Promise.all(gateways.map(({handle}) => handle.close()));
-      const crashes = countCrashes(upstreams);
+      const crashes = upstreams.crashTimesMs().length;
       expect(crashes > 0).toEqual(true);
       const successor = await cluster.startGateway();
       const results = await sendLoad([successor], performance.now() + 2_000);
@@ -119,51 +111,23 @@
       expect(harmful.every(({response}) => response.status === 503)).toEqual(
         true,
       );
-      expect(countCrashes(upstreams)).toEqual(crashes);
+      expect(upstreams.crashTimesMs().length).toEqual(crashes);
     } finally {
-      await stopCrashing(cluster, upstreams);
+      await upstreams.close();
     }
   });
 });
 
-/** Starts upstreams that crash on the harmful part and are replaced after a crash. */
-async function startCrashingUpstreams(
+/** Starts upstreams that crash on the harmful part. */
+function startUpstreams(
   cluster: GatewayCluster,
-  count: number,
   isUnframed = false,
-): Promise<UpstreamStandIn[]> {
-  const all: UpstreamStandIn[] = [];
-  const start = async () => {
-    const upstream = await cluster.addUpstream(`u${all.length + 1}`);
-    all.push(upstream);
-    upstream.chooseBehaviour = request =>
-      isHarmful(request)
-        ? {kind: 'crash', afterMs: 60, isUnframed}
-        : {kind: 'stream', events: 4, gapMs: 20};
-    upstream.onCrash = () => {
-      setTimeout(
-        () => cluster.store.remove('servers', upstream.id),
-        REGISTRATION_EXPIRY_MS,
-      );
-      setTimeout(() => void start(), RESTART_MS);
-    };
-  };
-  for (let i = 0; i < count; i++) await start();
-  return all;
-}
-
-function countCrashes(upstreams: readonly UpstreamStandIn[]): number {
-  return upstreams.filter(({crashedAtMs}) => crashedAtMs !== undefined).length;
-}
-
-/** Closes the cluster after the last replacement of an upstream. */
-async function stopCrashing(
-  cluster: GatewayCluster,
-  upstreams: readonly UpstreamStandIn[],
-): Promise<void> {
-  for (const upstream of upstreams) upstream.onCrash = () => undefined;
-  await new Promise(resolve => setTimeout(resolve, RESTART_MS));
-  await cluster.close();
+): Promise<CrashingUpstreams> {
+  return startCrashingUpstreams(cluster, 5, request =>
+    isHarmful(request)
+      ? {kind: 'crash', afterMs: 60, isUnframed}
+      : {kind: 'stream', events: 4, gapMs: 20},
+  );
 }
 
 /** Sends sound requests, and harmful ones that share their key and first part, to all gateways. */
