--- a/routing/quarantine/test/quarantine_test.ts
+++ b/routing/quarantine/test/quarantine_test.ts
@@ -1,4 +1,5 @@
 import {beforeEach, describe, it} from 'node:test';
+import {itOrKnownRed} from '@sardinestile/known_red';
 import {expect} from 'earl';
 import {
   createQuarantine,
@@ -128,6 +129,16 @@
       expect(isRefused('unlucky')).toEqual(false);
     });
 
+    itOrKnownRed(
+      'blames a harmful part beside one that met more of many crashes by chance',
+      () => {
+        for (let i = 0; i < 16; i++) crash(i % 4 === 0 ? 'unlucky' : `p${i}`);
+        for (let i = 0; i < 3; i++) crash('bad');
+        expect(isRefused('unlucky')).toEqual(false);
+        expect(isRefused('bad')).toEqual(true);
+      },
+    );
+
     it('does not blame parts that were lost together with a harmful one', () => {
       for (let i = 0; i < 6; i++) crash('bad', ...(i > 1 ? ['rare'] : []));
       expect(isRefused('bad')).toEqual(true);
