--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -69,6 +69,8 @@
     requestId: string;
     attempt: number;
     upstream: string;
+    /** Software version of the upstream. */
+    softwareVersion?: string;
     isFreshConnection: boolean;
     /** Time for which the connection was idle before the attempt. */
     restedMs: number;
@@ -85,6 +87,8 @@
     errorRate: number;
     /** Id of the last event that the caller has; the stream resumes after it. */
     resumeAfter?: number;
+    /** Request that brought the first event of the stream that the caller resumes. */
+    resumedRequest?: string;
   };
   attempt_ended: {
     requestId: string;
--- a/core/ports/src/header_codec.ts
+++ b/core/ports/src/header_codec.ts
@@ -18,6 +18,11 @@
   key: string | undefined;
   /** Id of the last event that the caller has; a resumed stream continues after it. */
   lastEventId: number | undefined;
+  /**
+   * Id of the request that brought the first event of the stream that the caller
+   * resumes; absent if it resumes none.
+   */
+  resumedRequestId: string | undefined;
   promptTokens: number;
   /** Parts of the prompt in order; the last one belongs to this request only. */
   promptParts: PromptPart[];
--- a/daemons/gateway/src/call_records.ts
+++ b/daemons/gateway/src/call_records.ts
@@ -50,6 +50,7 @@
     requestId: call.requestId,
     attempt: call.attempts,
     upstream: upstream.id,
+    softwareVersion: upstream.softwareVersion,
     isFreshConnection: connection.isFresh,
     restedMs: Math.round(connection.idleMs),
     unreadTokens: placement.uncachedTokens,
@@ -59,7 +60,8 @@
     running: state.running,
     slowness: roundToHundredths(health.slowness),
     errorRate: roundToHundredths(health.errorRate(startedAtMs)),
-    resumeAfter: call.attempts > 1 ? call.lastEventId : undefined,
+    resumeAfter: call.lastEventId,
+    resumedRequest: call.requestMetadata.resumedRequestId,
   });
 }
 
--- a/routing/fleet/src/fleet_types.ts
+++ b/routing/fleet/src/fleet_types.ts
@@ -22,6 +22,11 @@
    * Wall-clock time of its start, as a Unix time in milliseconds; 0 if unknown.
    */
   startedAtWallMs: z.number(),
+  /**
+   * Version of its software; absent if it is unknown. Versions are equal or not, they
+   * have no order.
+   */
+  softwareVersion: z.string().optional(),
 });
 
 /** Registration of one upstream. */
--- a/routing/fleet/src/membership.ts
+++ b/routing/fleet/src/membership.ts
@@ -138,7 +138,8 @@
         previous?.address === record.address &&
         previous.isLeaving === record.isLeaving &&
         previous.service === record.service &&
-        previous.startedAtWallMs === record.startedAtWallMs;
+        previous.startedAtWallMs === record.startedAtWallMs &&
+        previous.softwareVersion === record.softwareVersion;
       if (!isSame) rebuildUsable();
     },
     remove(id, nowMs) {
