--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -92,6 +92,8 @@
 export interface UpstreamStandIn {
   id: string;
   readonly address: string;
+  /** Version of its software, which it writes into the events of streams. */
+  softwareVersion: string;
   readonly received: ReceivedRequest[];
   /** Number of connections accepted so far. */
   connections: number;
@@ -158,6 +160,7 @@
   const upstream: UpstreamStandIn = {
     id,
     address: `127.0.0.1:${port}`,
+    softwareVersion: 'v1',
     received,
     connections: 0,
     idleResetMs: Infinity,
@@ -327,7 +330,7 @@
     const timer = setInterval(() => response.write(text), everyMs);
     request.socket.once('close', () => clearInterval(timer));
   },
-  stream(behaviour, {request, response, baseHeaders, entry}) {
+  stream(behaviour, {upstream, request, response, baseHeaders, entry}) {
     const {events, gapMs = 5, breakAfter, silentAfter} = behaviour;
     response.writeHead(200, {
       ...baseHeaders,
@@ -347,7 +350,10 @@
       } else if (id >= events) {
         response.end();
       } else {
-        response.write(`id: ${id}\ndata: event ${id}\n\n`);
+        const {softwareVersion} = upstream;
+        response.write(
+          `event: ${softwareVersion}\nid: ${id}\ndata: event ${id}\n\n`,
+        );
         id++;
         setTimeout(sendNextEvent, gapMs);
       }
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -76,7 +76,11 @@
   readonly store: StoreState;
   readonly duties: DutyStandIn;
   readonly upstreams: UpstreamStandIn[];
-  addUpstream(id: string, service?: string): Promise<UpstreamStandIn>;
+  addUpstream(
+    id: string,
+    service?: string,
+    softwareVersion?: string,
+  ): Promise<UpstreamStandIn>;
   /** Writes the registration row of an upstream to the store. */
   register(upstream: UpstreamStandIn, fields?: Record<string, unknown>): void;
   /** Writes the next version of the configuration and returns its number. */
@@ -104,8 +108,9 @@
     store,
     duties,
     upstreams,
-    async addUpstream(id, service = 'pool') {
+    async addUpstream(id, service = 'pool', softwareVersion = 'v1') {
       const upstream = await startUpstreamStandIn(id);
+      upstream.softwareVersion = softwareVersion;
       upstreams.push(upstream);
       closeCallbacks.push(() => upstream.close());
       cluster.register(upstream, {service});
@@ -116,7 +121,7 @@
         service: 'pool',
         address: upstream.address,
         zone: 'a',
-        version: 'v1',
+        version: upstream.softwareVersion,
         slots: 8,
         state: 'ready',
         cold_left_ms: 0,
