fix(gateway): let streams go on only at the software version that began them

Cause: placement of a resume knew the upstreams that were tried and nothing else of the stream; the version in an upstream's record was not read. Class: a continuation that is placed like a new request, without what its beginning has fixed. Ruled out: the version of the first placement (a retry before the first event may go anywhere); announcing beginnings in a message of its own (the ledger already tells the group of each first event); asking the store. Change: the upstream that writes the first event fixes the version. Gateways remember it for their own streams and for those that peers report; for a caller's resume they look up the request that it names, ask two gateways of each group, or rely on one version having served for a minute. Otherwise the caller is refused at once, as not run. A stream that goes on is not refused for missing the target of its first event. Why a response broke off is logged. Why it works: nothing is placed without a known version that is equal, and doubt leads to a refusal.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -50,6 +50,8 @@
   log_dropped: {lines: number};
   call_failed: {reason: string};
   call_abandoned: {requestId?: string};
+  /** The response had begun; `reason` says why it did not go on. */
+  call_broken_off: {requestId: string; reason: string};
   call_admitted: {
     requestId: string;
     route: string;
--- a/daemons/gateway/src/call.ts
+++ b/daemons/gateway/src/call.ts
@@ -36,6 +36,11 @@
   /** Id of the last event that the caller received. */
   lastEventId: number | undefined;
   firstEventAtMs: number | undefined;
+  /**
+   * Software version that began the stream, and has to go on with it; undefined before
+   * the first event, and if it is unknown.
+   */
+  streamVersion: string | undefined;
   hasCallerDisconnected: boolean;
   /** Interrupts the running attempt when the caller disconnects or the deadline passes. */
   onInterrupt: ((reason: InterruptReason) => void) | undefined;
--- /dev/null
+++ b/daemons/gateway/src/continue_stream.ts
@@ -0,0 +1,74 @@
+import type {Call, InterruptReason} from './call.js';
+import {endInterrupted} from './finish_call.js';
+import type {GatewayContext} from './gateway_context.js';
+import {refuse} from './refuse.js';
+
+/** Retry delay for callers whose stream has no upstream of its version, in milliseconds. */
+const VERSION_RETRY_AFTER_MS = 1_000;
+
+/**
+ * Finds the software version at which a stream that the caller takes up has to go on.
+ * Returns whether the call may be placed; otherwise it has been answered.
+ */
+export async function prepareContinuation(
+  context: GatewayContext,
+  call: Call,
+): Promise<boolean> {
+  const {lastEventId, resumedRequestId} = call.requestMetadata;
+  if (call.route.kind !== 'stream' || lastEventId === undefined) return true;
+  const interrupted = new Promise<InterruptReason>(resolve => {
+    call.onInterrupt = resolve;
+  });
+  const found = context.continuations
+    .findVersion({requestId: resumedRequestId, service: call.service})
+    .then(softwareVersion => ({softwareVersion}));
+  const result = await Promise.race([found, interrupted]);
+  call.onInterrupt = undefined;
+  if (typeof result === 'string') {
+    endInterrupted(context, call, result);
+    return false;
+  }
+  call.streamVersion = result.softwareVersion;
+  if (call.streamVersion !== undefined) return true;
+  recordRefusal(context, call, 'versionUnknown');
+  refuse(context, call, 'streamVersionUnknown', {
+    retryAfterMs: VERSION_RETRY_AFTER_MS,
+    reason: `no gateway knows which software version began the stream of ${resumedRequestId ?? 'an unnamed request'}`,
+  });
+  return false;
+}
+
+/**
+ * Refuses a call that has not run if no upstream of the version that began its stream
+ * takes it. Returns whether it did.
+ */
+export function refuseIfVersionUnavailable(
+  context: GatewayContext,
+  call: Call,
+): boolean {
+  const {streamVersion, service} = call;
+  const isAnswerable = !call.mayHaveRun && !call.response.headersSent;
+  if (streamVersion === undefined || !isAnswerable) return false;
+  recordRefusal(context, call, 'versionUnavailable');
+  refuse(context, call, 'streamVersionUnavailable', {
+    retryAfterMs: VERSION_RETRY_AFTER_MS,
+    reason: `no upstream of ${service} with software version ${streamVersion} takes the request`,
+  });
+  return true;
+}
+
+/** Whether events of the stream came from an upstream whose software version is unknown. */
+export function hasUnknownVersion(call: Call): boolean {
+  return call.firstEventAtMs !== undefined && call.streamVersion === undefined;
+}
+
+function recordRefusal(
+  {metrics}: GatewayContext,
+  {service}: Call,
+  reason: 'versionUnknown' | 'versionUnavailable',
+): void {
+  metrics.increment('sardinestile_streams_not_continued_total', {
+    service,
+    reason,
+  });
+}
--- a/daemons/gateway/src/finish_call.ts
+++ b/daemons/gateway/src/finish_call.ts
@@ -15,6 +15,7 @@
 ): void {
   const {response} = call;
   if (response.headersSent) {
+    context.logger.info('call_broken_off', {requestId: call.requestId, reason});
     breakOff(response);
     return;
   }
--- a/daemons/gateway/src/fleet_reporter.ts
+++ b/daemons/gateway/src/fleet_reporter.ts
@@ -1,3 +1,4 @@
+import type {StreamOrigins} from '@sardinestile/continuation';
 import type {UpstreamFleet, PlacedRequest} from '@sardinestile/fleet';
 import type {LedgerLink, LedgerUpdate} from '@sardinestile/ledger';
 import type {EvidenceItem} from '@sardinestile/quarantine';
@@ -34,6 +35,8 @@
   fleet: UpstreamFleet;
   link: LedgerLink;
   clock: Clock;
+  /** Receives which software versions began the streams of peers. */
+  streamOrigins: () => StreamOrigins;
   /** Receives evidence about prompt parts and requests from a peer. */
   onEvidence: (item: EvidenceItem) => void;
 }
@@ -55,8 +58,12 @@
   const handlers: PeerUpdateHandlers = {
     placed: (peer, {promptParts, ...event}) =>
       fleet.recordPlacement(peer, {...event, promptParts}, clock.monotonicMs()),
-    firstEvent: (_peer, {upstreamId, requestId}) =>
-      fleet.recordFirstEvent(upstreamId, requestId, clock.monotonicMs()),
+    firstEvent(_peer, {upstreamId, requestId}) {
+      const nowMs = clock.monotonicMs();
+      fleet.recordFirstEvent(upstreamId, requestId, nowMs);
+      const version = fleet.membership.get(upstreamId)?.softwareVersion;
+      options.streamOrigins().record(requestId, version, nowMs);
+    },
     leaving: (_peer, {upstreamId, startedAtWallMs}) =>
       void fleet.membership.markLeaving({id: upstreamId, startedAtWallMs}),
     limit: (_peer, {upstreamId, startedAtWallMs, limitPerS}) =>
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
   type SharedQuarantine,
 } from './shared_quarantine.js';
 import {createSharedUpstreams} from './shared_upstreams.js';
+import {createStreamContinuations} from './stream_continuations.js';
 import {breakOff} from './response_framing.js';
 import {serveCall} from './serve_call.js';
 import {chooseStoreReader} from './store_reader.js';
@@ -149,6 +150,7 @@
     fleet,
     link,
     clock,
+    streamOrigins: () => continuations.origins,
     onEvidence: item => sharedQuarantine.recordFromPeer(item),
   });
   const gateways = createGatewayCount();
@@ -162,6 +164,7 @@
     logger,
   });
   let groupPeers: readonly RegisteredGateway[] | undefined;
+  let registeredGateways: readonly RegisteredGateway[] = [];
   let registeredNames: readonly string[] = [instance];
   const registry = startPeerRegistry({
     instance,
@@ -176,6 +179,7 @@
     onGateways(registered) {
       const names = registered.map(gateway => gateway.instance);
       registeredNames = names;
+      registeredGateways = registered;
       const group = assignGroup(instance, names);
       const ownGroup = selectGroup(registered, peer => peer.instance, group);
       gateways.observe(registered.length, ownGroup.length);
@@ -190,6 +194,15 @@
       groupPeers = ownGroup.filter(peer => peer.instance !== instance);
     },
   });
+  const continuations = createStreamContinuations({
+    instance,
+    membership: fleet.membership,
+    upstreamsAgeMs: () => upstreams.ageMs(),
+    maxUpstreamsAgeMs: options.drainLimitMs,
+    registeredGateways: () => registeredGateways,
+    fetchStreamVersion: peerClient.fetchStreamVersion,
+    clock,
+  });
   const peerAdjustedTimeMs = createPeerAdjustedTime(slewedTimeMs, () =>
     link.livePeers().map(({clockOffsetMs}) => clockOffsetMs),
   );
@@ -259,6 +272,7 @@
     get crashWatch() {
       return crashWatch;
     },
+    continuations,
     fleetTimeMs: peerAdjustedTimeMs,
     gateways,
     configAgeMs: () => config.ageMs(),
@@ -305,6 +319,10 @@
       config.getConfirmedConfig(haveVersion, waitMs),
     getUpstreamChanges: (since, waitMs) =>
       sharedUpstreams.getUpstreamChanges(since, waitMs),
+    getStreamVersion(requestId, service) {
+      const softwareVersion = continuations.knownVersion({requestId, service});
+      return softwareVersion === undefined ? undefined : {softwareVersion};
+    },
     getCachedParts: () => cacheRecovery.getCachedParts(),
     applyCachedParts: cached => cacheRecovery.applyCachedParts(cached),
     async storeUsage(relayed) {
@@ -349,6 +367,7 @@
       config.askAllPeers();
     }
     pauseDetector.check();
+    continuations.observeVersions();
     sharedQuarantine.quarantine.evaluate();
     config.askPeersIfStale();
     upstreams.removeExpired();
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -12,6 +12,7 @@
 import type {ServiceTimeAverages} from './service_time_averages.js';
 import type {GatewayCount} from './gateway_count.js';
 import type {FleetReporter} from './fleet_reporter.js';
+import type {StreamContinuations} from './stream_continuations.js';
 
 /** State of the lease for the duties that one gateway does for the fleet. */
 export interface DutyState {
@@ -36,6 +37,8 @@
   /** Prompt parts and requests that crash upstreams. */
   quarantine: Quarantine;
   crashWatch: CrashWatch;
+  /** Software versions at which streams have to go on. */
+  continuations: StreamContinuations;
   /** Unix time in milliseconds on which the gateways agree. */
   fleetTimeMs: () => number;
   /** Numbers of gateways among which fleet-wide limits are divided. */
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -49,6 +49,10 @@
       states.reduce((total, state) => total + value(state), 0);
     const labels = {service: name};
     metrics.setGauge('sardinestile_upstreams', labels, records.length);
+    const versions = new Set(
+      records.map(({softwareVersion}) => softwareVersion),
+    );
+    metrics.setGauge('sardinestile_software_versions', labels, versions.size);
     metrics.setGauge(
       'sardinestile_upstreams_limited',
       labels,
--- a/daemons/gateway/src/refuse.ts
+++ b/daemons/gateway/src/refuse.ts
@@ -36,6 +36,14 @@
     status: 503,
     message: 'upstreams crashed under equal requests',
   },
+  streamVersionUnknown: {
+    status: 503,
+    message: 'it is not known which software version began the stream',
+  },
+  streamVersionUnavailable: {
+    status: 503,
+    message: 'no upstream with the software version that began the stream',
+  },
   notTaken: {status: 503, message: 'no upstream took the request'},
   upstreamFailed: {
     status: 502,
--- a/daemons/gateway/src/run_attempt.ts
+++ b/daemons/gateway/src/run_attempt.ts
@@ -52,7 +52,7 @@
       ? await relayStream(context, call, prepared, {
           onFirstEvent(nowMs) {
             firstEventMs = nowMs - startedAtMs;
-            call.firstEventAtMs ??= nowMs;
+            recordStreamStart(context, call, placement, nowMs);
             reporter.recordFirstEvent(upstreamId, requestId, nowMs);
             countUsage(context, call);
           },
@@ -100,6 +100,19 @@
   return outcome;
 }
 
+/** Records which software version began the stream, when its first event arrives. */
+function recordStreamStart(
+  {continuations}: GatewayContext,
+  call: Call,
+  {upstream: {softwareVersion}}: Placement,
+  nowMs: number,
+): void {
+  if (call.firstEventAtMs !== undefined) return;
+  call.firstEventAtMs = nowMs;
+  call.streamVersion ??= softwareVersion;
+  continuations.origins.record(call.requestId, call.streamVersion, nowMs);
+}
+
 /** Whether the upstream had closed the connection while it was idle. */
 function wasConnectionStale(
   outcome: AttemptOutcome,
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -9,6 +9,11 @@
 import type {RouteKind} from '@sardinestile/route_table';
 import {MIN_FAILURE_STATUS, type BufferedResponse, type Call} from './call.js';
 import {connectionShare} from './connection_share.js';
+import {
+  hasUnknownVersion,
+  prepareContinuation,
+  refuseIfVersionUnavailable,
+} from './continue_stream.js';
 import {endInterrupted, finishCall} from './finish_call.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
@@ -48,6 +53,7 @@
   const {clock, retryBudgets} = context;
   const retryBudget = retryBudgets.of(call.service);
   retryBudget.recordRequest(clock.monotonicMs());
+  if (!(await prepareContinuation(context, call))) return;
   let heldResponse: BufferedResponse | undefined;
   let reason = 'the service has no usable upstream';
   for (;;) {
@@ -60,7 +66,10 @@
     }
     if (call.attempts > 0) {
       const blocker = findRetryBlocker(context, call, nowMs);
-      if (blocker !== undefined) break;
+      if (blocker !== undefined) {
+        reason = `${reason}; not retried, as ${blocker}`;
+        break;
+      }
       if (!retryBudget.tryTakeRetry(nowMs)) {
         reason = `${reason}; the retry budget is exhausted`;
         break;
@@ -69,6 +78,8 @@
     const placement = choosePlacement(context, call, nowMs);
     if (!placement) {
       if (refuseIfPaused(context, call, nowMs)) return;
+      if (refuseIfVersionUnavailable(context, call)) return;
+      reason = `${reason}; no other upstream takes the request`;
       break;
     }
     if (call.attempts === 0) {
@@ -112,6 +123,9 @@
   if (call.mayHaveRun && quarantine.isSuspected(call.profile)) {
     return 'it, or a part of its prompt, may have crashed upstreams';
   }
+  if (hasUnknownVersion(call)) {
+    return 'the software version that began the stream is unknown';
+  }
   if (call.attempts >= maxAttempts) return 'the route allows no more attempts';
   return nowMs >= call.routeDeadlineAtMs
     ? 'the deadline of the route has passed'
@@ -129,6 +143,7 @@
     targetLatencyMs: route.targetLatencyMs,
     targetGapMs: route.targetGapMs,
     triedUpstreamIds: triedUpstreamIds,
+    softwareVersion: call.streamVersion,
   };
   return placeRequest(context.fleet, request, nowMs);
 }
@@ -140,6 +155,11 @@
   nowMs: number,
 ) {
   const serviceTimeMs = expectedFirstEventMs - expectedWaitMs;
+  const timeLeftMs =
+    Math.min(call.routeDeadlineAtMs, call.callerDeadlineAtMs) - nowMs;
+  // A stream that goes on is past the target for its first event.
+  const targetLatencyMs =
+    call.streamVersion === undefined ? call.route.targetLatencyMs : timeLeftMs;
   return decideAdmission({
     waitMs: expectedWaitMs,
     serviceTimeMs,
@@ -147,9 +167,8 @@
       call.route.name,
       serviceTimeMs,
     ),
-    targetLatencyMs: call.route.targetLatencyMs,
-    timeLeftMs:
-      Math.min(call.routeDeadlineAtMs, call.callerDeadlineAtMs) - nowMs,
+    targetLatencyMs,
+    timeLeftMs,
   });
 }
 
--- a/daemons/gateway/src/serve_call.ts
+++ b/daemons/gateway/src/serve_call.ts
@@ -105,6 +105,7 @@
     isUsageCounted: false,
     lastEventId: requestMetadata.lastEventId,
     firstEventAtMs: undefined,
+    streamVersion: undefined,
     hasCallerDisconnected: false,
     onInterrupt: undefined,
   };
--- /dev/null
+++ b/daemons/gateway/src/stream_continuations.ts
@@ -0,0 +1,135 @@
+import {
+  createStreamOrigins,
+  createVersionHistory,
+  type StreamOrigins,
+} from '@sardinestile/continuation';
+import {divideIntoGroups, type Membership} from '@sardinestile/fleet';
+import type {PeerClient, StreamVersion} from '@sardinestile/peer';
+import type {Clock} from '@sardinestile/types';
+import type {RegisteredGateway} from './peer_registry.js';
+
+/** Interval at which the versions of the upstreams are observed, in milliseconds. */
+const OBSERVATION_INTERVAL_MS = 1_000;
+
+/**
+ * Time for the peers' answers, in milliseconds; a live peer answers in much less, a
+ * lost one not at all.
+ */
+const PEER_ANSWER_LIMIT_MS = 150;
+
+/**
+ * Gateways of each group that are asked. Every gateway of a group is told of the
+ * streams that the others begin; the first one asked may be lost.
+ */
+const ASKED_PER_GROUP = 2;
+
+/** A stream that a caller takes up. */
+export interface TakenUpStream {
+  /** Request that brought its first event; absent if the caller names none. */
+  requestId: string | undefined;
+  service: string;
+}
+
+/** Options for `createStreamContinuations`. */
+export interface StreamContinuationsOptions {
+  instance: string;
+  membership: Membership;
+  /** Upper bound of the age of the list of upstreams, in milliseconds. */
+  upstreamsAgeMs: () => number;
+  /** Greatest age at which the list counts as up to date, in milliseconds. */
+  maxUpstreamsAgeMs: number;
+  /** All registered gateways of the fleet. */
+  registeredGateways: () => readonly RegisteredGateway[];
+  fetchStreamVersion: PeerClient['fetchStreamVersion'];
+  clock: Clock;
+}
+
+/** Knowledge of the software versions at which streams have to go on. */
+export interface StreamContinuations {
+  readonly origins: StreamOrigins;
+  /** Returns the version at which a stream has to go on, as far as this gateway knows. */
+  knownVersion(stream: TakenUpStream): string | undefined;
+  /** Returns that version, asking other gateways if this one does not know it. */
+  findVersion(stream: TakenUpStream): Promise<string | undefined>;
+  /** Observes which versions serve; called at short intervals. */
+  observeVersions(): void;
+}
+
+/** Creates the knowledge of a gateway that has just started. */
+export function createStreamContinuations(
+  options: StreamContinuationsOptions,
+): StreamContinuations {
+  const {instance, membership, clock} = options;
+  const origins = createStreamOrigins();
+  const history = createVersionHistory();
+  let observedAtMs = -Infinity;
+
+  const observeNow = () => {
+    if (options.upstreamsAgeMs() > options.maxUpstreamsAgeMs) return;
+    observedAtMs = clock.monotonicMs();
+    history.observe(membership.all(), observedAtMs);
+  };
+  /** Returns the version of all registered upstreams of a service, if it is one. */
+  const currentVersion = (service: string) => {
+    const versions = new Set(
+      membership
+        .all()
+        .filter(upstream => upstream.service === service)
+        .map(({softwareVersion}) => softwareVersion),
+    );
+    return versions.size === 1 ? [...versions][0] : undefined;
+  };
+  const knownVersion = ({requestId, service}: TakenUpStream) => {
+    // A caller that names no request may have begun the stream anywhere.
+    if (requestId === undefined) return currentVersion(service);
+    const nowMs = clock.monotonicMs();
+    const origin = origins.versionOf(requestId, nowMs);
+    if (origin !== undefined) return origin;
+    observeNow();
+    return history.onlyVersion(service, nowMs);
+  };
+  const chooseGateways = () => {
+    const gateways = options.registeredGateways();
+    return divideIntoGroups(gateways, gateway => gateway.instance).flatMap(
+      group =>
+        shuffle(group.filter(gateway => gateway.instance !== instance)).slice(
+          0,
+          ASKED_PER_GROUP,
+        ),
+    );
+  };
+  const askGateways = async (stream: {requestId: string; service: string}) => {
+    const answers = chooseGateways().map(({address: {host, port}}) =>
+      options.fetchStreamVersion(`${host}:${port}`, stream),
+    );
+    const limit = new Promise<undefined>(resolve =>
+      setTimeout(() => resolve(undefined), PEER_ANSWER_LIMIT_MS),
+    );
+    // Gateways that are lost, or know no more than this one, are the usual case.
+    const answered: Promise<StreamVersion | undefined> = Promise.any(
+      answers,
+    ).catch(() => undefined);
+    return (await Promise.race([answered, limit]))?.softwareVersion;
+  };
+  return {
+    origins,
+    knownVersion,
+    async findVersion(stream) {
+      const {requestId, service} = stream;
+      const known = knownVersion(stream);
+      if (known !== undefined || requestId === undefined) return known;
+      return askGateways({requestId, service});
+    },
+    observeVersions() {
+      const sinceMs = clock.monotonicMs() - observedAtMs;
+      if (sinceMs >= OBSERVATION_INTERVAL_MS) observeNow();
+    },
+  };
+}
+
+function shuffle<T>(items: readonly T[]): T[] {
+  return items
+    .map(item => ({item, order: Math.random()}))
+    .sort((a, b) => a.order - b.order)
+    .map(({item}) => item);
+}
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -8,12 +8,15 @@
   CONFIG_PATH,
   confirmedConfigSchema,
   FLEET_HEADER,
+  STREAM_VERSION_PATH,
+  streamVersionSchema,
   upstreamChangesSchema,
   UPSTREAMS_PATH,
   USAGE_PATH,
   type CachedParts,
   type ConfirmedConfig,
   type RelayedUsage,
+  type StreamVersion,
   type UpstreamChanges,
 } from './peer_messages.js';
 
@@ -57,6 +60,14 @@
   ): Promise<UpstreamChanges>;
   /** Fetches the cached prompt parts that the peer knows. */
   fetchCachedParts(address: string): Promise<CachedParts>;
+  /**
+   * Fetches the software version at which the stream that a request began has to go
+   * on; rejects if the peer does not know it.
+   */
+  fetchStreamVersion(
+    address: string,
+    stream: {requestId: string; service: string},
+  ): Promise<StreamVersion>;
   /** Tells the peer which prompt parts engines have in their caches. */
   sendCachedParts(address: string, cached: CachedParts): Promise<void>;
   close(): Promise<void>;
@@ -144,6 +155,11 @@
     },
     fetchCachedParts: async address =>
       cachedPartsSchema.parse(await call('GET', address, CACHED_PARTS_PATH)),
+    async fetchStreamVersion(address, {requestId, service}) {
+      const query = new URLSearchParams({request: requestId, service});
+      const path = `${STREAM_VERSION_PATH}?${query}`;
+      return streamVersionSchema.parse(await call('GET', address, path));
+    },
     async sendCachedParts(address, cached) {
       await call('POST', address, CACHED_PARTS_PATH, {body: cached});
     },
--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -92,6 +92,12 @@
 /** Prompt parts that engines have in their caches, as a gateway knows them. */
 export type CachedParts = z.infer<typeof cachedPartsSchema>;
 
+/** Software version at which a stream has to go on, as a gateway knows it. */
+export const streamVersionSchema = z.object({softwareVersion: z.string()});
+
+/** Software version at which a stream has to go on, as a gateway knows it. */
+export type StreamVersion = z.infer<typeof streamVersionSchema>;
+
 /**
  * Header with the requester's fleet; checked because an address may be
  * reassigned to another fleet.
@@ -113,5 +119,8 @@
 /** Path that returns the cached prompt parts by GET and accepts some by POST. */
 export const CACHED_PARTS_PATH = '/peer/cached-parts';
 
+/** Path that returns the version of a stream; `?request=ID&service=NAME`. */
+export const STREAM_VERSION_PATH = '/peer/stream-version';
+
 /** Path that accepts usage counts by POST. */
 export const USAGE_PATH = '/peer/usage';
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -10,11 +10,13 @@
   CONFIG_PATH,
   FLEET_HEADER,
   relayedUsageSchema,
+  STREAM_VERSION_PATH,
   UPSTREAMS_PATH,
   USAGE_PATH,
   type CachedParts,
   type ConfirmedConfig,
   type RelayedUsage,
+  type StreamVersion,
   type UpstreamChanges,
 } from './peer_messages.js';
 
@@ -43,6 +45,11 @@
     since: LogPosition | undefined,
     waitMs: number,
   ) => Promise<UpstreamChanges | undefined>;
+  /** Returns the software version of a stream; undefined if this gateway does not know it. */
+  getStreamVersion: (
+    requestId: string,
+    service: string,
+  ) => StreamVersion | undefined;
   /** Returns the cached prompt parts; undefined if this gateway knows too little. */
   getCachedParts: () => CachedParts | undefined;
   /** Takes over cached prompt parts that another gateway has read. */
@@ -79,6 +86,12 @@
     async [`GET ${CACHED_PARTS_PATH}`]() {
       return options.getCachedParts();
     },
+    async [`GET ${STREAM_VERSION_PATH}`]({searchParams}) {
+      return options.getStreamVersion(
+        searchParams.get('request') ?? '',
+        searchParams.get('service') ?? '',
+      );
+    },
     async [`POST ${CACHED_PARTS_PATH}`](_url, request) {
       options.applyCachedParts(
         cachedPartsSchema.parse(await readJson(request)),
--- /dev/null
+++ b/routing/continuation/src/index.ts
@@ -0,0 +1,2 @@
+export * from './stream_origins.js';
+export * from './version_history.js';
--- /dev/null
+++ b/routing/continuation/test/version_history_test.ts
@@ -0,0 +1,78 @@
+import {beforeEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  createStreamOrigins,
+  createVersionHistory,
+  STREAM_LIFETIME_MS,
+  type VersionHistory,
+} from '../src/index.js';
+
+const STEP_MS = 1_000;
+
+describe('createVersionHistory', () => {
+  let history: VersionHistory;
+  let nowMs: number;
+  beforeEach(() => {
+    history = createVersionHistory();
+    nowMs = 5_000;
+  });
+  /** Observes upstreams of the service `pool` with these versions, once a second. */
+  const observeFor = (
+    durationMs: number,
+    ...versions: Array<string | undefined>
+  ) => {
+    for (const endMs = nowMs + durationMs; nowMs < endMs; nowMs += STEP_MS) {
+      history.observe(
+        versions.map(softwareVersion => ({service: 'pool', softwareVersion})),
+        nowMs,
+      );
+    }
+  };
+  const onlyVersion = () => history.onlyVersion('pool', nowMs);
+
+  it('is sure of the only version after the lifetime of a stream', () => {
+    observeFor(STREAM_LIFETIME_MS - STEP_MS, 'v1', 'v1');
+    expect(onlyVersion()).toEqual(undefined);
+    observeFor(2 * STEP_MS, 'v1');
+    expect(onlyVersion()).toEqual('v1');
+  });
+
+  it('is not sure while two versions serve, nor for the lifetime of a stream afterwards', () => {
+    observeFor(STREAM_LIFETIME_MS, 'v1');
+    observeFor(STEP_MS, 'v1', 'v2');
+    expect(onlyVersion()).toEqual(undefined);
+    observeFor(STREAM_LIFETIME_MS, 'v2');
+    expect(onlyVersion()).toEqual(undefined);
+    observeFor(2 * STEP_MS, 'v2');
+    expect(onlyVersion()).toEqual('v2');
+  });
+
+  it('is not sure after a time without observations', () => {
+    observeFor(2 * STREAM_LIFETIME_MS, 'v1');
+    nowMs += 10_000;
+    expect(onlyVersion()).toEqual(undefined);
+    observeFor(STEP_MS, 'v1');
+    expect(onlyVersion()).toEqual(undefined);
+  });
+
+  it('is not sure of upstreams that state no version', () => {
+    observeFor(2 * STREAM_LIFETIME_MS, undefined);
+    expect(onlyVersion()).toEqual(undefined);
+    observeFor(2 * STREAM_LIFETIME_MS, 'v1', undefined);
+    expect(onlyVersion()).toEqual(undefined);
+  });
+});
+
+describe('createStreamOrigins', () => {
+  it('keeps the version that wrote the first event, for the lifetime of a stream', () => {
+    const beganAtMs = 1;
+    const origins = createStreamOrigins();
+    origins.record('r', undefined, beganAtMs);
+    origins.record('r', 'v1', beganAtMs);
+    origins.record('r', 'v2', beganAtMs + 5);
+    expect(origins.versionOf('r', beganAtMs + 10)).toEqual('v1');
+    expect(origins.versionOf('s', beganAtMs + 10)).toEqual(undefined);
+    const lateMs = beganAtMs + STREAM_LIFETIME_MS + 1;
+    expect(origins.versionOf('r', lateMs)).toEqual(undefined);
+  });
+});
--- a/routing/fleet/src/fleet_groups.ts
+++ b/routing/fleet/src/fleet_groups.ts
@@ -35,6 +35,19 @@
   return {index: groupIndexOf(position, all.length, count), count};
 }
 
+/** Divides items with stable names into the groups that `assignGroup` assigns them to. */
+export function divideIntoGroups<T>(
+  items: readonly T[],
+  nameOf: (item: T) => string,
+): T[][] {
+  const count = Math.ceil(items.length / MAX_GROUP_GATEWAYS);
+  const groups: T[][] = Array.from({length: count}, () => []);
+  sortByHash(items, nameOf).forEach((item, position) =>
+    groups[groupIndexOf(position, items.length, count)].push(item),
+  );
+  return groups;
+}
+
 /** Returns the items that belong to a group; each item needs a stable name. */
 export function selectGroup<T>(
   items: readonly T[],
--- a/routing/fleet/src/fleet_types.ts
+++ b/routing/fleet/src/fleet_types.ts
@@ -46,6 +46,8 @@
   targetGapMs?: number;
   /** Ids of the upstreams that the request was sent to already. */
   triedUpstreamIds: ReadonlySet<string>;
+  /** Software version that began the stream and has to go on with it; absent for any. */
+  softwareVersion?: string;
 }
 
 /** Request that was placed at an upstream by this gateway or a peer. */
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -118,15 +118,17 @@
 
 /**
  * Returns the upstreams of this gateway's group that the request was not sent
- * to and that take requests; if there are none, those of all groups.
+ * to, that have its software version and that take requests; if there are none, those of all groups.
  */
 function eligibleUpstreams(
   fleet: UpstreamFleet,
-  {service, triedUpstreamIds}: PlacementRequest,
+  {service, triedUpstreamIds, softwareVersion}: PlacementRequest,
   nowMs: number,
 ): UpstreamRecord[] {
   const isEligible = (record: UpstreamRecord) =>
     !triedUpstreamIds.has(record.id) &&
+    (softwareVersion === undefined ||
+      record.softwareVersion === softwareVersion) &&
     waitUntilTakenMs(fleet, record, nowMs) === 0;
   const groupRecords = fleet.upstreamsOf(service).filter(isEligible);
   if (groupRecords.length > 0) return groupRecords;
--- a/testing/hosting/test/stream_versions_test.ts
+++ b/testing/hosting/test/stream_versions_test.ts
@@ -18,6 +18,9 @@
 /** Streams of one load; enough that a random choice among versions mixes some. */
 const STREAMS = 16;
 
+/** Streams that break off at once, which the retry budget of one gateway allows to go on. */
+const BROKEN_STREAMS = 10;
+
 /** Event after which a stream breaks off at its first upstream. */
 const BREAK_AFTER = 3;
 
@@ -123,7 +126,7 @@
         const gateway = await cluster.startGateway();
         breakStreams(cluster.upstreams);
         const responses = await Promise.all(
-          numbersBelow(STREAMS).map(i => begin(gateway, `r${i}`)),
+          numbersBelow(BROKEN_STREAMS).map(i => begin(gateway, `r${i}`)),
         );
         for (const response of responses) {
           expect(eventIds(response)).toEqual(numbersBelow(EVENTS));
