test(gateway): no second upstream for a suspected request, evidence at once

Two mechanisms on which harmful requests lean had no test that fails without them: the check before a gateway's own retry, and the report of an own crash to the peers when it is observed.

--- a/testing/hosting/test/crashing_requests_test.ts
+++ b/testing/hosting/test/crashing_requests_test.ts
@@ -1,9 +1,8 @@
-import {describe} from 'node:test';
+import {describe, it} from 'node:test';
 import type {
   ReceivedRequest,
   UpstreamBehaviour,
 } from '@sardinestile/hosting_stand_ins';
-import {itOrKnownRed} from '@sardinestile/known_red';
 import {expect} from 'earl';
 import {
   createGatewayCluster,
@@ -11,6 +10,7 @@
   ROUTE_PATHS,
   startConnectedGateways,
   startCrashingUpstreams,
+  waitUntil,
   type CrashingUpstreams,
   type RawResponse,
   type TestGateway,
@@ -71,32 +71,54 @@
 
 describe('a request that ends each upstream that runs it', () => {
   for (const [name, harmful] of HARMFUL_REQUESTS) {
-    itOrKnownRed(
-      `reaches upstreams at most three times after three crashes: one ${name}`,
-      async () => {
-        const {upstreams, gateways} = await startFleet([harmful], 4);
-        try {
-          const endMs = performance.now() + 8_000;
-          const results = await sendLoad(gateways, [harmful], endMs);
-          const crashes = upstreams.crashTimesMs().length;
-          expect(crashes >= CRASHES_BEFORE_STOP).toEqual(true);
-          expectFewLateArrivals(upstreams, harmful);
-          const last = results.filter(({sentAtMs}) => sentAtMs > endMs - 2_500);
-          expectServed(last.filter(result => !result.isHarmful));
-          expectRefused(last.filter(result => result.isHarmful));
-          const lines = gateways.flatMap(({logs}) => logs);
-          const quarantines = lines.filter(line =>
-            line.includes('event=request_quarantined'),
-          );
-          expect(quarantines.length).toEqual(gateways.length);
-        } finally {
-          await upstreams.close();
-        }
-      },
-    );
+    it(`reaches upstreams at most three times after three crashes: one ${name}`, async () => {
+      const {upstreams, gateways} = await startFleet([harmful], 4);
+      try {
+        const endMs = performance.now() + 8_000;
+        const results = await sendLoad(gateways, [harmful], endMs);
+        const crashes = upstreams.crashTimesMs().length;
+        expect(crashes >= CRASHES_BEFORE_STOP).toEqual(true);
+        expectFewLateArrivals(upstreams, harmful);
+        const last = results.filter(({sentAtMs}) => sentAtMs > endMs - 2_500);
+        expectServed(last.filter(result => !result.isHarmful));
+        expectRefused(last.filter(result => result.isHarmful));
+        const lines = gateways.flatMap(({logs}) => logs);
+        const quarantines = lines.filter(line =>
+          line.includes('event=request_quarantined'),
+        );
+        expect(quarantines.length).toEqual(gateways.length);
+      } finally {
+        await upstreams.close();
+      }
+    });
   }
 
-  itOrKnownRed('is found beside another one', async () => {
+  it('is sent once by a gateway that knows of two crashes under it', async () => {
+    const {upstreams, gateways} = await startFleet([LOOKUP], 1);
+    const send = (id: string) =>
+      gateways[0].call({
+        method: 'POST',
+        path: LOOKUP.path,
+        headers: createKeyedHeaders(id),
+        body: LOOKUP.body,
+      });
+    try {
+      await send('first');
+      expect(upstreams.received().length).toEqual(2);
+      await waitUntil('both crashes to be noticed', () => {
+        const {logs} = gateways[0];
+        const crashes = logs.filter(line => line.includes('upstream_crashed'));
+        return crashes.length === 2;
+      });
+      const response = await send('second');
+      expect(response.status).toEqual(502);
+      expect(upstreams.received().length).toEqual(3);
+    } finally {
+      await upstreams.close();
+    }
+  });
+
+  it('is found beside another one', async () => {
     const other = {...LOOKUP, body: 'another bad lookup'};
     const {upstreams, gateways} = await startFleet([LOOKUP, other], 4);
     try {
@@ -112,25 +134,22 @@
     }
   });
 
-  itOrKnownRed(
-    'is still kept from the upstreams after all gateways were replaced',
-    async () => {
-      const {cluster, upstreams, gateways} = await startFleet([LOOKUP], 2);
-      try {
-        await sendLoad(gateways, [LOOKUP], performance.now() + 4_000);
-        await Promise.all(gateways.map(({handle}) => handle.close()));
-        const crashes = upstreams.crashTimesMs().length;
-        expect(crashes > 0).toEqual(true);
-        const successor = await cluster.startGateway();
-        const endMs = performance.now() + 2_000;
-        const results = await sendLoad([successor], [LOOKUP], endMs);
-        expectRefused(results.filter(result => result.isHarmful));
-        expect(upstreams.crashTimesMs().length).toEqual(crashes);
-      } finally {
-        await upstreams.close();
-      }
-    },
-  );
+  it('is still kept from the upstreams after all gateways were replaced', async () => {
+    const {cluster, upstreams, gateways} = await startFleet([LOOKUP], 2);
+    try {
+      await sendLoad(gateways, [LOOKUP], performance.now() + 4_000);
+      await Promise.all(gateways.map(({handle}) => handle.close()));
+      const crashes = upstreams.crashTimesMs().length;
+      expect(crashes > 0).toEqual(true);
+      const successor = await cluster.startGateway();
+      const endMs = performance.now() + 2_000;
+      const results = await sendLoad([successor], [LOOKUP], endMs);
+      expectRefused(results.filter(result => result.isHarmful));
+      expect(upstreams.crashTimesMs().length).toEqual(crashes);
+    } finally {
+      await upstreams.close();
+    }
+  });
 });
 
 /** Starts upstreams that crash on the harmful requests, and gateways. */
--- a/testing/hosting/test/stream_versions_test.ts
+++ b/testing/hosting/test/stream_versions_test.ts
@@ -1,6 +1,5 @@
-import {afterEach, beforeEach, describe} from 'node:test';
+import {afterEach, beforeEach, describe, it} from 'node:test';
 import type {UpstreamStandIn} from '@sardinestile/hosting_stand_ins';
-import {itOrKnownRed} from '@sardinestile/known_red';
 import {expect} from 'earl';
 import {
   createGatewayCluster,
@@ -119,44 +118,38 @@
     ['v1', 'v1', 'v2', 'v2', 'v2', 'v2', 'v2'],
     ['v2', 'v2', 'v1', 'v1', 'v3', 'v3'],
   ]) {
-    itOrKnownRed(
-      `goes on within its response at the version that began it: ${versions.join(' ')}`,
-      async () => {
-        await startUpstreams(...versions);
-        const gateway = await cluster.startGateway();
-        breakStreams(cluster.upstreams);
-        const responses = await Promise.all(
-          numbersBelow(BROKEN_STREAMS).map(i => begin(gateway, `r${i}`)),
-        );
-        for (const response of responses) {
-          expect(eventIds(response)).toEqual(numbersBelow(EVENTS));
-          expect(response.isComplete).toEqual(true);
-          expect(versionsOf(response).size).toEqual(1);
-        }
-      },
-    );
-  }
-
-  itOrKnownRed(
-    'breaks off if no other upstream of its version is left',
-    async () => {
-      await startUpstreams('v1', 'v2', 'v2');
+    it(`goes on within its response at the version that began it: ${versions.join(' ')}`, async () => {
+      await startUpstreams(...versions);
       const gateway = await cluster.startGateway();
-      breakStreams(cluster.upstreams.slice(0, 1));
-      for (let i = 0; i < STREAMS; i++) {
-        const response = await begin(gateway, `b${i}`);
+      breakStreams(cluster.upstreams);
+      const responses = await Promise.all(
+        numbersBelow(BROKEN_STREAMS).map(i => begin(gateway, `r${i}`)),
+      );
+      for (const response of responses) {
+        expect(eventIds(response)).toEqual(numbersBelow(EVENTS));
+        expect(response.isComplete).toEqual(true);
         expect(versionsOf(response).size).toEqual(1);
       }
-    },
-  );
+    });
+  }
 
-  itOrKnownRed('goes on at another gateway', async () => {
+  it('breaks off if no other upstream of its version is left', async () => {
+    await startUpstreams('v1', 'v2', 'v2');
+    const gateway = await cluster.startGateway();
+    breakStreams(cluster.upstreams.slice(0, 1));
+    for (let i = 0; i < STREAMS; i++) {
+      const response = await begin(gateway, `b${i}`);
+      expect(versionsOf(response).size).toEqual(1);
+    }
+  });
+
+  it('goes on at another gateway', async () => {
     await startUpstreams('v1', 'v1', 'v2', 'v2');
     const [first, second] = await startConnectedGateways(cluster, 2);
     await expectWhole(second, await loseGateway(first));
   });
 
-  itOrKnownRed('goes on at a gateway that has just started', async () => {
+  it('goes on at a gateway that has just started', async () => {
     await startUpstreams('v1', 'v1', 'v2', 'v2');
     const [first] = await startConnectedGateways(cluster, 2);
     const begun = await loseGateway(first);
@@ -167,40 +160,31 @@
     await expectWhole(successor, begun);
   });
 
-  itOrKnownRed(
-    'is refused as not run when nobody knows which version began it',
-    async () => {
-      await startUpstreams('v1', 'v1', 'v2', 'v2');
-      const first = await cluster.startGateway();
-      const begun = await loseGateway(first);
-      const successor = await cluster.startGateway();
-      for (const {id, broken} of begun) {
-        expectRefused(
-          await takeUp(successor, id, broken),
-          'streamVersionUnknown',
-        );
-      }
-    },
-  );
-
-  itOrKnownRed(
-    'is refused as not run when the last upstream of its version has gone',
-    async () => {
-      await startUpstreams('v1');
-      const [first, second] = await startConnectedGateways(cluster, 2);
-      const [{id, broken}] = await loseGateway(first);
-      await startUpstreams('v2', 'v2');
-      cluster.store.remove('servers', 'u1');
-      await waitUntil('new streams to begin at the other version', async () => {
-        const response = await begin(second, `n${performance.now()}`);
-        return versionsOf(response).has('v2');
-      });
+  it('is refused as not run when nobody knows which version began it', async () => {
+    await startUpstreams('v1', 'v1', 'v2', 'v2');
+    const first = await cluster.startGateway();
+    const begun = await loseGateway(first);
+    const successor = await cluster.startGateway();
+    for (const {id, broken} of begun) {
       expectRefused(
-        await takeUp(second, id, broken),
-        'streamVersionUnavailable',
+        await takeUp(successor, id, broken),
+        'streamVersionUnknown',
       );
-    },
-  );
+    }
+  });
+
+  it('is refused as not run when the last upstream of its version has gone', async () => {
+    await startUpstreams('v1');
+    const [first, second] = await startConnectedGateways(cluster, 2);
+    const [{id, broken}] = await loseGateway(first);
+    await startUpstreams('v2', 'v2');
+    cluster.store.remove('servers', 'u1');
+    await waitUntil('new streams to begin at the other version', async () => {
+      const response = await begin(second, `n${performance.now()}`);
+      return versionsOf(response).has('v2');
+    });
+    expectRefused(await takeUp(second, id, broken), 'streamVersionUnavailable');
+  });
 });
 
 /** Makes each upstream break the first run of each stream after some events. */
