test(soak): draw harmful requests and rolls of software versions as faults

Callers send requests that crash upstreams again and again, and take up streams that broke off; upstreams are replaced by ones of the same or another version. Checked: arrivals after the third crash, streams of two versions, and that streams go on about as often as new ones begin. Bodies of other requests differ now, so that only lookups are equal.

--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -94,6 +94,9 @@
   readonly address: string;
   /** Version of its software, which it writes into the events of streams. */
   softwareVersion: string;
+  /** Times by performance.now() at which it started and was told to leave; Infinity while it stays. */
+  readonly startedAtMs: number;
+  leftAtMs: number;
   readonly received: ReceivedRequest[];
   /** Number of connections accepted so far. */
   connections: number;
@@ -161,6 +164,8 @@
     id,
     address: `127.0.0.1:${port}`,
     softwareVersion: 'v1',
+    startedAtMs: performance.now(),
+    leftAtMs: Infinity,
     received,
     connections: 0,
     idleResetMs: Infinity,
--- a/testing/soak/src/faults.ts
+++ b/testing/soak/src/faults.ts
@@ -6,11 +6,18 @@
 import {SOAK_BOUNDS, type GatewayProcess} from './gateway_process.js';
 import {pickRandom, type SoakContext} from './soak_context.js';
 import type {ProxyMode} from './tcp_proxy.js';
-import {createUsualBehaviour} from './usual_upstream.js';
+import {
+  createUsualBehaviour,
+  HARMFUL_BODY_PREFIX,
+  prepareUpstream,
+} from './usual_upstream.js';
 
 /** Time until a gateway that was ended is ready again, in milliseconds. */
 const RESTART_MS = 1_500;
 
+/** Time from the start of an upstream to the end of the one that it replaces, in milliseconds. */
+const ROLL_MS = 2_500;
+
 type Fault = (soak: SoakContext) => string;
 
 /** Faults by name. Each one injects the fault and returns a description for the log. */
@@ -86,6 +93,30 @@
     runLater(4_000 + random() * 6_000, () => sentHarmfulParts.delete(part));
     return `requests with the harmful part ${part}`;
   },
+  harmfulRequest(soak) {
+    const {harmfulBodies, sentHarmfulBodies, random, runLater} = soak;
+    const body = `${HARMFUL_BODY_PREFIX} ${harmfulBodies.length}`;
+    harmfulBodies.push(body);
+    sentHarmfulBodies.add(body);
+    runLater(4_000 + random() * 6_000, () => sentHarmfulBodies.delete(body));
+    return `requests with the body "${body}"`;
+  },
+  roll(soak) {
+    const {cluster, random, runLater} = soak;
+    const old = pickRunningUpstream(cluster, random);
+    if (!old) return 'no upstream runs';
+    // Some rolls go on, others begin with another version beside the last ones.
+    if (random() < 0.4) soak.newestVersion++;
+    const version = `v${soak.newestVersion}`;
+    const id = `u${cluster.upstreams.length + 1}`;
+    void cluster
+      .addUpstream(id, 'pool', version)
+      .then(next => prepareUpstream(cluster, next, random));
+    old.leftAtMs = performance.now();
+    cluster.register(old, {state: 'draining'});
+    runLater(ROLL_MS, () => cluster.store.remove('servers', old.id));
+    return `${id} of ${version} replaces ${old.id} of ${old.softwareVersion}`;
+  },
   limit({cluster, limits, random, runLater}) {
     const upstream = pickRunningUpstream(cluster, random);
     if (!upstream) return 'no upstream runs';
@@ -131,7 +162,9 @@
     if (!upstream) return 'no upstream runs';
     cluster.register(upstream, {state: 'draining'});
     runLater(1_500, () => {
-      if (upstream.crashedAtMs === undefined) cluster.register(upstream);
+      const isRunning =
+        upstream.crashedAtMs === undefined && upstream.leftAtMs === Infinity;
+      if (isRunning) cluster.register(upstream);
     });
     return `${upstream.id} is draining`;
   },
@@ -156,7 +189,8 @@
   random: () => number,
 ): UpstreamStandIn | undefined {
   const running = upstreams.filter(
-    ({crashedAtMs}) => crashedAtMs === undefined,
+    ({crashedAtMs, leftAtMs}) =>
+      crashedAtMs === undefined && leftAtMs === Infinity,
   );
   return running.length > 0 ? pickRandom(running, random) : undefined;
 }
--- a/testing/soak/src/fleet_bounds.ts
+++ b/testing/soak/src/fleet_bounds.ts
@@ -10,12 +10,20 @@
  */
 const CONTACT_MS = 3_000;
 
-/** Crashes under one part after which requests with it must stay away. */
-const CRASHES_BEFORE_STOP = 5;
+/** Crashes under one part, or one request, after which it must stay away. */
+const CRASHES_OF_PART = 5;
+const CRASHES_OF_REQUEST = 3;
 
-/** Requests with the part that may still reach upstreams. */
+/** Requests with the part, or arrivals of the request, that may still reach upstreams. */
 const MAX_LATE_REQUESTS = 3;
 
+/** Streams that may hold events of two software versions. */
+const MAX_MIXED_STREAMS = 2;
+
+/** Streams taken up from which the share that goes on is checked, and its least part of the share of new ones. */
+const MIN_RESUMES = 12;
+const MIN_RESUMED_SHARE = 0.5;
+
 /** Window over which a stated limit is checked, in milliseconds. */
 const LIMIT_WINDOW_MS = 4_000;
 
@@ -49,6 +57,8 @@
   disturbances: readonly Disturbance[];
   /** Prompt parts that crash upstreams. */
   harmfulParts: readonly string[];
+  /** Bodies of requests that crash upstreams. */
+  harmfulBodies: readonly string[];
   limits: readonly StatedLimit[];
 }
 
@@ -68,34 +78,111 @@
     callsById.get(requestId)?.gateway;
   return [
     ...observed.harmfulParts.flatMap(part =>
-      checkHarmfulPart(part, observed.upstreams, isInContact),
+      checkHarmful(observed.upstreams, isInContact, {
+        name: part,
+        crashes: CRASHES_OF_PART,
+        isHarmful: ({headers}) =>
+          String(headers['prompt-prefix']).includes(part),
+      }),
+    ),
+    ...observed.harmfulBodies.flatMap(harmfulBody =>
+      checkHarmful(observed.upstreams, isInContact, {
+        name: harmfulBody,
+        crashes: CRASHES_OF_REQUEST,
+        isHarmful: ({body}) => body.toString() === harmfulBody,
+      }),
     ),
+    ...checkMixedStreams(observed.calls),
+    ...checkResumes(observed),
     ...observed.limits.flatMap(limit =>
       checkLimit(limit, observed, isInContact, gatewayOf),
     ),
   ];
 }
 
-function checkHarmfulPart(
-  part: string,
+/** Returns the software versions that wrote the events of a stream, over its caller's tries. */
+function versionsOf({response, resumes}: SoakCall): ReadonlySet<string> {
+  const text = (resumes?.response?.body ?? '') + (response?.body ?? '');
+  const events = text.matchAll(/event: (\S+)\nid: \d+\ndata: event \d+\n\n/g);
+  return new Set([...events].map(match => match[1]));
+}
+
+function checkMixedStreams(calls: readonly SoakCall[]): string[] {
+  const mixed = calls.filter(call => versionsOf(call).size > 1);
+  return mixed.length > MAX_MIXED_STREAMS
+    ? [
+        `${mixed.length} streams hold events of two software versions, such as ${mixed[0].id}`,
+      ]
+    : [];
+}
+
+/** Checks that streams go on about as often as new ones begin, where that is possible. */
+function checkResumes({
+  calls,
+  upstreams,
+  disturbances,
+}: FleetObservations): string[] {
+  const isInContact = ({gateway, sentAtMs}: SoakCall) =>
+    !disturbances.some(
+      disturbance =>
+        (disturbance.gateway ?? gateway) === gateway &&
+        disturbance.fromMs <= sentAtMs &&
+        disturbance.untilMs > sentAtMs - CONTACT_MS,
+    );
+  const runsVersion = (version: string, atMs: number) =>
+    upstreams.filter(
+      ({softwareVersion, crashedAtMs = Infinity, startedAtMs, leftAtMs}) =>
+        softwareVersion === version &&
+        startedAtMs < atMs &&
+        Math.min(crashedAtMs, leftAtMs) > atMs,
+    ).length;
+  const shareServed = (some: readonly SoakCall[]) =>
+    some.filter(({response}) => response?.status === 200).length / some.length;
+  const streams = calls.filter(
+    call =>
+      call.kind === 'resumable' &&
+      !call.promptPart?.startsWith('bad') &&
+      isInContact(call),
+  );
+  const resumes = streams.filter(
+    ({resumes: broken, sentAtMs}) =>
+      broken && runsVersion([...versionsOf(broken)][0], sentAtMs) >= 2,
+  );
+  const begun = streams.filter(call => !call.resumes);
+  if (resumes.length < MIN_RESUMES || begun.length === 0) return [];
+  const share = shareServed(resumes);
+  return share < MIN_RESUMED_SHARE * shareServed(begun)
+    ? [
+        `of ${resumes.length} streams that were taken up ${Math.round(100 * share)}% went on`,
+      ]
+    : [];
+}
+
+/** Something that crashes upstreams. */
+interface HarmfulKind {
+  name: string;
+  /** Crashes after which it must stay away. */
+  crashes: number;
+  isHarmful: (request: ReceivedRequest) => boolean;
+}
+
+function checkHarmful(
   upstreams: readonly UpstreamStandIn[],
   isInContact: (request: ReceivedRequest) => boolean,
+  {name, crashes, isHarmful}: HarmfulKind,
 ): string[] {
-  const hasPart = ({headers}: ReceivedRequest) =>
-    String(headers['prompt-prefix']).includes(part);
   const crashTimesMs = upstreams
-    .filter(({crashedBy}) => crashedBy && hasPart(crashedBy))
+    .filter(({crashedBy}) => crashedBy && isHarmful(crashedBy))
     .map(({crashedAtMs}) => crashedAtMs!)
     .sort((a, b) => a - b);
-  const stopMs =
-    (crashTimesMs[CRASHES_BEFORE_STOP - 1] ?? Infinity) + CONTACT_MS;
+  const stopMs = (crashTimesMs[crashes - 1] ?? Infinity) + CONTACT_MS;
   const late = upstreams
     .flatMap(({received}) => received)
-    .filter(hasPart)
+    .filter(isHarmful)
     .filter(request => request.receivedAtMs > stopMs && isInContact(request));
   return late.length > MAX_LATE_REQUESTS
     ? [
-        `${late.length} requests with ${part} reached upstreams after ${CRASHES_BEFORE_STOP} crashes`,
+        `${late.length} requests with ${name} reached upstreams after ${crashes} crashes`,
       ]
     : [];
 }
--- a/testing/soak/src/guarantees.ts
+++ b/testing/soak/src/guarantees.ts
@@ -20,6 +20,9 @@
   sentAtMs: number;
   /** Part that its prompt shares with other requests; only streams have a prompt. */
   promptPart?: string;
+  body?: string;
+  /** Broken call whose stream this one takes up. */
+  resumes?: SoakCall;
   /** Missing while the request runs, and after it timed out. */
   response?: RawResponse;
   /** Time at which the response ended, by performance.now(). */
@@ -96,17 +99,25 @@
     }
     return failures;
   }
-  const ids = [
-    ...response.body.matchAll(/id: (\d+)\ndata: event \d+\n\n/g),
-  ].map(match => Number(match[1]));
-  const isInOrder = ids.every((id, i) => id === i);
+  const ids = eventIdsOf(response);
+  const earlier = call.resumes?.response
+    ? eventIdsOf(call.resumes.response).length
+    : 0;
+  const isInOrder = ids.every((id, i) => id === earlier + i);
   if (!isInOrder) failures.push(`got the events ${ids.join(',')}`);
-  if (response.isComplete && ids.length !== EVENTS_PER_STREAM) {
+  if (response.isComplete && earlier + ids.length !== EVENTS_PER_STREAM) {
     failures.push(`ended as complete after ${ids.length} events`);
   }
   return failures;
 }
 
+/** Returns the ids of the complete events of a response, in order. */
+export function eventIdsOf({body}: RawResponse): number[] {
+  return [...body.matchAll(/id: (\d+)\ndata: event \d+\n\n/g)].map(match =>
+    Number(match[1]),
+  );
+}
+
 /** Number of events in each complete stream. */
 export const EVENTS_PER_STREAM = 12;
 
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -95,6 +95,9 @@
     disturbances: [],
     harmfulParts: [],
     sentHarmfulParts: new Set(),
+    harmfulBodies: [],
+    sentHarmfulBodies: new Set(),
+    newestVersion: 1,
     limits: [],
     runLater: (delayMs, action) =>
       void timers.push(setTimeout(action, delayMs)),
--- a/testing/soak/src/send_calls.ts
+++ b/testing/soak/src/send_calls.ts
@@ -1,6 +1,6 @@
 import {HOST, ROUTE_PATHS, sendRawRequest} from '@sardinestile/hosting_tests';
 import {createSeededRandom} from '@sardinestile/types';
-import type {SoakCall, SoakRequestKind} from './guarantees.js';
+import {eventIdsOf, type SoakCall, type SoakRequestKind} from './guarantees.js';
 import {
   delay,
   pickRandom,
@@ -15,7 +15,7 @@
   'stream',
 ];
 
-/** Share of the streams that have a harmful part while callers send one. */
+/** Share of the calls that have a harmful part or body while callers send one. */
 const HARMFUL_SHARE = 0.2;
 
 /** Sends requests of all kinds to all gateways until a time, and adds them to `calls`. */
@@ -42,8 +42,17 @@
       sentAtMs: performance.now(),
       promptPart: choosePromptPart(kind, soak.sentHarmfulParts, random),
     };
+    call.body = chooseBody(call, soak.sentHarmfulBodies, random);
     calls.push(call);
-    open.push(sendCall(call, gateway.address));
+    const other = pickRandom(soak.gateways, random);
+    open.push(
+      sendCall(call, gateway.address).then(async () => {
+        const next = createResume(call, other.name);
+        if (!next) return;
+        calls.push(next);
+        await sendCall(next, other.address);
+      }),
+    );
     await delay(1_000 / callsPerSecond);
   }
   await Promise.all(open);
@@ -54,15 +63,16 @@
     call.response = await sendRawRequest({
       address,
       host: HOST,
-      method: call.kind === 'idempotent' ? 'GET' : 'POST',
+      method: call.body === undefined ? 'GET' : 'POST',
       path: ROUTE_PATHS[call.kind],
       headers: {
         'Request-Id': call.id,
         'Deadline-Ms': '6000',
         Authorization: `Bearer ${call.key}`,
         ...promptHeaders(call),
+        ...resumeHeaders(call),
       },
-      body: call.kind === 'idempotent' ? undefined : 'x',
+      body: call.body,
       timeoutMs: 8_000,
     });
     call.endedAtMs = performance.now();
@@ -72,6 +82,42 @@
   }
 }
 
+/** Body of a call; lookups share an empty one, and callers send harmful ones again and again. */
+function chooseBody(
+  {id, kind}: SoakCall,
+  harmfulBodies: ReadonlySet<string>,
+  random: () => number,
+): string | undefined {
+  const isPlain = kind === 'once' || kind === 'idempotent';
+  if (isPlain && harmfulBodies.size > 0 && random() < HARMFUL_SHARE) {
+    return pickRandom([...harmfulBodies], random);
+  }
+  return kind === 'idempotent' ? undefined : id;
+}
+
+/** Returns the call that takes up a broken stream; undefined if there is nothing to take up. */
+function createResume(call: SoakCall, gateway: string): SoakCall | undefined {
+  const {id, kind, response} = call;
+  if (kind !== 'resumable' || !response || response.isComplete) {
+    return undefined;
+  }
+  if (eventIdsOf(response).length === 0) return undefined;
+  return {
+    ...call,
+    id: `${id}r`,
+    gateway,
+    sentAtMs: performance.now(),
+    resumes: call,
+    response: undefined,
+  };
+}
+
+function resumeHeaders({resumes}: SoakCall): Record<string, string> {
+  if (!resumes?.response) return {};
+  const lastEventId = eventIdsOf(resumes.response).at(-1);
+  return {Resumes: resumes.id, 'Last-Event-Id': String(lastEventId)};
+}
+
 /** Part of a stream's prompt that other requests share; a harmful one now and then. */
 function choosePromptPart(
   kind: SoakRequestKind,
--- a/testing/soak/src/soak_context.ts
+++ b/testing/soak/src/soak_context.ts
@@ -28,6 +28,11 @@
   /** Prompt parts that crash upstreams, and those of them that callers send now. */
   harmfulParts: string[];
   sentHarmfulParts: Set<string>;
+  /** Bodies of requests that crash upstreams, and those that callers send now. */
+  harmfulBodies: string[];
+  sentHarmfulBodies: Set<string>;
+  /** Number of the newest software version of the upstreams. */
+  newestVersion: number;
   limits: StatedLimit[];
   runLater: (delayMs: number, action: () => void) => void;
 }
--- a/testing/soak/src/usual_upstream.ts
+++ b/testing/soak/src/usual_upstream.ts
@@ -10,6 +10,9 @@
 const REGISTRATION_EXPIRY_MS = 1_500;
 const UPSTREAM_RESTART_MS = 800;
 
+/** Start of the bodies of requests that crash upstreams. */
+export const HARMFUL_BODY_PREFIX = 'bad request';
+
 /** Sets the usual behaviour, and replaces the upstream after a crash. */
 export function prepareUpstream(
   cluster: GatewayCluster,
@@ -25,7 +28,7 @@
     setTimeout(() => {
       const id = `u${cluster.upstreams.length + 1}`;
       void cluster
-        .addUpstream(id)
+        .addUpstream(id, 'pool', upstream.softwareVersion)
         .then(next => prepareUpstream(cluster, next, random));
     }, UPSTREAM_RESTART_MS);
   };
@@ -35,7 +38,10 @@
 export function createUsualBehaviour(
   random: () => number,
 ): (request: ReceivedRequest) => UpstreamBehaviour {
-  return ({url, headers}) => {
+  return ({url, headers, body}) => {
+    if (body.toString().startsWith(HARMFUL_BODY_PREFIX)) {
+      return {kind: 'crash', afterMs: 20 + random() * 60, isUnanswered: true};
+    }
     if (String(headers['prompt-prefix']).includes('bad')) {
       return {kind: 'crash', afterMs: 40 + random() * 120};
     }
--- a/testing/soak/test/fleet_bounds_test.ts
+++ b/testing/soak/test/fleet_bounds_test.ts
@@ -32,6 +32,7 @@
     upstreams: [],
     disturbances: [],
     harmfulParts: [],
+    harmfulBodies: [],
     limits: [],
     ...observed,
   });
@@ -67,6 +68,71 @@
     });
   });
 
+  describe('of a harmful request', () => {
+    const withBody = (id: string, atMs: number) =>
+      ({...requestAt(id, atMs), body: Buffer.from('bad request 0')}) as never;
+    const crashed = numbersBelow(3).map(i =>
+      upstreamWith({crashedAtMs: i * 100, crashedBy: withBody(`x${i}`, 0)}),
+    );
+    const observe = (count: number) =>
+      check({
+        calls: numbersBelow(count).map(i => callWith(`c${i}`)),
+        upstreams: [
+          ...crashed,
+          upstreamWith({
+            received: numbersBelow(count).map(i => withBody(`c${i}`, 3_300)),
+          }),
+        ],
+        harmfulBodies: ['bad request 0'],
+      });
+
+    it('reports more than three arrivals later than contact after the third crash', () => {
+      expect(observe(4).length).toEqual(1);
+      expect(observe(3)).toEqual([]);
+    });
+  });
+
+  describe('of streams that are taken up', () => {
+    const responseWith = (status: number, ...versions: string[]) => ({
+      status,
+      headers: {},
+      body: versions
+        .map(
+          (version, id) =>
+            `event: ${version}\nid: ${id}\ndata: event ${id}\n\n`,
+        )
+        .join(''),
+      isComplete: true,
+      wasReset: false,
+    });
+    const resumable = (id: string, change: Partial<SoakCall>) =>
+      callWith(id, {kind: 'resumable', sentAtMs: 100, ...change});
+    const resumes = (status: number, version = 'v1') =>
+      numbersBelow(12).map(i =>
+        resumable(`c${i}r`, {
+          resumes: resumable(`c${i}`, {response: responseWith(200, 'v1')}),
+          response: responseWith(status, version),
+        }),
+      );
+    const upstreams = numbersBelow(2).map(() =>
+      upstreamWith({softwareVersion: 'v1', startedAtMs: 0, leftAtMs: Infinity}),
+    );
+
+    it('reports more than two that hold events of two versions', () => {
+      const calls = resumes(200, 'v2');
+      expect(check({calls: calls.slice(0, 3)}).length).toEqual(1);
+      expect(check({calls: calls.slice(0, 2)})).toEqual([]);
+    });
+
+    it('reports that fewer than half go on while two upstreams of their version run', () => {
+      const begun = resumable('new', {response: responseWith(200, 'v1')});
+      const calls = [begun, ...resumes(503)];
+      expect(check({calls, upstreams}).length).toEqual(1);
+      expect(check({calls, upstreams: upstreams.slice(1)})).toEqual([]);
+      expect(check({calls: [begun, ...resumes(200)], upstreams})).toEqual([]);
+    });
+  });
+
   describe('of a stated limit', () => {
     const told = callWith('told', {
       endedAtMs: 100,
