perf(quarantine): look crashes up by suspect

Each answered request asked all crashes whether they name its parts. With fingerprints each crash names every request that was lost in it, and evidence stays for 15 minutes: up to 64 crashes of 64 requests.

--- a/routing/quarantine/src/crash_evidence.ts
+++ b/routing/quarantine/src/crash_evidence.ts
@@ -1,4 +1,5 @@
 import {isDeepStrictEqual} from 'node:util';
+import {createCrashIndex} from './crash_index.js';
 import type {
   SharedPart,
   EvidenceItem,
@@ -55,6 +56,8 @@
   const crashes = new Map<string, UpstreamCrash>();
   const answers = new Map<string, PartAnswer>();
   const harmful = new Map<string, HarmfulPart>();
+  /** Crashes by the parts that were suspects in them; each answer is looked up here. */
+  const crashesByPart = createCrashIndex();
 
   const isAnsweredSince = (partId: string, atMs: number) =>
     (answers.get(partId)?.atMs ?? -Infinity) >= atMs;
@@ -77,8 +80,12 @@
       atMs: Math.min(known?.atMs ?? Infinity, crash.atMs),
     };
     if (known && isDeepStrictEqual(known, merged)) return false;
+    if (known) crashesByPart.remove(known);
     crashes.set(key, merged);
-    keepLatest(crashes, MAX_CRASHES, ({atMs: time}) => time);
+    crashesByPart.add(merged);
+    if (crashes.size > MAX_CRASHES) {
+      crashesByPart.remove(deleteOldest(crashes, ({atMs: time}) => time));
+    }
     return true;
   };
   const mergeAnswer = (answer: PartAnswer): boolean => {
@@ -94,7 +101,9 @@
       return false;
     }
     harmful.set(part.partId, {...part, crashes: count, lastCrashAtMs: lastMs});
-    keepLatest(harmful, MAX_HARMFUL_PARTS, ({lastCrashAtMs}) => lastCrashAtMs);
+    if (harmful.size > MAX_HARMFUL_PARTS) {
+      deleteOldest(harmful, ({lastCrashAtMs}) => lastCrashAtMs);
+    }
     return true;
   };
   const mergeHandlers: {
@@ -106,19 +115,20 @@
     merge: item =>
       (mergeHandlers[item.kind] as (item: EvidenceItem) => boolean)(item),
     prune(nowMs) {
-      for (const [key, {atMs}] of crashes) {
-        if (nowMs - atMs >= CRASH_LIFETIME_MS) crashes.delete(key);
+      for (const [key, crash] of crashes) {
+        if (nowMs - crash.atMs < CRASH_LIFETIME_MS) continue;
+        crashes.delete(key);
+        crashesByPart.remove(crash);
       }
       for (const [partId, {lastCrashAtMs}] of harmful) {
         if (nowMs - lastCrashAtMs >= HARMFUL_LIFETIME_MS) {
           harmful.delete(partId);
         }
       }
-      const known = new Set(
-        [...crashes.values()].flatMap(({parts}) => parts.map(({id}) => id)),
-      );
       for (const partId of answers.keys()) {
-        if (!known.has(partId) && !harmful.has(partId)) answers.delete(partId);
+        const isKnown =
+          crashesByPart.of(partId).length > 0 || harmful.has(partId);
+        if (!isKnown) answers.delete(partId);
       }
     },
     openCrashes,
@@ -126,20 +136,13 @@
     harmfulPart,
     harmfulParts: () =>
       [...harmful.keys()].flatMap(partId => harmfulPart(partId) ?? []),
-    crashCount: partId =>
-      [...crashes.values()].filter(({parts}) =>
-        parts.some(({id}) => id === partId),
-      ).length,
+    crashCount: partId => crashesByPart.of(partId).length,
     crashesSinceAnswer: partId =>
-      [...crashes.values()].filter(
-        ({parts, atMs}) =>
-          parts.some(({id}) => id === partId) && !isAnsweredSince(partId, atMs),
-      ).length,
+      crashesByPart
+        .of(partId)
+        .filter(({atMs}) => !isAnsweredSince(partId, atMs)).length,
     namesRequests: () =>
-      [...harmful.keys()].some(isFingerprint) ||
-      [...crashes.values()].some(({parts}) =>
-        parts.some(({id}) => isFingerprint(id)),
-      ),
+      crashesByPart.namesRequests() || [...harmful.keys()].some(isFingerprint),
     items() {
       const latestFirst = [...openCrashes()].sort((a, b) => b.atMs - a.atMs);
       const open = latestFirst.flatMap(crash => {
@@ -168,12 +171,10 @@
     .sort((a, b) => (a.id < b.id ? -1 : 1));
 }
 
-function keepLatest<T>(
-  map: Map<string, T>,
-  limit: number,
-  timeOf: (value: T) => number,
-): void {
-  if (map.size <= limit) return;
-  const [oldest] = [...map].sort(([, a], [, b]) => timeOf(a) - timeOf(b));
-  map.delete(oldest[0]);
+/** Removes the entry with the earliest time and returns its value. */
+function deleteOldest<T>(map: Map<string, T>, timeOf: (value: T) => number): T {
+  const entries = [...map].sort(([, a], [, b]) => timeOf(a) - timeOf(b));
+  const [key, value] = entries[0];
+  map.delete(key);
+  return value;
 }
