--- a/benchmarks/bench/src/decisions_main.ts
+++ b/benchmarks/bench/src/decisions_main.ts
@@ -1,6 +1,10 @@
 import {rankUpstreams, type UpstreamView} from '@sardinestile/placement';
 import {createScheduler, type Scheduler} from '@sardinestile/scheduler';
 import {createSeededRandom} from '@sardinestile/types';
+import {
+  measureQuarantineCostUs,
+  type QuarantineState,
+} from './quarantine_cost.js';
 
 /** Required decisions per second on one core. */
 const MIN_DECISIONS_PER_S = 50_000;
@@ -11,6 +15,12 @@
 const PLACEMENT_DURATION_MS = 1_000;
 const MEMORY_EVENTS = 10_000_000;
 const MEMORY_SAMPLES = 5;
+const QUARANTINE_STATES: readonly QuarantineState[] = [
+  'calm',
+  'suspicions',
+  'harmfulRequest',
+];
+const BODY_BYTES = [0, 1_000, 100_000];
 const ORGANISATIONS = 210;
 const CAPACITY = 32;
 
@@ -147,6 +157,14 @@
   print(`placement, ${upstreams} upstreams: ${rate.toFixed(0)} decisions/s`);
   return rate;
 });
+for (const state of QUARANTINE_STATES) {
+  for (const bytes of BODY_BYTES) {
+    const costUs = measureQuarantineCostUs(state, bytes);
+    print(
+      `quarantine, ${state}, body of ${bytes} bytes: ${costUs.toFixed(1)} us a request`,
+    );
+  }
+}
 const heaps = measureMemory();
 print(
   `heap over ${MEMORY_EVENTS} events: ${heaps.map(h => h.toFixed(1)).join(' ')} MiB`,
