--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -145,9 +145,11 @@
   caches_recovered: {source: string; engines: number};
   upstream_crashed: {
     upstream: string;
-    /** Ids of the shared prompt parts of the requests that it had not answered. */
+    /** Number of different requests that it had not answered. */
+    requests: number;
+    /** Ids of their shared prompt parts, or the first ones. */
     promptParts: string;
-    /** Fingerprints of these requests. */
+    /** Their fingerprints, or the first ones. */
     fingerprints: string;
   };
   prompt_part_quarantined: {promptPart: string; crashes: number};
--- a/daemons/gateway/src/crash_watch.ts
+++ b/daemons/gateway/src/crash_watch.ts
@@ -26,6 +26,9 @@
 /** Most prompt parts and fingerprints that are reported of one crash. */
 const MAX_REPORTED_PARTS = 400;
 
+/** Most ids of each kind in the log line of a crash. */
+const MAX_LOGGED_PARTS = 20;
+
 /** An attempt that ended, with the time at which its response began. */
 export interface WatchedAttempt {
   call: Call;
@@ -56,8 +59,8 @@
 /**
  * Creates a watch. If an upstream refuses connections just after it lost one, it
  * has crashed, and the requests that it had not yet answered are reported as
- * evidence, by their fingerprints and prompt parts. A reset connection, a cut link and an upstream that
- * leaves as planned are no crashes.
+ * evidence, by their fingerprints and prompt parts. A reset connection, a cut link
+ * and an upstream that leaves as planned are no crashes.
  */
 export function createCrashWatch(context: GatewayContext): CrashWatch {
   /** Lost requests by upstream, until its check. */
@@ -120,11 +123,14 @@
   };
 }
 
-/** Log fields that name the requests of a crash. */
+/** Log fields that name the requests of a crash, or the first ones of many. */
 function describeParts(ids: readonly string[]) {
+  const promptParts = ids.filter(id => !isFingerprint(id));
+  const fingerprints = ids.filter(isFingerprint);
   return {
-    promptParts: ids.filter(id => !isFingerprint(id)).join(','),
-    fingerprints: ids.filter(isFingerprint).join(','),
+    requests: fingerprints.length,
+    promptParts: promptParts.slice(0, MAX_LOGGED_PARTS).join(','),
+    fingerprints: fingerprints.slice(0, MAX_LOGGED_PARTS).join(','),
   };
 }
 
