fix(gateway): ask three gateways of a group for a stream's version, for longer

In a group of four all others are asked now, so that one lost datagram and one lost gateway do not lead to a refusal; a starved gateway may answer after more than 150 ms, and a refusal costs its caller the stream. By reading; no run has shown either.

--- a/daemons/gateway/src/stream_continuations.ts
+++ b/daemons/gateway/src/stream_continuations.ts
@@ -12,16 +12,16 @@
 const OBSERVATION_INTERVAL_MS = 1_000;
 
 /**
- * Time for the peers' answers, in milliseconds; a live peer answers in much less, a
- * lost one not at all.
+ * Time for the answers of other gateways, in milliseconds. A busy one may take a while,
+ * and a caller loses more by a refusal than by the wait.
  */
-const PEER_ANSWER_LIMIT_MS = 150;
+const ANSWER_LIMIT_MS = 400;
 
 /**
  * Gateways of each group that are asked. Every gateway of a group is told of the
- * streams that the others begin; the first one asked may be lost.
+ * streams that the others begin, but one may be lost and another one not have heard.
  */
-const ASKED_PER_GROUP = 2;
+const ASKED_PER_GROUP = 3;
 
 /** A stream that a caller takes up. */
 export interface TakenUpStream {
@@ -103,7 +103,7 @@
       options.fetchStreamVersion(`${host}:${port}`, stream),
     );
     const limit = new Promise<undefined>(resolve =>
-      setTimeout(() => resolve(undefined), PEER_ANSWER_LIMIT_MS),
+      setTimeout(() => resolve(undefined), ANSWER_LIMIT_MS),
     );
     // Gateways that are lost, or know no more than this one, are the usual case.
     const answered: Promise<StreamVersion | undefined> = Promise.any(
