--- a/testing/hosting/test/stream_versions_test.ts
+++ b/testing/hosting/test/stream_versions_test.ts
@@ -49,7 +49,7 @@
   });
   afterEach(() => cluster.close());
 
-  /** Starts upstreams whose streams take 240 ms. */
+  /** Starts upstreams whose streams take 720 ms. */
   const startUpstreams = async (...versions: string[]) => {
     for (const version of versions) {
       const id = `u${cluster.upstreams.length + 1}`;
@@ -57,7 +57,7 @@
       upstream.chooseBehaviour = () => ({
         kind: 'stream',
         events: EVENTS,
-        gapMs: 20,
+        gapMs: 60,
       });
     }
   };
@@ -82,7 +82,11 @@
       id,
       broken: await begin(gateway, id),
     }));
-    await new Promise(resolve => setTimeout(resolve, 130));
+    await waitUntil('all streams to arrive', () => {
+      const received = cluster.upstreams.flatMap(upstream => upstream.received);
+      return received.length >= STREAMS;
+    });
+    await new Promise(resolve => setTimeout(resolve, 200));
     await gateway.handle.close();
     const begun = await Promise.all(streams);
     return begun.filter(({broken}) => eventIds(broken).length > 0);
