refactor(gateway): name the preparation of a resume, and log gateways that do not answer

Found by reading the change again. What stood twice: the shuffle of gateways to ask (cache_recovery, stream_continuations), now in a file of its own. What vanished: the errors of gateways asked for a stream's version; they are logged as peer_failed. Names: continue_stream.ts beside stream_continuations.ts hid that one prepares a call, and 'taken up' was the users' word for a resume. Ruled out: merging the races against a time limit of the two files, which differ in what a failure of all means.

--- a/daemons/gateway/src/cache_recovery.ts
+++ b/daemons/gateway/src/cache_recovery.ts
@@ -5,6 +5,7 @@
 import {hashText, rendezvousWeight} from '@sardinestile/placement';
 import type {PromptCacheReader, PromptPart} from '@sardinestile/ports';
 import type {Clock} from '@sardinestile/types';
+import {shuffle} from './shuffle.js';
 
 /** Peers that are asked at the same time; some registrations are of lost gateways. */
 const PEERS_TO_ASK = 5;
@@ -175,10 +176,3 @@
     tokens >= MIN_PART_TOKENS ? [[id, tokens]] : [],
   );
 }
-
-function shuffle<T>(items: readonly T[]): T[] {
-  return items
-    .map(item => ({item, order: Math.random()}))
-    .sort((a, b) => a.order - b.order)
-    .map(({item}) => item);
-}
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -202,6 +202,7 @@
     registeredGateways: () => registeredGateways,
     fetchStreamVersion: peerClient.fetchStreamVersion,
     clock,
+    logger,
   });
   const peerAdjustedTimeMs = createPeerAdjustedTime(slewedTimeMs, () =>
     link.livePeers().map(({clockOffsetMs}) => clockOffsetMs),
--- a/daemons/gateway/src/continue_stream.ts
+++ b/daemons/gateway/src/prepare_continuation.ts
@@ -7,7 +7,7 @@
 const VERSION_RETRY_AFTER_MS = 1_000;
 
 /**
- * Finds the software version at which a stream that the caller takes up has to go on.
+ * Finds the software version at which a stream that the caller resumes has to go on.
  * Returns whether the call may be placed; otherwise it has been answered.
  */
 export async function prepareContinuation(
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/run_call.ts
@@ -13,7 +13,7 @@
   hasUnknownVersion,
   prepareContinuation,
   refuseIfVersionUnavailable,
-} from './continue_stream.js';
+} from './prepare_continuation.js';
 import {endInterrupted, finishCall} from './finish_call.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
--- a/daemons/gateway/src/stream_continuations.ts
+++ b/daemons/gateway/src/stream_continuations.ts
@@ -4,9 +4,11 @@
   type StreamOrigins,
 } from '@sardinestile/continuation';
 import {divideIntoGroups, type Membership} from '@sardinestile/fleet';
+import type {Logger} from '@sardinestile/logger';
 import type {PeerClient, StreamVersion} from '@sardinestile/peer';
 import type {Clock} from '@sardinestile/types';
 import type {RegisteredGateway} from './peer_registry.js';
+import {shuffle} from './shuffle.js';
 
 /** Interval at which the versions of the upstreams are observed, in milliseconds. */
 const OBSERVATION_INTERVAL_MS = 1_000;
@@ -23,8 +25,8 @@
  */
 const ASKED_PER_GROUP = 3;
 
-/** A stream that a caller takes up. */
-export interface TakenUpStream {
+/** A stream that a caller resumes. */
+export interface ResumedStream {
   /** Request that brought its first event; absent if the caller names none. */
   requestId: string | undefined;
   service: string;
@@ -42,15 +44,16 @@
   registeredGateways: () => readonly RegisteredGateway[];
   fetchStreamVersion: PeerClient['fetchStreamVersion'];
   clock: Clock;
+  logger: Logger;
 }
 
 /** Knowledge of the software versions at which streams have to go on. */
 export interface StreamContinuations {
   readonly origins: StreamOrigins;
   /** Returns the version at which a stream has to go on, as far as this gateway knows. */
-  knownVersion(stream: TakenUpStream): string | undefined;
+  knownVersion(stream: ResumedStream): string | undefined;
   /** Returns that version, asking other gateways if this one does not know it. */
-  findVersion(stream: TakenUpStream): Promise<string | undefined>;
+  findVersion(stream: ResumedStream): Promise<string | undefined>;
   /** Observes which versions serve; called at short intervals. */
   observeVersions(): void;
 }
@@ -59,7 +62,7 @@
 export function createStreamContinuations(
   options: StreamContinuationsOptions,
 ): StreamContinuations {
-  const {instance, membership, clock} = options;
+  const {instance, membership, clock, logger} = options;
   const origins = createStreamOrigins();
   const history = createVersionHistory();
   let observedAtMs = -Infinity;
@@ -79,7 +82,7 @@
     );
     return versions.size === 1 ? [...versions][0] : undefined;
   };
-  const knownVersion = ({requestId, service}: TakenUpStream) => {
+  const knownVersion = ({requestId, service}: ResumedStream) => {
     // A caller that names no request may have begun the stream anywhere.
     if (requestId === undefined) return currentVersion(service);
     const nowMs = clock.monotonicMs();
@@ -108,7 +111,12 @@
     // Gateways that are lost, or know no more than this one, are the usual case.
     const answered: Promise<StreamVersion | undefined> = Promise.any(
       answers,
-    ).catch(() => undefined);
+    ).catch((error: AggregateError) => {
+      const operation = 'ask for the software version of a stream';
+      const reason = error.errors.map(String).join('; ') || 'no other gateway';
+      logger.info('peer_failed', {operation, reason});
+      return undefined;
+    });
     return (await Promise.race([answered, limit]))?.softwareVersion;
   };
   return {
@@ -126,10 +134,3 @@
     },
   };
 }
-
-function shuffle<T>(items: readonly T[]): T[] {
-  return items
-    .map(item => ({item, order: Math.random()}))
-    .sort((a, b) => a.order - b.order)
-    .map(({item}) => item);
-}
