--- a/daemons/gateway/src/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -1,6 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
-import type {UpstreamConnection} from './connection_pool.js';
+import type {UpstreamConnection} from '../upstreams/connection_pool.js';
 
 /** Codes of errors that mean that the upstream's end of the connection is gone. */
 const LOST_CONNECTION_CODES: ReadonlySet<string> = new Set([
--- a/daemons/gateway/src/call_records.ts
+++ b/daemons/gateway/src/calls/call_records.ts
@@ -1,5 +1,5 @@
 import type {AttemptOutcome, Call} from './call.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
 
 /** Attempt that ended, for its log line and metrics. */
--- a/daemons/gateway/src/finish_call.ts
+++ b/daemons/gateway/src/calls/finish_call.ts
@@ -1,6 +1,6 @@
 import {breakOff, makeCloseDelimited} from './response_framing.js';
 import type {BufferedResponse, Call, InterruptReason} from './call.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import {refuse, type GatewayRefusal} from './refuse.js';
 
 /** Retry delay for callers whose request no upstream accepted, in milliseconds. */
--- a/daemons/gateway/src/prepare_attempt.ts
+++ b/daemons/gateway/src/calls/prepare_attempt.ts
@@ -2,8 +2,8 @@
 import type {Placement} from '@sardinestile/fleet';
 import type {AttemptRequest} from './attempt.js';
 import type {Call} from './call.js';
-import type {UpstreamConnection} from './connection_pool.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {UpstreamConnection} from '../upstreams/connection_pool.js';
+import type {GatewayContext} from '../gateway_context.js';
 
 /** An attempt with its chosen upstream and connection. */
 export interface PreparedAttempt {
--- a/daemons/gateway/src/prepare_continuation.ts
+++ b/daemons/gateway/src/calls/prepare_continuation.ts
@@ -1,6 +1,6 @@
 import type {Call, InterruptReason} from './call.js';
 import {endInterrupted} from './finish_call.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import {refuse} from './refuse.js';
 
 /** Retry delay for callers whose stream has no upstream of its version, in milliseconds. */
--- a/daemons/gateway/src/refuse.ts
+++ b/daemons/gateway/src/calls/refuse.ts
@@ -1,5 +1,5 @@
 import type {Call} from './call.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 
 /** HTTP status and message of each error response that the gateway creates itself. */
 export const GATEWAY_REFUSALS = {
--- a/daemons/gateway/src/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -7,13 +7,13 @@
   isCloseDelimited,
   makeCloseDelimited,
 } from './response_framing.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import {
   buildAttemptRequest,
   isResponseToCall,
   type PreparedAttempt,
 } from './prepare_attempt.js';
-import {applyUpstreamSignals} from './upstream_signals.js';
+import {applyUpstreamSignals} from '../upstreams/upstream_signals.js';
 
 /** Size up to which a response is buffered until it is complete, in bytes. */
 export const MAX_HELD_BYTES = 1_048_576;
--- a/daemons/gateway/src/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -9,13 +9,13 @@
   makeCloseDelimited,
 } from './response_framing.js';
 import {recordGap} from './call_records.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import {
   buildAttemptRequest,
   isResponseToCall,
   type PreparedAttempt,
 } from './prepare_attempt.js';
-import {applyUpstreamSignals} from './upstream_signals.js';
+import {applyUpstreamSignals} from '../upstreams/upstream_signals.js';
 
 /** Callbacks of `relayStream`. */
 export interface StreamObserver {
--- a/daemons/gateway/src/run_attempt.ts
+++ b/daemons/gateway/src/calls/run_attempt.ts
@@ -1,8 +1,8 @@
 import type {UpstreamFleet, Placement} from '@sardinestile/fleet';
 import {MIN_FAILURE_STATUS, type AttemptOutcome, type Call} from './call.js';
 import {recordAttemptEnd, recordAttemptStart} from './call_records.js';
-import {HARMLESS_AFTER_MS} from './crash_watch.js';
-import type {GatewayContext} from './gateway_context.js';
+import {HARMLESS_AFTER_MS} from '../upstreams/crash_watch.js';
+import type {GatewayContext} from '../gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
 import {relayResponse} from './relay_response.js';
 import {relayStream} from './relay_stream.js';
--- a/daemons/gateway/src/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -8,14 +8,14 @@
 import {isFingerprint, type QuarantineVerdict} from '@sardinestile/quarantine';
 import type {RouteKind} from '@sardinestile/route_table';
 import {MIN_FAILURE_STATUS, type BufferedResponse, type Call} from './call.js';
-import {connectionShare} from './connection_share.js';
+import {connectionShare} from '../upstreams/connection_share.js';
 import {
   hasUnknownVersion,
   prepareContinuation,
   refuseIfVersionUnavailable,
 } from './prepare_continuation.js';
 import {endInterrupted, finishCall} from './finish_call.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
 import {refuse, type GatewayRefusal} from './refuse.js';
 import {runAttempt} from './run_attempt.js';
--- a/daemons/gateway/src/serve_call.ts
+++ b/daemons/gateway/src/calls/serve_call.ts
@@ -5,7 +5,7 @@
 import type {Call, InterruptReason} from './call.js';
 import {isCallerPresent} from './caller_presence.js';
 import {recordAdmission, recordCallEnd} from './call_records.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import {readBody} from './read_body.js';
 import {refuse} from './refuse.js';
 import {runCall} from './run_call.js';
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -11,34 +11,37 @@
 import {NO_RESTORES} from '@sardinestile/ports';
 import {openLedgerLink, type LedgerLink} from '@sardinestile/ledger';
 import {createPeerClient, startPeerServer} from '@sardinestile/peer';
-import {createCacheRecovery} from './cache_recovery.js';
-import {startCallerListener} from './caller_listener.js';
-import {createConfigView, type ConfigView} from './config_view.js';
-import {createConnectionPool} from './connection_pool.js';
-import {createCrashWatch, type CrashWatch} from './crash_watch.js';
-import {createFleetReporter} from './fleet_reporter.js';
-import {createGatewayCount} from './gateway_count.js';
+import {createCacheRecovery} from './upstreams/cache_recovery.js';
+import {startCallerListener} from './calls/caller_listener.js';
+import {createConfigView, type ConfigView} from './shared/config_view.js';
+import {createConnectionPool} from './upstreams/connection_pool.js';
+import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
+import {createFleetReporter} from './shared/fleet_reporter.js';
+import {createGatewayCount} from './shared/gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
 import {refreshGauges} from './gauges.js';
 import type {DeploymentLimits, GatewayOptions} from './gateway_options.js';
-import {createPeerCalls} from './peer_calls.js';
-import {startPeerRegistry, type RegisteredGateway} from './peer_registry.js';
-import {createRetryBudgets} from './retry_budgets.js';
-import {startScalingDuties} from './scaling_duties.js';
-import {createSharedConfig} from './shared_config.js';
+import {createPeerCalls} from './shared/peer_calls.js';
+import {
+  startPeerRegistry,
+  type RegisteredGateway,
+} from './shared/peer_registry.js';
+import {createRetryBudgets} from './calls/retry_budgets.js';
+import {startScalingDuties} from './duties/scaling_duties.js';
+import {createSharedConfig} from './shared/shared_config.js';
 import {
   startSharedQuarantine,
   type SharedQuarantine,
-} from './shared_quarantine.js';
-import {createSharedUpstreams} from './shared_upstreams.js';
-import {createStreamContinuations} from './stream_continuations.js';
-import {breakOff} from './response_framing.js';
-import {serveCall} from './serve_call.js';
-import {chooseStoreReader} from './store_reader.js';
+} from './shared/shared_quarantine.js';
+import {createSharedUpstreams} from './shared/shared_upstreams.js';
+import {createStreamContinuations} from './shared/stream_continuations.js';
+import {breakOff} from './calls/response_framing.js';
+import {serveCall} from './calls/serve_call.js';
+import {chooseStoreReader} from './shared/store_reader.js';
 import {startTextServers} from './text_server.js';
-import {createUpstreamView} from './upstream_view.js';
-import {createServiceTimeAverages} from './service_time_averages.js';
-import {startUsageDuties} from './usage_duties.js';
+import {createUpstreamView} from './upstreams/upstream_view.js';
+import {createServiceTimeAverages} from './calls/service_time_averages.js';
+import {startUsageDuties} from './duties/usage_duties.js';
 
 /** Interval of the periodic checks, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 100;
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -6,13 +6,13 @@
 import type {Quarantine} from '@sardinestile/quarantine';
 import type {RouteIndex} from '@sardinestile/route_table';
 import type {Clock} from '@sardinestile/types';
-import type {CrashWatch} from './crash_watch.js';
-import type {ConnectionPool} from './connection_pool.js';
-import type {RetryBudgets} from './retry_budgets.js';
-import type {ServiceTimeAverages} from './service_time_averages.js';
-import type {GatewayCount} from './gateway_count.js';
-import type {FleetReporter} from './fleet_reporter.js';
-import type {StreamContinuations} from './stream_continuations.js';
+import type {CrashWatch} from './upstreams/crash_watch.js';
+import type {ConnectionPool} from './upstreams/connection_pool.js';
+import type {RetryBudgets} from './calls/retry_budgets.js';
+import type {ServiceTimeAverages} from './calls/service_time_averages.js';
+import type {GatewayCount} from './shared/gateway_count.js';
+import type {FleetReporter} from './shared/fleet_reporter.js';
+import type {StreamContinuations} from './shared/stream_continuations.js';
 
 /** State of the lease for the duties that one gateway does for the fleet. */
 export interface DutyState {
--- a/daemons/gateway/src/cache_recovery.ts
+++ b/daemons/gateway/src/upstreams/cache_recovery.ts
@@ -5,7 +5,7 @@
 import {hashText, rendezvousWeight} from '@sardinestile/placement';
 import type {PromptCacheReader, PromptPart} from '@sardinestile/ports';
 import type {Clock} from '@sardinestile/types';
-import {shuffle} from './shuffle.js';
+import {shuffle} from '../shared/shuffle.js';
 
 /** Peers that are asked at the same time; some registrations are of lost gateways. */
 const PEERS_TO_ASK = 5;
--- a/daemons/gateway/src/connection_share.ts
+++ b/daemons/gateway/src/upstreams/connection_share.ts
@@ -1,5 +1,5 @@
 import type {UpstreamFleet} from '@sardinestile/fleet';
-import type {GatewayCount} from './gateway_count.js';
+import type {GatewayCount} from '../shared/gateway_count.js';
 
 /**
  * Connections to one upstream that a gateway may open even if its share of the
--- a/daemons/gateway/src/crash_watch.ts
+++ b/daemons/gateway/src/upstreams/crash_watch.ts
@@ -5,8 +5,12 @@
   toSharedParts,
   type SharedPart,
 } from '@sardinestile/quarantine';
-import {MIN_FAILURE_STATUS, type AttemptOutcome, type Call} from './call.js';
-import type {GatewayContext} from './gateway_context.js';
+import {
+  MIN_FAILURE_STATUS,
+  type AttemptOutcome,
+  type Call,
+} from '../calls/call.js';
+import type {GatewayContext} from '../gateway_context.js';
 
 /**
  * Time after the first event for which an upstream has to go on until the request
--- a/daemons/gateway/src/upstream_signals.ts
+++ b/daemons/gateway/src/upstreams/upstream_signals.ts
@@ -1,6 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {UpstreamRecord} from '@sardinestile/fleet';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 
 /** Status of a response from another instance than the expected one. */
 const MISDIRECTED_STATUS = 421;
--- a/daemons/gateway/src/upstream_view.ts
+++ b/daemons/gateway/src/upstreams/upstream_view.ts
@@ -2,8 +2,8 @@
 import {createFreshnessTracker, readClocks} from '@sardinestile/freshness';
 import type {Logger} from '@sardinestile/logger';
 import type {Clock} from '@sardinestile/types';
-import {followFeed} from './follow_feed.js';
-import type {SharedUpstreams} from './shared_upstreams.js';
+import {followFeed} from '../shared/follow_feed.js';
+import type {SharedUpstreams} from '../shared/shared_upstreams.js';
 
 /**
  * Calls to the store within the drain limit. Each heartbeat of an upstream is
--- a/daemons/gateway/test/connection_share_test.ts
+++ b/daemons/gateway/test/connection_share_test.ts
@@ -1,6 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {connectionShare} from '../src/connection_share.js';
+import {connectionShare} from '../src/upstreams/connection_share.js';
 
 const GATEWAYS = {inFleet: 66, inGroup: 22};
 const SERVICE = {name: 'pool', maxConnections: 440};
--- a/daemons/gateway/test/shared_quarantine_test.ts
+++ b/daemons/gateway/test/shared_quarantine_test.ts
@@ -4,11 +4,11 @@
 import type {TableService} from '@sardinestile/ports';
 import type {EvidenceItem, UpstreamCrash} from '@sardinestile/quarantine';
 import {expect} from 'earl';
-import type {FleetReporter} from '../src/fleet_reporter.js';
+import type {FleetReporter} from '../src/shared/fleet_reporter.js';
 import {
   startSharedQuarantine,
   type SharedQuarantine,
-} from '../src/shared_quarantine.js';
+} from '../src/shared/shared_quarantine.js';
 
 const NOW_MS = 1_000_000;
 
