--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -156,6 +156,7 @@
   prompt_part_released: {promptPart: string};
   request_quarantined: {fingerprint: string; crashes: number};
   request_released: {fingerprint: string};
+  stream_versions_recorded: {versions: string};
   upstream_leaving: {upstream: string};
   upstream_quiet: {upstream: string; quietMs: number};
   /** `limitPerS` is absent if the upstream states no limit any more. */
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -34,6 +34,7 @@
   type SharedQuarantine,
 } from './shared/shared_quarantine.js';
 import {createSharedUpstreams} from './shared/shared_upstreams.js';
+import {createServedVersionStore} from './shared/served_version_store.js';
 import {createStreamContinuations} from './shared/stream_continuations.js';
 import {breakOff} from './calls/response_framing.js';
 import {serveCall} from './calls/serve_call.js';
@@ -197,6 +198,22 @@
       groupPeers = ownGroup.filter(peer => peer.instance !== instance);
     },
   });
+  const peerAdjustedTimeMs = createPeerAdjustedTime(slewedTimeMs, () =>
+    link.livePeers().map(({clockOffsetMs}) => clockOffsetMs),
+  );
+  const servedVersions = createServedVersionStore({
+    table,
+    restores: storeRestores,
+    currentUpstreams: () =>
+      upstreams.ageMs() <= options.drainLimitMs
+        ? fleet.membership.all()
+        : undefined,
+    isWriter: () => chooseStoreReader(instance, link.livePeers()) === undefined,
+    isFirstStart: options.isFirstStart ?? false,
+    fleetTimeMs: peerAdjustedTimeMs,
+    clock,
+    logger,
+  });
   const continuations = createStreamContinuations({
     instance,
     membership: fleet.membership,
@@ -204,12 +221,10 @@
     maxUpstreamsAgeMs: options.drainLimitMs,
     registeredGateways: () => registeredGateways,
     fetchStreamVersion: peerClient.fetchStreamVersion,
+    servedVersions,
     clock,
     logger,
   });
-  const peerAdjustedTimeMs = createPeerAdjustedTime(slewedTimeMs, () =>
-    link.livePeers().map(({clockOffsetMs}) => clockOffsetMs),
-  );
   const sharedQuarantine: SharedQuarantine = startSharedQuarantine({
     instance,
     table,
@@ -311,10 +326,12 @@
     fleet,
     clock,
     logger,
-    onChanged: () =>
+    onChanged() {
+      servedVersions.update();
       context.connections.retain(
         new Set(fleet.membership.all().map(({address}) => address)),
-      ),
+      );
+    },
   });
   const peerServer = await startPeerServer({
     ...peerAddress,
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -45,6 +45,11 @@
   upstreams: RecordFeed<UpstreamRecord>;
   /** Table with the system's own rows. */
   table: TableService;
+  /**
+   * Whether the whole fleet starts for the first time, so that no stream of before can
+   * be resumed; false if absent.
+   */
+  isFirstStart?: boolean;
   /** Restores of the store from a copy; none if absent. */
   storeRestores?: StoreRestores;
   usageReceiver: UsageReceiver | undefined;
--- a/daemons/gateway/src/shared/stream_continuations.ts
+++ b/daemons/gateway/src/shared/stream_continuations.ts
@@ -8,13 +8,14 @@
 import type {PeerClient, StreamVersion} from '@sardinestile/peer';
 import type {Clock} from '@sardinestile/types';
 import type {RegisteredGateway} from './peer_registry.js';
+import type {ServedVersionStore} from './served_version_store.js';
 import {shuffle} from './shuffle.js';
 
 /** Interval at which the versions of the upstreams are observed, in milliseconds. */
 const OBSERVATION_INTERVAL_MS = 1_000;
 
 /**
- * Time for the answers of other gateways, in milliseconds. A busy one may take a while,
+ * Time for the answers of other gateways and of the store, in milliseconds. A busy one may take a while,
  * and a caller loses more by a refusal than by the wait.
  */
 const ANSWER_LIMIT_MS = 400;
@@ -43,6 +44,8 @@
   /** All registered gateways of the fleet. */
   registeredGateways: () => readonly RegisteredGateway[];
   fetchStreamVersion: PeerClient['fetchStreamVersion'];
+  /** Versions that served before this process started. */
+  servedVersions: ServedVersionStore;
   clock: Clock;
   logger: Logger;
 }
@@ -72,21 +75,10 @@
     observedAtMs = clock.monotonicMs();
     history.observe(membership.all(), observedAtMs);
   };
-  /** Returns the version of all registered upstreams of a service, if it is one. */
-  const currentVersion = (service: string) => {
-    const versions = new Set(
-      membership
-        .all()
-        .filter(upstream => upstream.service === service)
-        .map(({softwareVersion}) => softwareVersion),
-    );
-    return versions.size === 1 ? [...versions][0] : undefined;
-  };
   const knownVersion = ({requestId, service}: ResumedStream) => {
-    // A caller that names no request may have begun the stream anywhere.
-    if (requestId === undefined) return currentVersion(service);
     const nowMs = clock.monotonicMs();
-    const origin = origins.versionOf(requestId, nowMs);
+    const origin =
+      requestId === undefined ? undefined : origins.versionOf(requestId, nowMs);
     if (origin !== undefined) return origin;
     observeNow();
     return history.onlyVersion(service, nowMs);
@@ -105,9 +97,6 @@
     const answers = chooseGateways().map(({address: {host, port}}) =>
       options.fetchStreamVersion(`${host}:${port}`, stream),
     );
-    const limit = new Promise<undefined>(resolve =>
-      setTimeout(() => resolve(undefined), ANSWER_LIMIT_MS),
-    );
     // Gateways that are lost, or know no more than this one, are the usual case.
     const answered: Promise<StreamVersion | undefined> = Promise.any(
       answers,
@@ -117,7 +106,7 @@
       logger.info('peer_failed', {operation, reason});
       return undefined;
     });
-    return (await Promise.race([answered, limit]))?.softwareVersion;
+    return (await within(answered))?.softwareVersion;
   };
   return {
     origins,
@@ -125,12 +114,25 @@
     async findVersion(stream) {
       const {requestId, service} = stream;
       const known = knownVersion(stream);
-      if (known !== undefined || requestId === undefined) return known;
-      return askGateways({requestId, service});
+      if (known !== undefined) return known;
+      const only = options.servedVersions.onlyVersion(service);
+      if (requestId === undefined) return within(only);
+      // Other gateways may know a stream also beside several versions.
+      const asked = askGateways({requestId, service});
+      return (await within(only)) ?? asked;
     },
     observeVersions() {
+      options.servedVersions.update();
       const sinceMs = clock.monotonicMs() - observedAtMs;
       if (sinceMs >= OBSERVATION_INTERVAL_MS) observeNow();
     },
   };
 }
+
+/** Resolves to undefined if there is no result within the time limit. */
+function within<T>(result: Promise<T | undefined>): Promise<T | undefined> {
+  const limit = new Promise<undefined>(resolve =>
+    setTimeout(() => resolve(undefined), ANSWER_LIMIT_MS),
+  );
+  return Promise.race([result, limit]);
+}
--- /dev/null
+++ b/routing/continuation/test/served_versions_test.ts
@@ -0,0 +1,120 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  mergeServedVersions,
+  onlyServedVersion,
+  STREAM_LIFETIME_MS,
+  type ServedVersions,
+  type VersionObservation,
+} from '../src/index.js';
+
+const START_MS = 1_700_000_000_000;
+const GENERATION = 1;
+
+/** Time after which a version can have begun no stream that is still resumed. */
+const FORGOTTEN_AFTER_MS = 2 * STREAM_LIFETIME_MS;
+
+const pool = (...versions: Array<string | undefined>) =>
+  versions.map(softwareVersion => ({service: 'pool', softwareVersion}));
+
+const observe = (fields: Partial<VersionObservation>): VersionObservation => ({
+  upstreams: [],
+  generation: GENERATION,
+  nowMs: START_MS,
+  isFirstStart: false,
+  known: undefined,
+  ...fields,
+});
+
+const stored = (versions: Record<string, number>): ServedVersions => ({
+  generation: GENERATION,
+  completeSinceMs: 0,
+  services: {pool: versions},
+});
+
+describe('mergeServedVersions', () => {
+  it('keeps a version that is no longer registered', () => {
+    const next = mergeServedVersions(
+      stored({v1: START_MS - 1_000}),
+      observe({upstreams: pool('v2')}),
+    );
+    expect(Object.keys(next?.services.pool ?? {})).toEqual(['v1', 'v2']);
+  });
+
+  it('changes nothing while all registered versions are recorded', () => {
+    const upstreams = pool('v1', 'v1');
+    const row = stored({v1: START_MS - 1_000});
+    expect(mergeServedVersions(row, observe({upstreams}))).toEqual(undefined);
+  });
+
+  it('removes a version once no stream of it can be resumed', () => {
+    const next = mergeServedVersions(
+      stored({v1: START_MS - FORGOTTEN_AFTER_MS}),
+      observe({upstreams: pool('v2')}),
+    );
+    expect(Object.keys(next?.services.pool ?? {})).toEqual(['v2']);
+  });
+
+  it('restores versions that a restore of the store has lost', () => {
+    const known = stored({v1: START_MS - 1_000, v2: START_MS - 1_000});
+    const next = mergeServedVersions(
+      stored({v1: START_MS - 1_000}),
+      observe({generation: GENERATION + 1, known}),
+    );
+    expect(next?.generation).toEqual(GENERATION + 1);
+    expect(Object.keys(next?.services.pool ?? {})).toEqual(['v1', 'v2']);
+    expect(next?.completeSinceMs).toEqual(0);
+  });
+
+  it('is not complete after a restore of which no gateway knows the time before', () => {
+    const next = mergeServedVersions(
+      stored({v1: START_MS - 1_000}),
+      observe({generation: GENERATION + 1, upstreams: pool('v1')}),
+    );
+    expect(next?.completeSinceMs).toEqual(START_MS);
+  });
+
+  it('is complete from the beginning only if the fleet starts for the first time', () => {
+    const upstreams = pool('v1');
+    const first = mergeServedVersions(
+      undefined,
+      observe({upstreams, isFirstStart: true}),
+    );
+    expect(first?.completeSinceMs).toEqual(0);
+    const later = mergeServedVersions(undefined, observe({upstreams}));
+    expect(later?.completeSinceMs).toEqual(START_MS);
+  });
+});
+
+describe('onlyServedVersion', () => {
+  const onlyVersion = (
+    row: ServedVersions | undefined,
+    fields: Partial<VersionObservation>,
+  ) => onlyServedVersion(row, 'pool', observe(fields));
+
+  it('is the version of all upstreams that served lately', () => {
+    const row = stored({v1: START_MS - 1_000});
+    expect(onlyVersion(row, {upstreams: pool('v1')})).toEqual('v1');
+    expect(onlyVersion(row, {upstreams: []})).toEqual('v1');
+  });
+
+  it('is not certain beside a version that is registered or served lately', () => {
+    const row = stored({v1: START_MS - 1_000});
+    expect(onlyVersion(row, {upstreams: pool('v2')})).toEqual(undefined);
+    const both = stored({v1: START_MS - STREAM_LIFETIME_MS, v2: START_MS});
+    expect(onlyVersion(both, {upstreams: pool('v2')})).toEqual(undefined);
+  });
+
+  it('is not certain of upstreams that state no version', () => {
+    const row = stored({'': START_MS});
+    expect(onlyVersion(row, {upstreams: pool(undefined)})).toEqual(undefined);
+  });
+
+  it('is not certain after a restore that was not recorded, nor soon after the first record', () => {
+    const row = stored({v1: START_MS});
+    const restored = {upstreams: pool('v1'), generation: GENERATION + 1};
+    expect(onlyVersion(row, restored)).toEqual(undefined);
+    const fresh = {...row, completeSinceMs: START_MS - STREAM_LIFETIME_MS};
+    expect(onlyVersion(fresh, {upstreams: pool('v1')})).toEqual(undefined);
+  });
+});
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -140,8 +140,11 @@
         store,
         duties,
         {...DEFAULT_LIMITS, ...limits},
-        `front-${++startedGateways}`,
-        clock,
+        {
+          instance: `front-${++startedGateways}`,
+          isFirstStart: startedGateways === 1,
+          clock,
+        },
       );
       gateways.push(testGateway);
       closeCallbacks.push(() => testGateway.store.close());
@@ -157,12 +160,17 @@
   return cluster;
 }
 
+interface TestGatewayOptions {
+  instance: string;
+  isFirstStart: boolean;
+  clock: Clock;
+}
+
 async function startTestGateway(
   state: StoreState,
   duties: DutyStandIn,
   limits: TestLimits,
-  instance: string,
-  clock: Clock,
+  {instance, isFirstStart, clock}: TestGatewayOptions,
 ): Promise<TestGateway> {
   const listener = await startStoreListener(state);
   const store = createStoreClient({host: '127.0.0.1', port: listener.port});
@@ -175,6 +183,7 @@
   const host = '127.0.0.1';
   const gateway = await startGateway({
     instance,
+    isFirstStart,
     callerAddress: {host, port},
     readinessAddress: {host, port: readyPort},
     metricsAddress: {host, port: metricsPort},
