--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -28,10 +28,7 @@
 /** Cost of a request that fails; higher than that of a late one. */
 const ERROR_COST_MS = 1_200;
 
-/**
- * Cost of an engine in the wrong part of the partition: a long prompt on an
- * engine for short prompts, or the reverse.
- */
+/** Cost of a short prompt on an engine for long prompts. */
 const PARTITION_MISMATCH_COST_MS = 250;
 
 /**
@@ -161,9 +158,10 @@
     traits: fleet.traitsOf(request.service),
     resourceCosts: fleet.resourceCosts,
     sharedTokens: countTokens(shared),
-    isLongPrompt: service.partition.isLongPrefill(
-      service.model.estimatePrefillMs(ownTokens(request)),
-    ),
+    isLongPrompt: service.partition.isLong({
+      prefillMs: service.model.estimatePrefillMs(ownTokens(request)),
+      targetGapMs: request.targetGapMs,
+    }),
     longPromptEngines: service.partition.longPromptEngines(records, nowMs),
     copySource,
     affinityHash: hashText(shared.at(-1)?.id ?? request.requestId),
@@ -258,9 +256,9 @@
   {isLongPrompt, longPromptEngines}: PlacementContext,
   upstream: UpstreamRecord,
 ): number {
-  return longPromptEngines.has(upstream.id) === isLongPrompt
-    ? 0
-    : PARTITION_MISMATCH_COST_MS;
+  if (longPromptEngines.has(upstream.id) === isLongPrompt) return 0;
+  // A long prompt makes about one stream late that runs there, or begins there soon.
+  return isLongPrompt ? LATE_COST_MS : PARTITION_MISMATCH_COST_MS;
 }
 
 /**
--- a/routing/fleet/src/prompt_partition.ts
+++ b/routing/fleet/src/prompt_partition.ts
@@ -5,6 +5,9 @@
 /** Time constant of the average demand for prefill of long prompts. */
 const DEMAND_TIME_CONSTANT_MS = 4_000;
 
+/** Factor applied to older prefill times in their average with each new one. */
+const PREFILL_DECAY_FACTOR = 0.99;
+
 /** Target share of time that engines for long prompts spend on prefill. */
 const LONG_UTILISATION_TARGET = 0.5;
 
@@ -17,14 +20,32 @@
  */
 export const PREFILL_GAP_SHARE = 0.6;
 
+/**
+ * Target gap from which a stream tolerates the prefills of others, as a multiple of the
+ * shortest one.
+ */
+const TOLERANT_GAP_FACTOR = 1.2;
+
+/**
+ * Mean prefill of tolerant streams, as a share of the shortest target gap, from which all
+ * of them go to the engines for long prompts: several in a row make the streams with the
+ * shortest gap late, and a prompt that is often used is cached on one side only.
+ */
+const TOLERANT_GAP_SHARE = 0.15;
+
 /**
  * Divides the engines of a service between long and short prompts. The prefill
  * of a long prompt pauses every stream on the same engine, so streams with a
  * short target gap run on other engines.
  */
 export interface PromptPartition {
-  /** Whether a prefill of this length makes streams on the same engine late. */
-  isLongPrefill(prefillMs: number): boolean;
+  /**
+   * Whether a request belongs on the engines for long prompts: its prefill makes streams
+   * on the same engine late, or its own stream tolerates more and those like it do.
+   */
+  isLong(request: {prefillMs: number; targetGapMs?: number}): boolean;
+  /** Records the prefill of a request that was placed. */
+  recordPrefill(prefillMs: number, targetGapMs: number | undefined): void;
   /** Changes the number of running requests with a short prompt. */
   adjustShortRunning(change: 1 | -1): void;
   /** Records that a long prompt was placed. */
@@ -49,10 +70,23 @@
 ): PromptPartition {
   const demand = createDecayingSum(DEMAND_TIME_CONSTANT_MS);
   const serviceHash = hashText(service);
+  const tolerantPrefill = createMovingAverage();
   let shortRunning = 0;
+  const isTolerant = (targetGapMs: number | undefined) =>
+    targetGapMs !== undefined &&
+    targetGapMs > TOLERANT_GAP_FACTOR * shortestTargetGapMs();
   return {
-    isLongPrefill: prefillMs =>
-      prefillMs > PREFILL_GAP_SHARE * shortestTargetGapMs(),
+    isLong({prefillMs, targetGapMs}) {
+      const shortestMs = shortestTargetGapMs();
+      if (prefillMs > PREFILL_GAP_SHARE * shortestMs) return true;
+      return (
+        isTolerant(targetGapMs) &&
+        tolerantPrefill.mean() > TOLERANT_GAP_SHARE * shortestMs
+      );
+    },
+    recordPrefill(prefillMs, targetGapMs) {
+      if (isTolerant(targetGapMs)) tolerantPrefill.add(prefillMs);
+    },
     adjustShortRunning(change) {
       shortRunning += change;
     },
@@ -82,3 +116,16 @@
     },
   };
 }
+
+/** Returns a moving average of prefill times, in milliseconds; 0 without any. */
+function createMovingAverage() {
+  let sumMs = 0;
+  let weight = 0;
+  return {
+    add(prefillMs: number) {
+      sumMs = PREFILL_DECAY_FACTOR * sumMs + prefillMs;
+      weight = PREFILL_DECAY_FACTOR * weight + 1;
+    },
+    mean: () => (weight === 0 ? 0 : sumMs / weight),
+  };
+}
--- a/routing/fleet/src/upstream_fleet.ts
+++ b/routing/fleet/src/upstream_fleet.ts
@@ -247,7 +247,8 @@
         state.streams.add(requestId, targetGapMs);
       }
       // Shared parts that have to be computed make a prompt long, too.
-      const isLongPrompt = partition.isLongPrefill(prefillMs);
+      partition.recordPrefill(prefillMs, targetGapMs);
+      const isLongPrompt = partition.isLong({prefillMs, targetGapMs});
       if (isLongPrompt) partition.recordLongPrompt(prefillMs, nowMs);
       else partition.adjustShortRunning(1);
       running.set(key, {
--- a/routing/fleet/test/virtual_engines.ts
+++ b/routing/fleet/test/virtual_engines.ts
@@ -1,4 +1,5 @@
 import {decideAdmission} from '@sardinestile/admission';
+import {hashText} from '@sardinestile/placement';
 import {createSeededRandom} from '@sardinestile/types';
 import {
   createUpstreamFleet,
@@ -10,14 +11,33 @@
 } from '../src/index.js';
 
 /**
- * Duration of a decode step. The engines batch: each step generates one token
- * for every stream and prefills a chunk of one prompt.
+ * Speed of the simulated engines. They batch: each step generates one token for
+ * every stream and prefills a chunk of one prompt.
  */
-const STEP_MS = 6;
-const PREFILL_TOKENS_PER_MS = 45;
-const CHUNK_TOKENS = 1_024;
-const TOKENS_PER_EVENT = 4;
-const BYTES_PER_TOKEN = 20_000;
+export interface VirtualEngineTraits {
+  /** Duration of a decode step. */
+  stepMs: number;
+  prefillTokensPerMs: number;
+  chunkTokens: number;
+  tokensPerEvent: number;
+  bytesPerToken: number;
+  /** Time from the end of the prefill to the first event, beyond the first step. */
+  firstEventDelayMs: number;
+  /**
+   * Periods in which an engine is slower: their share of the time, how many times
+   * longer each step takes, and the length of a period. None if absent.
+   */
+  slowPeriods?: {share: number; factor: number; periodMs: number};
+}
+
+const DEFAULT_TRAITS: VirtualEngineTraits = {
+  stepMs: 6,
+  prefillTokensPerMs: 45,
+  chunkTokens: 1_024,
+  tokensPerEvent: 4,
+  bytesPerToken: 20_000,
+  firstEventDelayMs: 0,
+};
 
 /** Time that callers wait for a response. */
 const CALLER_TIMEOUT_MS = 5_000;
@@ -35,6 +55,11 @@
   sharedTokens: number;
   prefixCount: number;
   ownTokens: number;
+  /**
+   * Standard deviation of the logarithm of the tokens of a prompt, at the same mean;
+   * 0 (the default) for prompts of equal length.
+   */
+  lengthSpread?: number;
   events: number;
   targetLatencyMs: number;
   targetGapMs: number;
@@ -73,6 +98,13 @@
   transferMbps?: number;
   /** Costs of the placement under test; its defaults if absent. */
   resourceCosts?: ResourceCosts;
+  engineTraits?: VirtualEngineTraits;
+  /** Gateways that place the requests, each by what it knows; 1 if absent. */
+  gatewayCount?: number;
+  /** Time until a gateway hears what another one did; 0 if absent. */
+  hearsAfterMs?: number;
+  /** Whether the placement learns the speed of the engines; otherwise it keeps its initial estimate. */
+  learnsSpeed?: boolean;
 }
 
 /** Placement under test. */
@@ -83,11 +115,8 @@
 
 /** Placement under test, with admission control by the expected wait. */
 export const placeAdmitted: PlacementPolicy = (fleet, request, nowMs) => {
-  const {upstream, expectedWaitMs, expectedFirstEventMs} = placeRequest(
-    fleet,
-    request,
-    nowMs,
-  )!;
+  const placement = placeRequest(fleet, request, nowMs)!;
+  const {upstream, expectedWaitMs, expectedFirstEventMs} = placement;
   const serviceTimeMs = expectedFirstEventMs - expectedWaitMs;
   const {kind} = decideAdmission({
     waitMs: expectedWaitMs,
@@ -96,7 +125,9 @@
     targetLatencyMs: request.targetLatencyMs,
     timeLeftMs: CALLER_TIMEOUT_MS,
   });
-  return kind === 'admit' ? {id: upstream.id} : undefined;
+  return kind === 'admit'
+    ? {id: upstream.id, copyFrom: placement.copyPromptFrom?.id}
+    : undefined;
 };
 
 /** Baseline: chooses the engine with the fewest requests. */
@@ -111,11 +142,17 @@
 
 interface VirtualRequest {
   id: string;
+  /** Of the gateway that placed it. */
+  fleet: UpstreamFleet;
   kind: LoadKind;
   arrivedMs: number;
   /** Time at which the copy of the shared part is complete. */
   readyAtMs: number;
   uncachedTokens: number;
+  /** Tokens to prefill when the request was placed. */
+  prefillTokens: number;
+  /** Whether it was placed at an engine that was expected to be free. */
+  mayBeSample: boolean;
   tokens: number;
   lastEventMs: number;
   isOnTime: boolean;
@@ -123,8 +160,16 @@
 
 interface VirtualEngine {
   id: string;
+  traits: VirtualEngineTraits;
   cached: Set<string>;
   prefilling: VirtualRequest[];
+  /** First events that have not arrived yet. */
+  firstEvents: Array<{
+    request: VirtualRequest;
+    atMs: number;
+    /** Time at which the step that ends with it begins. */
+    dueAtMs: number;
+  }>;
   streaming: VirtualRequest[];
   /** Time at which the current step ends. */
   freeAtMs: number;
@@ -137,18 +182,22 @@
   options: SimulationOptions,
 ): Map<string, KindResult> {
   const {engineCount, durationMs = 30_000, transferMbps = 0} = options;
+  const {engineTraits: traits = DEFAULT_TRAITS} = options;
   const {next: random} = createSeededRandom(options.seed);
-  const fleet = createUpstreamFleet({
-    traitsOf: () => ({
-      slots: 64,
-      memoryTokens: 250_000,
-      bytesPerToken: BYTES_PER_TOKEN,
-      transferMbps,
+  const gateways = createVirtualGateways(options, () =>
+    createUpstreamFleet({
+      traitsOf: () => ({
+        slots: 64,
+        memoryTokens: 250_000,
+        bytesPerToken: traits.bytesPerToken,
+        transferMbps,
+      }),
+      shortestTargetGapMs: () =>
+        Math.min(...kinds.map(kind => kind.targetGapMs)),
+      resourceCosts: options.resourceCosts,
     }),
-    shortestTargetGapMs: () => Math.min(...kinds.map(kind => kind.targetGapMs)),
-    resourceCosts: options.resourceCosts,
-  });
-  const engines = createEngines(engineCount, fleet);
+  );
+  const engines = createEngines(engineCount, traits, gateways.fleets);
   const resultsByKind = new Map(
     kinds.map(({name}) => [
       name,
@@ -161,8 +210,12 @@
   const everPrefilled = new Set<string>();
   let nextArrival = 0;
   for (let nowMs = 0; nowMs < durationMs + 10_000; nowMs++) {
+    gateways.deliver(nowMs);
     while (arrivals[nextArrival]?.atMs <= nowMs) {
-      const {kind, prefixIndex} = arrivals[nextArrival];
+      const {kind: typical, prefixIndex} = arrivals[nextArrival];
+      const lengthFactor = logNormal(random, typical.lengthSpread ?? 0);
+      const ownTokens = Math.ceil(typical.ownTokens * lengthFactor);
+      const kind = {...typical, ownTokens};
       const id = `r${nextArrival++}`;
       const part = `${kind.name}-${prefixIndex}`;
       const promptTokens = kind.sharedTokens + kind.ownTokens;
@@ -180,9 +233,11 @@
       };
       const result = resultsByKind.get(kind.name)!;
       result.sent++;
+      const fleet = gateways.choose(random);
       const chosen = place(fleet, request, nowMs);
       if (chosen === undefined) continue;
       const {id: upstreamId, copyFrom} = chosen;
+      const expectedWaitMs = waitAt(fleet, upstreamId, request.urgency, nowMs);
       const engine = engines.find(candidate => candidate.id === upstreamId)!;
       const copySource = engines.find(({id}) => id === copyFrom);
       const isCopied =
@@ -190,7 +245,7 @@
       const isCached = engine.cached.has(part) || isCopied;
       if (isCopied) result.copiedTokens += kind.sharedTokens;
       const copyMs = isCopied
-        ? (kind.sharedTokens * BYTES_PER_TOKEN * 8) / (transferMbps * 1000)
+        ? (kind.sharedTokens * traits.bytesPerToken * 8) / (transferMbps * 1000)
         : 0;
       const uncachedTokens =
         kind.ownTokens + (isCached ? 0 : kind.sharedTokens);
@@ -199,29 +254,82 @@
       }
       everPrefilled.add(part);
       engine.cached.add(part);
-      fleet.recordPlacement(
-        'self',
-        {...request, requestId: id, upstreamId, uncachedTokens},
-        nowMs,
+      const placed = {...request, requestId: id, upstreamId, uncachedTokens};
+      gateways.tell(fleet, nowMs, (heardBy, atMs) =>
+        heardBy.recordPlacement('gateway', placed, atMs),
       );
       engine.prefilling.push({
         id,
+        fleet,
         kind,
         arrivedMs: nowMs,
         readyAtMs: nowMs + copyMs,
         uncachedTokens,
+        prefillTokens: uncachedTokens,
+        mayBeSample:
+          options.learnsSpeed === true && !isCopied && expectedWaitMs === 0,
         tokens: 0,
         lastEventMs: nowMs,
         isOnTime: true,
       });
       engine.prefilling.sort((a, b) => a.kind.urgency - b.kind.urgency);
     }
-    for (const engine of engines) step(engine, fleet, resultsByKind, nowMs);
+    for (const engine of engines) {
+      step(engine, gateways, resultsByKind, nowMs);
+      reportFirstEvents(engine, gateways, nowMs);
+    }
   }
   return resultsByKind;
 }
 
-function createEngines(count: number, fleet: UpstreamFleet): VirtualEngine[] {
+/** Gateways that tell each other what they do. */
+interface VirtualGateways {
+  readonly fleets: readonly UpstreamFleet[];
+  /** Returns the fleet of a gateway that receives the next request. */
+  choose(random: () => number): UpstreamFleet;
+  /** Applies a change to a gateway's own fleet now and to those of the others later. */
+  tell(
+    own: UpstreamFleet,
+    nowMs: number,
+    apply: (fleet: UpstreamFleet, nowMs: number) => void,
+  ): void;
+  /** Applies what the gateways have heard by now. */
+  deliver(nowMs: number): void;
+}
+
+function createVirtualGateways(
+  {gatewayCount = 1, hearsAfterMs = 0}: SimulationOptions,
+  createFleet: () => UpstreamFleet,
+): VirtualGateways {
+  const fleets = Array.from({length: gatewayCount}, createFleet);
+  const underway: Array<{atMs: number; apply: (nowMs: number) => void}> = [];
+  return {
+    fleets,
+    choose: random =>
+      fleets.length === 1
+        ? fleets[0]
+        : fleets[Math.floor(random() * fleets.length)],
+    tell(own, nowMs, apply) {
+      apply(own, nowMs);
+      for (const fleet of fleets) {
+        if (fleet === own) continue;
+        const atMs = nowMs + hearsAfterMs;
+        underway.push({atMs, apply: heardAtMs => apply(fleet, heardAtMs)});
+      }
+    },
+    deliver(nowMs) {
+      let due = 0;
+      while (due < underway.length && underway[due].atMs <= nowMs) due++;
+      underway.splice(0, due).forEach(({apply}) => apply(nowMs));
+    },
+  };
+}
+
+function createEngines(
+  count: number,
+  traits: VirtualEngineTraits,
+  fleets: readonly UpstreamFleet[],
+): VirtualEngine[] {
   return Array.from({length: count}, (_, i) => {
     const record: UpstreamRecord = {
       id: `e${i}`,
@@ -233,11 +341,13 @@
       coldMs: 0,
       startedAtWallMs: 0,
     };
-    fleet.membership.put(record, 0);
+    fleets.forEach(({membership}) => membership.put(record, 0));
     return {
       id: record.id,
+      traits,
       cached: new Set<string>(),
       prefilling: [],
+      firstEvents: [],
       streaming: [],
       freeAtMs: 0,
     };
@@ -256,44 +366,95 @@
   }
 }
 
+/** Returns the expected wait of a request at an engine, in milliseconds. */
+function waitAt(
+  fleet: UpstreamFleet,
+  upstreamId: string,
+  urgency: number,
+  nowMs: number,
+): number {
+  const state = fleet.upstreamStateOf(fleet.membership.get(upstreamId)!);
+  return state.prefillQueue.waitMs(urgency, nowMs);
+}
+
+/** Returns a random factor with a mean of 1. */
+function logNormal(random: () => number, spread: number): number {
+  if (spread === 0) return 1;
+  const normal =
+    Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+  return Math.exp(spread * normal - (spread * spread) / 2);
+}
+
+/** Reports the first events that are due to the placement. */
+function reportFirstEvents(
+  engine: VirtualEngine,
+  gateways: VirtualGateways,
+  nowMs: number,
+): void {
+  while (engine.firstEvents[0]?.dueAtMs <= nowMs) {
+    const {request, atMs} = engine.firstEvents.shift()!;
+    gateways.tell(request.fleet, nowMs, heardBy =>
+      heardBy.recordFirstEvent(engine.id, request.id, atMs),
+    );
+    if (!request.mayBeSample) continue;
+    const {model} = request.fleet.serviceStateOf('s');
+    model.addSample(request.prefillTokens, atMs - request.arrivedMs);
+  }
+}
+
+/** Returns how many times longer a step takes now; the periods differ by engine. */
+function slownessOf({id, traits}: VirtualEngine, nowMs: number): number {
+  if (!traits.slowPeriods) return 1;
+  const {share, factor, periodMs} = traits.slowPeriods;
+  const period = Math.floor(nowMs / periodMs);
+  return hashText(`${id} ${period}`) / 2 ** 32 < share ? factor : 1;
+}
+
 /** Completes the step that has ended and begins the next one. */
 function step(
   engine: VirtualEngine,
-  fleet: UpstreamFleet,
+  gateways: VirtualGateways,
   resultsByKind: Map<string, KindResult>,
   nowMs: number,
 ): void {
   if (nowMs < engine.freeAtMs) return;
-  let stepMs = engine.streaming.length > 0 ? STEP_MS : 0;
+  const {tokensPerEvent, chunkTokens, prefillTokensPerMs} = engine.traits;
+  let stepMs = engine.streaming.length > 0 ? engine.traits.stepMs : 0;
   for (const request of [...engine.streaming]) {
     request.tokens++;
-    if (request.tokens % TOKENS_PER_EVENT !== 0) continue;
+    if (request.tokens % tokensPerEvent !== 0) continue;
     recordEvent(request, nowMs);
-    if (request.tokens / TOKENS_PER_EVENT < request.kind.events) continue;
+    if (request.tokens / tokensPerEvent < request.kind.events) continue;
     engine.streaming.splice(engine.streaming.indexOf(request), 1);
-    fleet.recordEnd(engine.id, request.id, nowMs);
+    gateways.tell(request.fleet, nowMs, (heardBy, heardAtMs) =>
+      heardBy.recordEnd(engine.id, request.id, heardAtMs),
+    );
     if (request.isOnTime) resultsByKind.get(request.kind.name)!.onTime++;
   }
   const current = engine.prefilling.find(({readyAtMs}) => readyAtMs <= nowMs);
   if (current) {
-    const tokens = Math.min(CHUNK_TOKENS, current.uncachedTokens);
+    const tokens = Math.min(chunkTokens, current.uncachedTokens);
     current.uncachedTokens -= tokens;
     const promptTokens = current.kind.sharedTokens + current.kind.ownTokens;
     const contextTokens = promptTokens - current.uncachedTokens;
     const pairsInMillions = (tokens * contextTokens) / 1e6;
     stepMs +=
-      tokens / PREFILL_TOKENS_PER_MS + MS_PER_MILLION_PAIRS * pairsInMillions;
+      tokens / prefillTokensPerMs + MS_PER_MILLION_PAIRS * pairsInMillions;
     if (current.uncachedTokens === 0) {
       engine.prefilling.splice(engine.prefilling.indexOf(current), 1);
       engine.streaming.push(current);
-      const firstMs = nowMs + stepMs;
-      current.isOnTime =
-        firstMs - current.arrivedMs <= current.kind.targetLatencyMs;
+      const firstMs = nowMs + stepMs + engine.traits.firstEventDelayMs;
+      const firstEventMs = firstMs - current.arrivedMs;
+      current.isOnTime = firstEventMs <= current.kind.targetLatencyMs;
       current.lastEventMs = firstMs;
-      fleet.recordFirstEvent(engine.id, current.id, firstMs);
+      engine.firstEvents.push({
+        request: current,
+        atMs: firstMs,
+        dueAtMs: nowMs + engine.traits.firstEventDelayMs,
+      });
     }
   }
-  engine.freeAtMs = nowMs + Math.max(1, stepMs);
+  engine.freeAtMs = nowMs + Math.max(1, stepMs * slownessOf(engine, nowMs));
 }
 
 function recordEvent(request: VirtualRequest, nowMs: number): void {
