--- a/routing/fleet/src/fleet_groups.ts
+++ b/routing/fleet/src/fleet_groups.ts
@@ -6,12 +6,16 @@
  */
 const MAX_GROUP_GATEWAYS = 32;
 
+/** Index of a group, from 0 to the number of groups - 1. */
+export type GroupIndex = number;
+
 /** Group of a large fleet that a gateway belongs to. */
 export interface GroupAssignment {
-  /** From 0 to `count` - 1. */
-  index: number;
+  index: GroupIndex;
   /** Number of groups. */
   count: number;
+  /** Number of gateways in the fleet; if absent, the groups count as equal. */
+  gateways?: number;
 }
 
 /** Assignment for a fleet that is not divided. */
@@ -32,7 +36,18 @@
     : [...instances, instance];
   const count = Math.ceil(all.length / MAX_GROUP_GATEWAYS);
   const position = sortByHash(all, name => name).indexOf(instance);
-  return {index: groupIndexOf(position, all.length, count), count};
+  const index = groupIndexOf(position, all.length, count);
+  return {index, count, gateways: all.length};
+}
+
+/** Returns the number of gateways of each group; 1 for each if it is unknown. */
+export function groupSizesOf({count, gateways}: GroupAssignment): number[] {
+  const sizes = Array.from({length: count}, () => 0);
+  const total = gateways ?? count;
+  for (let position = 0; position < total; position++) {
+    sizes[groupIndexOf(position, total, count)]++;
+  }
+  return sizes;
 }
 
 /** Divides items with stable names into the groups that `assignGroup` assigns them to. */
--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -13,4 +13,5 @@
 export * from './request_limits.js';
 export * from './service_pause.js';
 export * from './stream_load.js';
+export * from './upstream_division.js';
 export * from './upstream_health.js';
--- a/routing/fleet/test/fleet_groups_test.ts
+++ b/routing/fleet/test/fleet_groups_test.ts
@@ -18,7 +18,11 @@
 describe('fleet groups', () => {
   it('form one group for a fleet of 30 gateways', () => {
     const names = namesTo(30, 'front');
-    expect(assignGroup('front-7', names)).toEqual({index: 0, count: 1});
+    expect(assignGroup('front-7', names)).toEqual({
+      index: 0,
+      count: 1,
+      gateways: 30,
+    });
   });
 
   it('have equal sizes of at most 32 gateways, whatever the size of the fleet', () => {
