--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -3,6 +3,7 @@
 export * from './upstream_fleet.js';
 export * from './fleet_groups.js';
 export * from './fleet_types.js';
+export * from './group_upstreams.js';
 export * from './membership.js';
 export * from './place_request.js';
 export * from './placement_cost.js';
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -87,6 +87,7 @@
   /** Engine that has prefilled the most tokens of the shared parts. */
   copySource: {record: UpstreamRecord; tokens: number} | undefined;
   affinityHash: number;
+  unheardRequests: UpstreamFleet['unheardRequests'];
   nowMs: number;
 }
 
@@ -167,6 +168,7 @@
     longPromptEngines: service.partition.longPromptEngines(records, nowMs),
     copySource,
     affinityHash: hashText(shared.at(-1)?.id ?? request.requestId),
+    unheardRequests: fleet.unheardRequests,
     nowMs,
   };
 }
@@ -190,6 +192,7 @@
     sharedTokens - cachedTokens - copy.tokens,
   );
   const prefillMs = model.estimatePrefillMs(uncachedTokens);
+  const running = state.running + context.unheardRequests(upstream, nowMs);
   const expectedWaitMs =
     state.prefillQueue.waitMs(request.urgency, nowMs) * slowness;
   const expectedFirstEventMs =
@@ -204,8 +207,8 @@
       ON_TIME_STREAM_SHARE *
       delayedStreamCount(context, state, prefillMs) +
     partitionMismatchCostMs(context, upstream) +
-    saturationCostMs(context, upstream, state) +
-    RUNNING_COST_MS * state.running +
+    saturationCostMs(context, upstream, state, running) +
+    RUNNING_COST_MS * running +
     ERROR_COST_MS * state.health.errorRate(nowMs);
   return {
     upstream,
@@ -270,8 +273,9 @@
   {request, traits}: PlacementContext,
   upstream: UpstreamRecord,
   state: UpstreamState,
+  running: number,
 ): number {
-  if (state.running >= upstream.places) return SATURATION_COST_MS;
+  if (running >= upstream.places) return SATURATION_COST_MS;
   if (!traits) return 0;
   const tokens = state.runningPromptTokens + request.promptTokens;
   return tokens > MEMORY_SHARE * traits.memoryTokens ? SATURATION_COST_MS : 0;
--- a/routing/fleet/src/upstream_fleet.ts
+++ b/routing/fleet/src/upstream_fleet.ts
@@ -4,8 +4,13 @@
   createEngineLatencyModel,
   type EngineLatencyModel,
 } from './engine_latency_model.js';
-import {ONE_GROUP, selectGroup, type GroupAssignment} from './fleet_groups.js';
+import type {GroupAssignment} from './fleet_groups.js';
 import type {PlacedRequest, UpstreamRecord} from './fleet_types.js';
+import {
+  createGroupUpstreams,
+  type DivisionChange,
+  type GroupUpstreams,
+} from './group_upstreams.js';
 import {createMembership, type Membership} from './membership.js';
 import {DEFAULT_RESOURCE_COSTS, type ResourceCosts} from './placement_cost.js';
 import {createPrefillQueue, type PrefillQueue} from './prefill_queue.js';
@@ -77,18 +82,23 @@
   upstreamsOf(service: string): readonly UpstreamRecord[];
   /**
    * Whether the gateways of all groups send to the upstreams of a service, since
-   * there are fewer of them than groups.
+   * there are few of them.
    */
   isSharedByGroups(service: string): boolean;
+  /** Requests that an upstream from another group is assumed to have beyond the known ones. */
+  readonly unheardRequests: GroupUpstreams['unheardRequests'];
   /** Sets the group of this gateway. */
   setGroup(group: GroupAssignment): void;
   /**
    * Records a placed request. Repeated calls and unknown upstreams are ignored.
+   * Requests of other groups do not count against the share of a stated limit that
+   * this group has.
    */
   recordPlacement(
     gateway: GatewayName,
     request: PlacedRequest,
     nowMs: number,
+    isOfOtherGroup?: boolean,
   ): void;
   /**
    * Records the first event of a request, which means that its prefill is done.
@@ -120,6 +130,8 @@
    * 1 if absent.
    */
   heardShareOfGroup?: () => number;
+  /** Called when upstreams move between groups of gateways. */
+  onDivisionChange?: (change: DivisionChange) => void;
 }
 
 interface RunningRequest {
@@ -144,9 +156,10 @@
   const requestLimits = createRequestLimits({
     heardShare({id}) {
       const service = membership.get(id)?.service ?? '';
-      return (
-        heardShareOfGroup() / (isSharedByGroups(service) ? group.count : 1)
-      );
+      const groupShare = groupUpstreams.isShared(service)
+        ? groupUpstreams.groupShare()
+        : 1;
+      return heardShareOfGroup() * groupShare;
     },
   });
   const states = new Map<string, UpstreamState>();
@@ -154,25 +167,11 @@
   /** Requests that have not ended, oldest first. */
   const running = new Map<string, RunningRequest>();
 
-  let group = ONE_GROUP;
-  /**
-   * Upstreams of the group, cached by the list that they were selected from.
-   */
-  let groupUpstreamsByList = new WeakMap<
-    readonly UpstreamRecord[],
-    readonly UpstreamRecord[]
-  >();
-  const upstreamsOf = (service: string) => {
-    const all = membership.usableUpstreamsOf(service);
-    let groupUpstreams = groupUpstreamsByList.get(all);
-    if (!groupUpstreams) {
-      groupUpstreams = selectGroup(all, ({id}) => id, group);
-      groupUpstreamsByList.set(all, groupUpstreams);
-    }
-    return groupUpstreams;
-  };
-  const isSharedByGroups = (service: string) =>
-    membership.usableUpstreamsOf(service).length < group.count;
+  const groupUpstreams = createGroupUpstreams({
+    usableUpstreamsOf: membership.usableUpstreamsOf,
+    runningAt: ({id}) => states.get(id)?.running ?? 0,
+    onChange: change => options.onDivisionChange?.(change),
+  });
   const upstreamStateOf = ({id, service}: UpstreamRecord): UpstreamState => {
     let state = states.get(id);
     if (!state) {
@@ -219,23 +218,20 @@
     membership,
     quietPeriods,
     requestLimits,
-    isSharedByGroups,
+    isSharedByGroups: groupUpstreams.isShared,
+    unheardRequests: groupUpstreams.unheardRequests,
     resourceCosts: options.resourceCosts ?? DEFAULT_RESOURCE_COSTS,
     upstreamStateOf,
     serviceStateOf,
     traitsOf,
-    upstreamsOf,
-    setGroup(next) {
-      if (next.index === group.index && next.count === group.count) return;
-      group = next;
-      groupUpstreamsByList = new WeakMap();
-    },
-    recordPlacement(gateway, request, nowMs) {
+    upstreamsOf: groupUpstreams.upstreamsOf,
+    setGroup: groupUpstreams.setGroup,
+    recordPlacement(gateway, request, nowMs, isOfOtherGroup = false) {
       const {requestId, upstreamId, targetGapMs, promptTokens} = request;
       const record = membership.get(upstreamId);
       const key = requestKey(upstreamId, requestId);
       if (!record || running.has(key)) return;
-      requestLimits.recordRequest(record, nowMs);
+      if (!isOfOtherGroup) requestLimits.recordRequest(record, nowMs);
       const state = upstreamStateOf(record);
       const {model, partition} = serviceStateOf(record.service);
       const prefillMs = model.estimatePrefillMs(request.uncachedTokens);
