--- a/protocol/ledger/src/ledger_codec.ts
+++ b/protocol/ledger/src/ledger_codec.ts
@@ -29,6 +29,8 @@
    */
   slewedWallMs: number;
   status: SenderStatus;
+  /** Whether the message is for gateways of other groups than the sender's. */
+  isBetweenGroups: boolean;
   updates: LedgerUpdate[];
 }
 
@@ -47,15 +49,14 @@
 
 /** Encodes a message as the payload of a datagram. */
 export function encodeLedgerMessage(message: LedgerMessage): Buffer {
-  const {fleetId, instance, startedAtMs, slewedWallMs, status, updates} =
-    message;
+  const {fleetId, instance, startedAtMs, slewedWallMs, updates} = message;
   return Buffer.from(
     JSON.stringify([
       fleetId,
       instance,
       startedAtMs,
       slewedWallMs,
-      encodeStatus(status),
+      encodeFlags(message),
       updates.map(encodeUpdate),
     ]),
   );
@@ -68,9 +69,8 @@
 export function decodeLedgerMessage(bytes: Buffer): LedgerMessage | undefined {
   const result = messageSchema.safeParse(parseJson(bytes));
   if (!result.success) return undefined;
-  const [fleetId, instance, startedAtMs, slewedWallMs, statusBits, rows] =
+  const [fleetId, instance, startedAtMs, slewedWallMs, flags, rows] =
     result.data;
-  const status = decodeStatus(statusBits);
   const updates: LedgerUpdate[] = [];
   for (const row of rows) {
     // Gateways of a later version may send updates that this one does not know.
@@ -80,23 +80,38 @@
     if (!decoded.success) return undefined;
     updates.push(decoded.data);
   }
-  return {fleetId, instance, startedAtMs, slewedWallMs, status, updates};
+  return {
+    fleetId,
+    instance,
+    startedAtMs,
+    slewedWallMs,
+    ...decodeFlags(flags),
+    updates,
+  };
 }
 
 /** Bits of the status field on the wire. */
 const STOPPING_BIT = 1;
 const DUTY_HELD_BIT = 2;
+const BETWEEN_GROUPS_BIT = 4;
+
+type MessageFlags = Pick<LedgerMessage, 'status' | 'isBetweenGroups'>;
 
-function encodeStatus({isStopping, hasSeenDutyHeld}: SenderStatus): number {
+function encodeFlags({status, isBetweenGroups}: MessageFlags): number {
   return (
-    (isStopping ? STOPPING_BIT : 0) | (hasSeenDutyHeld ? DUTY_HELD_BIT : 0)
+    (status.isStopping ? STOPPING_BIT : 0) |
+    (status.hasSeenDutyHeld ? DUTY_HELD_BIT : 0) |
+    (isBetweenGroups ? BETWEEN_GROUPS_BIT : 0)
   );
 }
 
-function decodeStatus(flags: number): SenderStatus {
+function decodeFlags(flags: number): MessageFlags {
   return {
-    isStopping: (flags & STOPPING_BIT) !== 0,
-    hasSeenDutyHeld: (flags & DUTY_HELD_BIT) !== 0,
+    status: {
+      isStopping: (flags & STOPPING_BIT) !== 0,
+      hasSeenDutyHeld: (flags & DUTY_HELD_BIT) !== 0,
+    },
+    isBetweenGroups: (flags & BETWEEN_GROUPS_BIT) !== 0,
   };
 }
 
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -8,6 +8,7 @@
   type SenderStatus,
 } from './ledger_codec.js';
 import type {LedgerUpdate} from './ledger_update.js';
+import {createOtherGroups, toAddressKey} from './other_groups.js';
 
 /** Longest delay of an update while more updates are collected for one datagram. */
 const MAX_BATCH_DELAY_MS = 10;
@@ -45,9 +46,16 @@
 
 /** Callbacks of a ledger link. */
 export interface LedgerObserver {
-  /** Called for each update that a peer sends. */
-  onUpdate(instance: string, update: LedgerUpdate): void;
-  /** Called when a peer timed out or restarted. */
+  /**
+   * Called for each update that a peer sends, or a gateway of another group about
+   * an upstream that all groups share.
+   */
+  onUpdate(
+    instance: string,
+    update: LedgerUpdate,
+    isFromOtherGroup: boolean,
+  ): void;
+  /** Called when a peer timed out or restarted, or a gateway of another group is gone. */
   onPeerLost(instance: string): void;
 }
 
@@ -69,14 +77,17 @@
 
 /** Exchanges updates with the other gateways over UDP; updates may be lost. */
 export interface LedgerLink {
-  /** Sends an update to every live peer; an urgent one is not delayed for batching. */
-  send(update: LedgerUpdate, isUrgent: boolean): void;
+  /**
+   * Sends an update to every live peer, and to the gateways of other groups if it
+   * is for all groups. An urgent one is not delayed for batching.
+   */
+  send(update: LedgerUpdate, isUrgent: boolean, isForAllGroups?: boolean): void;
   /** Sets the fleet. Until then the link sends nothing and ignores what it receives. */
   joinFleet(fleetId: string): void;
   /**
    * Replaces the addresses to which heartbeats are sent. Live peers that are not
-   * registered yet are kept; those of other groups are dropped, and what they
-   * send is ignored.
+   * registered yet are kept; those of other groups are dropped, and only what they
+   * send to all groups is received.
    */
   setAddresses(
     addresses: readonly PeerAddress[],
@@ -109,9 +120,13 @@
   const startedAtMs = clock.wallMs();
   const socket = createSocket('udp4');
   const peers = new Map<string, Peer>();
-  /** Addresses of gateways that belong to other groups. */
-  let otherGroups: ReadonlySet<string> = new Set();
+  const otherGroups = createOtherGroups({
+    onLost: observer.onPeerLost,
+    unregisteredLifetimeMs: PEER_TIMEOUT_MS,
+  });
   let pendingUpdates: LedgerUpdate[] = [];
+  /** Those of the pending updates that are for all groups. */
+  let pendingForOtherGroups: LedgerUpdate[] = [];
   let flushTimer: NodeJS.Timeout | undefined;
   let isFlushScheduled = false;
   let fleetId: string | undefined;
@@ -121,7 +136,7 @@
     peer.instance !== undefined &&
     clock.monotonicMs() - peer.lastReceivedAtMs < PEER_TIMEOUT_MS;
   const getOrCreatePeer = (peerAddress: PeerAddress) => {
-    const key = toKey(peerAddress);
+    const key = toAddressKey(peerAddress);
     let peer = peers.get(key);
     if (!peer) {
       peer = {
@@ -136,7 +151,11 @@
     }
     return peer;
   };
-  const transmit = (updates: LedgerUpdate[], targets: Peer[]) => {
+  const transmit = (
+    updates: LedgerUpdate[],
+    targets: ReadonlyArray<Pick<Peer, 'address'>>,
+    isBetweenGroups = false,
+  ) => {
     // Requests that end while the process stops are still reported.
     if (isClosed || fleetId === undefined) return;
     const message: LedgerMessage = {
@@ -145,13 +164,14 @@
       startedAtMs,
       slewedWallMs: Math.round(slewedTimeMs()),
       status: options.status(),
+      isBetweenGroups,
       updates,
     };
     const bytes = encodeLedgerMessage(message);
     if (bytes.length > MAX_DATAGRAM_BYTES && updates.length > 1) {
       const half = updates.length >> 1;
-      transmit(updates.slice(0, half), targets);
-      transmit(updates.slice(half), targets);
+      transmit(updates.slice(0, half), targets, isBetweenGroups);
+      transmit(updates.slice(half), targets, isBetweenGroups);
       return;
     }
     for (const {address: to} of targets) socket.send(bytes, to.port, to.host);
@@ -164,6 +184,11 @@
     pendingUpdates = [];
     const targets = [...peers.values()].filter(isLive);
     if (updates.length > 0 && targets.length > 0) transmit(updates, targets);
+    const forOthers = pendingForOtherGroups;
+    pendingForOtherGroups = [];
+    if (forOthers.length === 0 || otherGroups.addresses.length === 0) return;
+    const others = otherGroups.addresses.map(to => ({address: to}));
+    transmit(forOthers, others, true);
   };
   const dropPeer = (key: string, peer: Peer) => {
     peers.delete(key);
@@ -183,7 +208,16 @@
     const packet = decodeLedgerMessage(bytes);
     if (!packet || packet.fleetId !== fleetId) return;
     if (packet.instance === instance) return;
-    if (otherGroups.has(toKey({host: from.address, port: from.port}))) return;
+    const fromKey = toAddressKey({host: from.address, port: from.port});
+    // Such a message does not make its sender a peer, also if it is not known yet.
+    if (packet.isBetweenGroups) {
+      otherGroups.recordMessage(packet, fromKey, clock.monotonicMs());
+      for (const item of packet.updates) {
+        observer.onUpdate(packet.instance, item, true);
+      }
+      return;
+    }
+    if (otherGroups.includes(fromKey)) return;
     const peer = getOrCreatePeer({host: from.address, port: from.port});
     if (peer.instance === undefined) {
       logger.info('peer_found', {peer: packet.instance});
@@ -197,7 +231,9 @@
     peer.lastReceivedAtMs = clock.monotonicMs();
     peer.clockOffsetMs = packet.slewedWallMs - slewedTimeMs();
     peer.status = packet.status;
-    for (const item of packet.updates) observer.onUpdate(packet.instance, item);
+    for (const item of packet.updates) {
+      observer.onUpdate(packet.instance, item, false);
+    }
   });
   socket.on('error', error =>
     logger.warn('peer_link_failed', {reason: error.message}),
@@ -211,8 +247,9 @@
   });
   const heartbeatTimer = setInterval(sendHeartbeats, HEARTBEAT_INTERVAL_MS);
   return {
-    send(update, isUrgent) {
+    send(update, isUrgent, isForAllGroups = false) {
       pendingUpdates.push(update);
+      if (isForAllGroups) pendingForOtherGroups.push(update);
       if (isUrgent && !isFlushScheduled) {
         isFlushScheduled = true;
         setImmediate(flush);
@@ -227,12 +264,16 @@
       const peerAddresses = addresses.filter(
         ({host, port}) => host !== address.host || port !== address.port,
       );
-      const addressKeys = new Set(peerAddresses.map(toKey));
-      otherGroups = new Set(otherGroupAddresses.map(toKey));
+      const addressKeys = new Set(peerAddresses.map(toAddressKey));
+      otherGroups.setAddresses(
+        otherGroupAddresses,
+        peerAddresses,
+        clock.monotonicMs(),
+      );
       peerAddresses.forEach(getOrCreatePeer);
       for (const [key, peer] of peers) {
         if (addressKeys.has(key)) continue;
-        if (otherGroups.has(key)) dropPeer(key, peer);
+        if (otherGroups.includes(key)) dropPeer(key, peer);
         else if (!isLive(peer)) peers.delete(key);
       }
       sendHeartbeats();
@@ -260,7 +301,3 @@
     },
   };
 }
-
-function toKey({host, port}: PeerAddress): string {
-  return `${host}:${port}`;
-}
--- /dev/null
+++ b/protocol/ledger/src/other_groups.ts
@@ -0,0 +1,83 @@
+import type {PeerAddress} from './ledger_link.js';
+import type {LedgerMessage} from './ledger_codec.js';
+
+/** Gateways of other groups, which send updates about shared upstreams and no heartbeats. */
+export interface OtherGroups {
+  /** Addresses of the gateways of other groups. */
+  readonly addresses: readonly PeerAddress[];
+  /** Whether a gateway of another group has this address, in the form `host:port`. */
+  includes(addressKey: string): boolean;
+  /**
+   * Replaces the addresses of the gateways of other groups and of the own one.
+   * Gateways that are in neither are lost.
+   */
+  setAddresses(
+    addresses: readonly PeerAddress[],
+    ownGroup: readonly PeerAddress[],
+    nowMs: number,
+  ): void;
+  /** Records a message; a gateway that has restarted is lost first. */
+  recordMessage(
+    message: Pick<LedgerMessage, 'instance' | 'startedAtMs'>,
+    addressKey: string,
+    nowMs: number,
+  ): void;
+}
+
+/** Options for `createOtherGroups`. */
+export interface OtherGroupsOptions {
+  /** Called when a gateway restarted or left the registry. */
+  onLost: (instance: string) => void;
+  /** Time after a message for which a gateway that is not registered yet is kept. */
+  unregisteredLifetimeMs: number;
+}
+
+interface Sender {
+  addressKey: string;
+  startedAtMs: number;
+  lastReceivedAtMs: number;
+}
+
+/** Creates an empty set. */
+export function createOtherGroups(options: OtherGroupsOptions): OtherGroups {
+  let addresses: readonly PeerAddress[] = [];
+  let addressKeys: ReadonlySet<string> = new Set();
+  const senders = new Map<string, Sender>();
+  return {
+    get addresses() {
+      return addresses;
+    },
+    includes: addressKey => addressKeys.has(addressKey),
+    setAddresses(next, ownGroup, nowMs) {
+      addresses = next;
+      addressKeys = new Set(next.map(toAddressKey));
+      const ownKeys = new Set(ownGroup.map(toAddressKey));
+      for (const [instance, sender] of senders) {
+        if (addressKeys.has(sender.addressKey)) continue;
+        if (ownKeys.has(sender.addressKey)) {
+          // It is a member of this group now, and its requests go on.
+          senders.delete(instance);
+          continue;
+        }
+        const idleMs = nowMs - sender.lastReceivedAtMs;
+        if (idleMs < options.unregisteredLifetimeMs) continue;
+        senders.delete(instance);
+        options.onLost(instance);
+      }
+    },
+    recordMessage({instance, startedAtMs}, addressKey, nowMs) {
+      const known = senders.get(instance);
+      if (known && known.startedAtMs !== startedAtMs) options.onLost(instance);
+      senders.set(instance, {
+        addressKey,
+        startedAtMs,
+        lastReceivedAtMs: nowMs,
+      });
+    },
+  };
+}
+
+/** Returns an address in the form `host:port`. */
+export function toAddressKey({host, port}: PeerAddress): string {
+  return `${host}:${port}`;
+}
--- a/protocol/ledger/test/ledger_codec_test.ts
+++ b/protocol/ledger/test/ledger_codec_test.ts
@@ -42,6 +42,7 @@
   startedAtMs: 1,
   slewedWallMs: 2,
   status: {isStopping: false, hasSeenDutyHeld: true},
+  isBetweenGroups: false,
   updates,
 });
 
@@ -65,6 +66,11 @@
     expect(decodeLedgerMessage(encodeLedgerMessage(message))).toEqual(message);
   });
 
+  it('keeps that the message is for other groups', () => {
+    const message = {...messageWith(UPDATES[0]), isBetweenGroups: true};
+    expect(decodeLedgerMessage(encodeLedgerMessage(message))).toEqual(message);
+  });
+
   it('keeps the end of a limit', () => {
     const message = messageWith({
       kind: 'limit',
--- a/protocol/ledger/test/ledger_groups_test.ts
+++ b/protocol/ledger/test/ledger_groups_test.ts
@@ -31,29 +31,36 @@
   const links: LedgerLink[] = [];
   const addresses: PeerAddress[] = [];
   const lost: string[] = [];
+  const received: string[] = [];
   before(async () => {
-    const clock = createSystemClock();
     for (const instance of NAMES) {
       const address = {host: HOST, port: await findFreePort()};
       addresses.push(address);
-      const link = await openLedgerLink({
-        instance,
-        address,
-        clock,
-        slewedTimeMs: () => clock.wallMs(),
-        logger: createLogger({level: 'error'}),
-        observer: {
-          onUpdate: () => undefined,
-          onPeerLost: peer => lost.push(`${instance} lost ${peer}`),
-        },
-        status: () => ({isStopping: false, hasSeenDutyHeld: false}),
-      });
-      link.joinFleet('fleet');
-      links.push(link);
+      links.push(await openLink(instance, address));
     }
   });
   after(() => links.forEach(link => link.close()));
 
+  const openLink = async (instance: string, address: PeerAddress) => {
+    const clock = createSystemClock();
+    const link = await openLedgerLink({
+      instance,
+      address,
+      clock,
+      slewedTimeMs: () => clock.wallMs(),
+      logger: createLogger({level: 'error'}),
+      observer: {
+        onUpdate(sender, {kind}, isFromOtherGroup) {
+          const origin = isFromOtherGroup ? 'other group' : 'group';
+          received.push(`${instance} got ${kind} of ${sender}, ${origin}`);
+        },
+        onPeerLost: peer => lost.push(`${instance} lost ${peer}`),
+      },
+      status: () => ({isStopping: false, hasSeenDutyHeld: false}),
+    });
+    link.joinFleet('fleet');
+    return link;
+  };
   const sleep = (ms: number) =>
     new Promise<void>(resolve => setTimeout(resolve, ms));
   const namesOf = (link: LedgerLink) =>
@@ -83,4 +90,53 @@
     await sleep(PEER_LOSS_MS);
     expect(links.map(namesOf)).toEqual([['two'], ['one'], []]);
   });
+
+  describe('updates', () => {
+    const send = async (isForAllGroups: boolean) => {
+      received.length = 0;
+      const update = {kind: 'ended', requestId: 'r', upstreamId: 'u'} as const;
+      links[0].send(update, true, isForAllGroups);
+      await sleep(DISCOVERY_LIMIT_MS);
+      return received.sort();
+    };
+
+    it('reach the own group only unless they are for all groups', async () => {
+      expect(await send(false)).toEqual(['two got ended of one, group']);
+    });
+
+    it('for all groups reach every gateway, also one that does not know the sender', async () => {
+      expect(await send(true)).toEqual([
+        'three got ended of one, other group',
+        'two got ended of one, group',
+      ]);
+      // Heartbeats to the sender would make it a member of the wrong group.
+      expect(namesOf(links[2])).toEqual([]);
+      links[2].setAddresses([], [addresses[0], addresses[1]]);
+      expect((await send(true)).length).toEqual(2);
+    });
+
+    it('of a gateway that has restarted or left end its requests in other groups', async () => {
+      lost.length = 0;
+      links[0].close();
+      links[0] = await openLink('one', addresses[0]);
+      links[0].setAddresses([addresses[1]], [addresses[2]]);
+      await send(true);
+      expect(lost.includes('three lost one')).toEqual(true);
+      lost.length = 0;
+      links[2].setAddresses([], [addresses[1]]);
+      expect(lost).toEqual([]);
+      await sleep(PEER_LOSS_MS);
+      links[2].setAddresses([], [addresses[1]]);
+      expect(lost.includes('three lost one')).toEqual(true);
+    });
+
+    it('of a gateway that joins the group do not end its requests', async () => {
+      links[2].setAddresses([], [addresses[0], addresses[1]]);
+      await send(true);
+      await sleep(PEER_LOSS_MS);
+      lost.length = 0;
+      links[2].setAddresses([addresses[0]], [addresses[1]]);
+      expect(lost).toEqual([]);
+    });
+  });
 });
