--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -161,6 +161,27 @@
   upstream_quiet: {upstream: string; quietMs: number};
   /** `limitPerS` is absent if the upstream states no limit any more. */
   upstream_limit_changed: {upstream: string; limitPerS?: number};
+  upstreams_divided: {
+    service: string;
+    /** Whether the gateways of all groups send to all upstreams of the service. */
+    isShared: boolean;
+    /** Index of the group of this gateway. */
+    group: number;
+    groups: number;
+    gateways?: number;
+    /** Number of upstreams that the group sends to. */
+    upstreams: number;
+    /** Number of upstreams that take new requests, over all groups. */
+    usableUpstreams: number;
+    gainedCount: number;
+    /** Upstreams that come from another group, or the first ones. */
+    gained: string;
+    releasedCount: number;
+    /** Upstreams that another group alone sends to now, or the first ones. */
+    released: string;
+    /** Requests for each slot that gained upstreams are assumed to have at first. */
+    unheardPerSlot: number;
+  };
   lease_acquired: {duty: string; fencingToken: number};
   lease_lost: {duty: string; fencingToken: number};
   upstreams_ordered: {
--- a/daemons/gateway/src/duties/scaling_duties.ts
+++ b/daemons/gateway/src/duties/scaling_duties.ts
@@ -23,7 +23,7 @@
   fleet: UpstreamFleet;
   /**
    * Gateways in the fleet per gateway of this group. Requests are only known
-   * from the own group.
+   * from the own group, unless all groups share the upstreams.
    */
   fleetToGroupRatio: () => number;
   /** Fencing token of this gateway; undefined unless it holds the lease. */
@@ -82,9 +82,11 @@
     const records = fleet.membership.all().filter(r => r.service === name);
     const zones = [...new Set(records.map(r => r.availabilityZone))].sort();
     if (zones.length === 0) return;
+    const ratio = fleet.isSharedByGroups(name)
+      ? 1
+      : options.fleetToGroupRatio();
     const demandPlaces =
-      options.fleetToGroupRatio() *
-      demandInSlots(fleet, service, clock.monotonicMs());
+      ratio * demandInSlots(fleet, service, clock.monotonicMs());
     const sample = {
       demandPlaces,
       zones: zones.map(availabilityZone => ({
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -38,6 +38,7 @@
 import {createStreamContinuations} from './shared/stream_continuations.js';
 import {breakOff} from './calls/response_framing.js';
 import {serveCall} from './calls/serve_call.js';
+import {reportDivision} from './shared/report_division.js';
 import {chooseStoreReader} from './shared/store_reader.js';
 import {startTextServers} from './text_server.js';
 import {createUpstreamView} from './upstreams/upstream_view.js';
@@ -110,6 +111,7 @@
       const registered = 1 + (groupPeers?.length ?? gateways.inGroup - 1);
       return heard / Math.max(heard, registered);
     },
+    onDivisionChange: change => reportDivision(change, logger, metrics),
   });
   const slewedTimeMs = createSlewedTime(clock);
   const link: LedgerLink = await openLedgerLink({
@@ -119,7 +121,12 @@
     slewedTimeMs,
     logger,
     observer: {
-      onUpdate: (peer, event) => reporter.applyPeerUpdate(peer, event),
+      onUpdate(peer, event, isFromOtherGroup) {
+        reporter.applyPeerUpdate(peer, event, isFromOtherGroup);
+        if (isFromOtherGroup) {
+          metrics.increment('sardinestile_other_group_updates_total', {});
+        }
+      },
       onPeerLost: peer => fleet.removeGateway(peer, clock.monotonicMs()),
     },
     status: () => ({isStopping, hasSeenDutyHeld: usage?.isDutyHeld() ?? false}),
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -49,6 +49,16 @@
       states.reduce((total, state) => total + value(state), 0);
     const labels = {service: name};
     metrics.setGauge('sardinestile_upstreams', labels, records.length);
+    metrics.setGauge(
+      'sardinestile_upstreams_of_group',
+      labels,
+      fleet.upstreamsOf(name).length,
+    );
+    metrics.setGauge(
+      'sardinestile_upstreams_shared_by_groups',
+      labels,
+      +fleet.isSharedByGroups(name),
+    );
     const versions = new Set(
       records.map(({softwareVersion}) => softwareVersion),
     );
--- a/daemons/gateway/src/shared/fleet_reporter.ts
+++ b/daemons/gateway/src/shared/fleet_reporter.ts
@@ -4,6 +4,18 @@
 import type {EvidenceItem} from '@sardinestile/quarantine';
 import type {Clock} from '@sardinestile/types';
 
+/**
+ * Kinds of updates that gateways of other groups send. Evidence about prompt parts
+ * spreads between groups by the store.
+ */
+const KINDS_BETWEEN_GROUPS: ReadonlySet<LedgerUpdate['kind']> = new Set([
+  'placed',
+  'firstEvent',
+  'ended',
+  'leaving',
+  'limit',
+]);
+
 /** Records the progress of requests in the fleet models of this gateway and its peers. */
 export interface FleetReporter {
   recordPlacement(request: PlacedRequest, nowMs: number): void;
@@ -25,8 +37,12 @@
   ): void;
   /** Sends evidence about prompt parts and requests to the peers. */
   reportEvidence(item: EvidenceItem): void;
-  /** Applies an update that a peer sent. */
-  applyPeerUpdate(peer: string, event: LedgerUpdate): void;
+  /** Applies an update that a peer or a gateway of another group sent. */
+  applyPeerUpdate(
+    peer: string,
+    event: LedgerUpdate,
+    isFromOtherGroup: boolean,
+  ): void;
 }
 
 /** Options for `createFleetReporter`. */
@@ -45,6 +61,7 @@
   [K in LedgerUpdate['kind']]: (
     peer: string,
     event: Extract<LedgerUpdate, {kind: K}>,
+    isFromOtherGroup: boolean,
   ) => void;
 };
 
@@ -55,9 +72,15 @@
   const {instance, fleet, link, clock} = options;
   const applyEvidence = (_peer: string, item: EvidenceItem) =>
     options.onEvidence(item);
+  /** Requests of whose start all groups were told, so that they hear of the end, too. */
+  const toldToAll = new Set<string>();
+  const isShared = (upstreamId: string) => {
+    const record = fleet.membership.get(upstreamId);
+    return record !== undefined && fleet.isSharedByGroups(record.service);
+  };
   const handlers: PeerUpdateHandlers = {
-    placed: (peer, {promptParts, ...event}) =>
-      fleet.recordPlacement(peer, {...event, promptParts}, clock.monotonicMs()),
+    placed: (peer, event, isFromOtherGroup) =>
+      fleet.recordPlacement(peer, event, clock.monotonicMs(), isFromOtherGroup),
     firstEvent(_peer, {upstreamId, requestId}) {
       const nowMs = clock.monotonicMs();
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
@@ -98,28 +121,57 @@
         urgency,
         targetGapMs,
       };
-      link.send(event, true);
+      const isForAllGroups = isShared(upstreamId);
+      if (isForAllGroups) toldToAll.add(requestKey(upstreamId, requestId));
+      link.send(event, true, isForAllGroups);
     },
     recordFirstEvent(upstreamId, requestId, nowMs) {
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
-      link.send({kind: 'firstEvent', requestId, upstreamId}, false);
+      const isForAllGroups = toldToAll.has(requestKey(upstreamId, requestId));
+      link.send(
+        {kind: 'firstEvent', requestId, upstreamId},
+        false,
+        isForAllGroups,
+      );
     },
     recordEnd(upstreamId, requestId, hasFailed, nowMs) {
       fleet.recordEnd(upstreamId, requestId, nowMs);
-      link.send({kind: 'ended', requestId, upstreamId, hasFailed}, false);
+      const isForAllGroups = toldToAll.delete(
+        requestKey(upstreamId, requestId),
+      );
+      link.send(
+        {kind: 'ended', requestId, upstreamId, hasFailed},
+        false,
+        isForAllGroups,
+      );
     },
     recordLeaving(upstreamId, startedAtWallMs) {
-      link.send({kind: 'leaving', upstreamId, startedAtWallMs}, true);
+      link.send(
+        {kind: 'leaving', upstreamId, startedAtWallMs},
+        true,
+        isShared(upstreamId),
+      );
     },
     recordLimit(upstreamId, startedAtWallMs, limitPerS) {
-      link.send({kind: 'limit', upstreamId, startedAtWallMs, limitPerS}, true);
+      link.send(
+        {kind: 'limit', upstreamId, startedAtWallMs, limitPerS},
+        true,
+        isShared(upstreamId),
+      );
     },
     reportEvidence: item => link.send(item, true),
-    applyPeerUpdate(peer, event) {
-      (handlers[event.kind] as (peer: string, event: LedgerUpdate) => void)(
-        peer,
-        event,
-      );
+    applyPeerUpdate(peer, event, isFromOtherGroup) {
+      if (isFromOtherGroup && !KINDS_BETWEEN_GROUPS.has(event.kind)) return;
+      const handle = handlers[event.kind] as (
+        peer: string,
+        event: LedgerUpdate,
+        isFromOtherGroup: boolean,
+      ) => void;
+      handle(peer, event, isFromOtherGroup);
     },
   };
 }
+
+function requestKey(upstreamId: string, requestId: string): string {
+  return `${upstreamId} ${requestId}`;
+}
