--- a/routing/fleet/test/upstream_division_test.ts
+++ b/routing/fleet/test/upstream_division_test.ts
@@ -154,6 +154,32 @@
     expect(moved.length <= 14).toEqual(true);
   });
 
+  describe('by gateways that know different lists', () => {
+    const records = createRecords(40);
+    const groupOf = divideUpstreams(records, [22, 21]);
+    const differing = (other: ReadonlyMap<string, number>) =>
+      [...other].filter(([id, group]) => groupOf.get(id) !== group).length;
+
+    it('differs at few upstreams if one does not know of a change yet', () => {
+      for (const {id: missing} of records) {
+        const rest = records.filter(({id}) => id !== missing);
+        const other = divideUpstreams(rest, [22, 21]);
+        expect(differing(other) <= ZONES.length).toEqual(true);
+      }
+    });
+
+    it('differs at few upstreams if one does not know all gateways yet', () => {
+      for (const sizes of [
+        [21, 21],
+        [22, 22],
+        [20, 20],
+      ]) {
+        const other = divideUpstreams(records, sizes);
+        expect(differing(other) <= ZONES.length).toEqual(true);
+      }
+    });
+  });
+
   it('keeps upstreams without slots in the division', () => {
     const records = createRecords(40, {places: () => 0});
     const groupOf = divideUpstreams(records, [22, 21]);
--- a/routing/fleet/test/upstream_fleet_test.ts
+++ b/routing/fleet/test/upstream_fleet_test.ts
@@ -51,5 +51,18 @@
         expect(Math.round(requestLimits.waitMs(upstream, 0))).toEqual(waitMs);
       }
     });
+
+    it('divides a stated limit between groups of different sizes by their gateways', () => {
+      const ratesPerS = [0, 1].map(index => {
+        const fleet = createFleetWith(3);
+        fleet.setGroup({index, count: 2, gateways: 43});
+        const [upstream] = fleet.upstreamsOf('pool');
+        fleet.requestLimits.state(upstream, 10, 0);
+        return 1_000 / fleet.requestLimits.waitMs(upstream, 0);
+      });
+      const [first, second] = ratesPerS;
+      expect(Math.round(first + second)).toEqual(10);
+      expect(Math.round(first * 43)).toEqual(220);
+    });
   });
 });
--- a/testing/hosting/test/metrics_test.ts
+++ b/testing/hosting/test/metrics_test.ts
@@ -29,6 +29,8 @@
   sardinestile_upstreams_age_seconds: 'gauge',
   sardinestile_load_view_age_seconds: 'gauge',
   sardinestile_peers: 'gauge',
+  sardinestile_upstreams_of_group: 'gauge',
+  sardinestile_upstreams_shared_by_groups: 'gauge',
   sardinestile_duty_held_by_some: 'gauge',
   sardinestile_duty_token: 'gauge',
 };
