--- a/protocol/ledger/src/other_groups.ts
+++ b/protocol/ledger/src/other_groups.ts
@@ -33,7 +33,7 @@
 }
 
 interface Sender {
-  addressKey: string;
+  instance: string;
   startedAtMs: number;
   lastReceivedAtMs: number;
 }
@@ -42,6 +42,7 @@
 export function createOtherGroups(options: OtherGroupsOptions): OtherGroups {
   let addresses: readonly PeerAddress[] = [];
   let addressKeys: ReadonlySet<string> = new Set();
+  /** Latest sender at each address. */
   const senders = new Map<string, Sender>();
   return {
     get addresses() {
@@ -52,24 +53,26 @@
       addresses = next;
       addressKeys = new Set(next.map(toAddressKey));
       const ownKeys = new Set(ownGroup.map(toAddressKey));
-      for (const [instance, sender] of senders) {
-        if (addressKeys.has(sender.addressKey)) continue;
-        if (ownKeys.has(sender.addressKey)) {
+      for (const [key, {instance, lastReceivedAtMs}] of senders) {
+        if (addressKeys.has(key)) continue;
+        if (ownKeys.has(key)) {
           // It is a member of this group now, and its requests go on.
-          senders.delete(instance);
+          senders.delete(key);
           continue;
         }
-        const idleMs = nowMs - sender.lastReceivedAtMs;
+        const idleMs = nowMs - lastReceivedAtMs;
         if (idleMs < options.unregisteredLifetimeMs) continue;
-        senders.delete(instance);
+        senders.delete(key);
         options.onLost(instance);
       }
     },
     recordMessage({instance, startedAtMs}, addressKey, nowMs) {
-      const known = senders.get(instance);
-      if (known && known.startedAtMs !== startedAtMs) options.onLost(instance);
-      senders.set(instance, {
-        addressKey,
+      const known = senders.get(addressKey);
+      if (known && known.startedAtMs !== startedAtMs) {
+        options.onLost(known.instance);
+      }
+      senders.set(addressKey, {
+        instance,
         startedAtMs,
         lastReceivedAtMs: nowMs,
       });
