--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -186,8 +186,15 @@
     if (updates.length > 0 && targets.length > 0) transmit(updates, targets);
     const forOthers = pendingForOtherGroups;
     pendingForOtherGroups = [];
-    if (forOthers.length === 0 || otherGroups.addresses.length === 0) return;
-    const others = otherGroups.addresses.map(to => ({address: to}));
+    if (forOthers.length === 0) return;
+    // A gateway whose list differs may be a live peer, too; it got the updates already.
+    const targetKeys = new Set(
+      targets.map(({address: to}) => toAddressKey(to)),
+    );
+    const others = otherGroups
+      .addresses()
+      .filter(to => !targetKeys.has(toAddressKey(to)))
+      .map(to => ({address: to}));
     transmit(forOthers, others, true);
   };
   const dropPeer = (key: string, peer: Peer) => {
@@ -208,17 +215,17 @@
     const packet = decodeLedgerMessage(bytes);
     if (!packet || packet.fleetId !== fleetId) return;
     if (packet.instance === instance) return;
-    const fromKey = toAddressKey({host: from.address, port: from.port});
+    const fromAddress = {host: from.address, port: from.port};
     // Such a message does not make its sender a peer, also if it is not known yet.
     if (packet.isBetweenGroups) {
-      otherGroups.recordMessage(packet, fromKey, clock.monotonicMs());
+      otherGroups.recordMessage(packet, fromAddress, clock.monotonicMs());
       for (const item of packet.updates) {
         observer.onUpdate(packet.instance, item, true);
       }
       return;
     }
-    if (otherGroups.includes(fromKey)) return;
-    const peer = getOrCreatePeer({host: from.address, port: from.port});
+    if (otherGroups.includes(toAddressKey(fromAddress))) return;
+    const peer = getOrCreatePeer(fromAddress);
     if (peer.instance === undefined) {
       logger.info('peer_found', {peer: packet.instance});
       // The peer may not know yet that this gateway is live.
@@ -277,6 +284,9 @@
         else if (!isLive(peer)) peers.delete(key);
       }
       sendHeartbeats();
+      // Gateways of other groups may read this gateway's registration much later.
+      const others = otherGroups.addresses().map(to => ({address: to}));
+      transmit([], others, true);
     },
     livePeers: () =>
       [...peers.values()].flatMap(peer =>
--- a/protocol/ledger/src/other_groups.ts
+++ b/protocol/ledger/src/other_groups.ts
@@ -3,9 +3,12 @@
 
 /** Gateways of other groups, which send updates about shared upstreams and no heartbeats. */
 export interface OtherGroups {
-  /** Addresses of the gateways of other groups. */
-  readonly addresses: readonly PeerAddress[];
-  /** Whether a gateway of another group has this address, in the form `host:port`. */
+  /**
+   * Returns the addresses to send to: of the registered gateways of other groups,
+   * and of those that sent a message and are not registered yet.
+   */
+  addresses(): PeerAddress[];
+  /** Whether a registered gateway of another group has this address, in the form `host:port`. */
   includes(addressKey: string): boolean;
   /**
    * Replaces the addresses of the gateways of other groups and of the own one.
@@ -19,7 +22,7 @@
   /** Records a message; a gateway that has restarted is lost first. */
   recordMessage(
     message: Pick<LedgerMessage, 'instance' | 'startedAtMs'>,
-    addressKey: string,
+    address: PeerAddress,
     nowMs: number,
   ): void;
 }
@@ -33,6 +36,7 @@
 }
 
 interface Sender {
+  address: PeerAddress;
   instance: string;
   startedAtMs: number;
   lastReceivedAtMs: number;
@@ -40,21 +44,24 @@
 
 /** Creates an empty set. */
 export function createOtherGroups(options: OtherGroupsOptions): OtherGroups {
-  let addresses: readonly PeerAddress[] = [];
-  let addressKeys: ReadonlySet<string> = new Set();
+  let registered: readonly PeerAddress[] = [];
+  let registeredKeys: ReadonlySet<string> = new Set();
   /** Latest sender at each address. */
   const senders = new Map<string, Sender>();
   return {
-    get addresses() {
-      return addresses;
-    },
-    includes: addressKey => addressKeys.has(addressKey),
+    addresses: () => [
+      ...registered,
+      ...[...senders.entries()]
+        .filter(([key]) => !registeredKeys.has(key))
+        .map(([, {address}]) => address),
+    ],
+    includes: addressKey => registeredKeys.has(addressKey),
     setAddresses(next, ownGroup, nowMs) {
-      addresses = next;
-      addressKeys = new Set(next.map(toAddressKey));
+      registered = next;
+      registeredKeys = new Set(next.map(toAddressKey));
       const ownKeys = new Set(ownGroup.map(toAddressKey));
       for (const [key, {instance, lastReceivedAtMs}] of senders) {
-        if (addressKeys.has(key)) continue;
+        if (registeredKeys.has(key)) continue;
         if (ownKeys.has(key)) {
           // It is a member of this group now, and its requests go on.
           senders.delete(key);
@@ -66,12 +73,14 @@
         options.onLost(instance);
       }
     },
-    recordMessage({instance, startedAtMs}, addressKey, nowMs) {
-      const known = senders.get(addressKey);
+    recordMessage({instance, startedAtMs}, address, nowMs) {
+      const key = toAddressKey(address);
+      const known = senders.get(key);
       if (known && known.startedAtMs !== startedAtMs) {
         options.onLost(known.instance);
       }
-      senders.set(addressKey, {
+      senders.set(key, {
+        address,
         instance,
         startedAtMs,
         lastReceivedAtMs: nowMs,
--- a/protocol/ledger/test/ledger_groups_test.ts
+++ b/protocol/ledger/test/ledger_groups_test.ts
@@ -130,6 +130,15 @@
       expect(lost.includes('three lost one')).toEqual(true);
     });
 
+    it('reach a gateway that the sender does not know yet, once that one knows the sender', async () => {
+      links[0].setAddresses([addresses[1]], []);
+      links[2].setAddresses([], [addresses[0]]);
+      await sleep(DISCOVERY_LIMIT_MS);
+      expect(
+        (await send(true)).includes('three got ended of one, other group'),
+      ).toEqual(true);
+    });
+
     it('of a gateway that joins the group do not end its requests', async () => {
       links[2].setAddresses([], [addresses[0], addresses[1]]);
       await send(true);
--- a/protocol/ledger/test/other_groups_test.ts
+++ b/protocol/ledger/test/other_groups_test.ts
@@ -19,27 +19,29 @@
   it('loses a gateway that was replaced by one with another name at its address', () => {
     const {groups, lost} = create();
     groups.setAddresses([A], [B], 0);
-    groups.recordMessage({instance: 'one', startedAtMs: 1}, KEY_A, 0);
-    groups.recordMessage({instance: 'two', startedAtMs: 2}, KEY_A, 10);
-    groups.recordMessage({instance: 'two', startedAtMs: 2}, KEY_A, 20);
+    groups.recordMessage({instance: 'one', startedAtMs: 1}, A, 0);
+    groups.recordMessage({instance: 'two', startedAtMs: 2}, A, 10);
+    groups.recordMessage({instance: 'two', startedAtMs: 2}, A, 20);
     expect(lost).toEqual(['one']);
   });
 
   it('keeps one that is not registered yet as long as it sends', () => {
     const {groups, lost} = create();
-    groups.recordMessage({instance: 'one', startedAtMs: 1}, KEY_A, 1_000);
+    groups.recordMessage({instance: 'one', startedAtMs: 1}, A, 1_000);
     groups.setAddresses([], [B], 2_000);
     expect(lost).toEqual([]);
+    expect(groups.addresses()).toEqual([A]);
     groups.setAddresses([], [B], 4_000);
     expect(lost).toEqual(['one']);
     groups.setAddresses([], [B], 6_000);
+    expect(groups.addresses()).toEqual([]);
     expect(lost).toEqual(['one']);
   });
 
   it('forgets one that joined the own group without losing it', () => {
     const {groups, lost} = create();
     groups.setAddresses([A], [B], 0);
-    groups.recordMessage({instance: 'one', startedAtMs: 1}, KEY_A, 0);
+    groups.recordMessage({instance: 'one', startedAtMs: 1}, A, 0);
     groups.setAddresses([], [A, B], 9_000);
     groups.setAddresses([], [B], 19_000);
     expect(lost).toEqual([]);
