--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -7,8 +7,10 @@
   type LedgerMessage,
   type SenderStatus,
 } from './ledger_codec.js';
+import type {LedgerObserver} from './ledger_observer.js';
 import type {LedgerUpdate} from './ledger_update.js';
-import {createOtherGroups, toAddressKey} from './other_groups.js';
+import {createOtherGroups} from './other_groups.js';
+import {toAddressKey, type PeerAddress} from './peer_address.js';
 
 /** Longest delay of an update while more updates are collected for one datagram. */
 const MAX_BATCH_DELAY_MS = 10;
@@ -25,12 +27,6 @@
 /** Time without a datagram after which a peer is considered lost. */
 const PEER_TIMEOUT_MS = 2_500;
 
-/** UDP host and port of a gateway. */
-export interface PeerAddress {
-  host: string;
-  port: number;
-}
-
 /** A gateway from which a datagram arrived within the peer timeout. */
 export interface LivePeer extends SenderStatus {
   instance: string;
@@ -44,21 +40,6 @@
   sinceLastReceivedMs: number;
 }
 
-/** Callbacks of a ledger link. */
-export interface LedgerObserver {
-  /**
-   * Called for each update that a peer sends, or a gateway of another group about
-   * an upstream that all groups share.
-   */
-  onUpdate(
-    instance: string,
-    update: LedgerUpdate,
-    isFromOtherGroup: boolean,
-  ): void;
-  /** Called when a peer timed out or restarted, or a gateway of another group is gone. */
-  onPeerLost(instance: string): void;
-}
-
 /** Options for openLedgerLink. */
 export interface LedgerLinkOptions {
   instance: string;
@@ -192,9 +173,8 @@
       targets.map(({address: to}) => toAddressKey(to)),
     );
     const others = otherGroups
-      .addresses()
-      .filter(to => !targetKeys.has(toAddressKey(to)))
-      .map(to => ({address: to}));
+      .targets()
+      .filter(({address: to}) => !targetKeys.has(toAddressKey(to)));
     transmit(forOthers, others, true);
   };
   const dropPeer = (key: string, peer: Peer) => {
@@ -285,8 +265,7 @@
       }
       sendHeartbeats();
       // Gateways of other groups may read this gateway's registration much later.
-      const others = otherGroups.addresses().map(to => ({address: to}));
-      transmit([], others, true);
+      transmit([], otherGroups.targets(), true);
     },
     livePeers: () =>
       [...peers.values()].flatMap(peer =>
--- a/protocol/ledger/src/other_groups.ts
+++ b/protocol/ledger/src/other_groups.ts
@@ -1,13 +1,13 @@
-import type {PeerAddress} from './ledger_link.js';
 import type {LedgerMessage} from './ledger_codec.js';
+import {toAddressKey, type PeerAddress} from './peer_address.js';
 
 /** Gateways of other groups, which send updates about shared upstreams and no heartbeats. */
 export interface OtherGroups {
   /**
-   * Returns the addresses to send to: of the registered gateways of other groups,
+   * Returns the gateways to send to: of the registered gateways of other groups,
    * and of those that sent a message and are not registered yet.
    */
-  addresses(): PeerAddress[];
+  targets(): Array<{address: PeerAddress}>;
   /** Whether a registered gateway of another group has this address, in the form `host:port`. */
   includes(addressKey: string): boolean;
   /**
@@ -49,11 +49,11 @@
   /** Latest sender at each address. */
   const senders = new Map<string, Sender>();
   return {
-    addresses: () => [
-      ...registered,
-      ...[...senders.entries()]
+    targets: () => [
+      ...registered.map(address => ({address})),
+      ...[...senders]
         .filter(([key]) => !registeredKeys.has(key))
-        .map(([, {address}]) => address),
+        .map(([, {address}]) => ({address})),
     ],
     includes: addressKey => registeredKeys.has(addressKey),
     setAddresses(next, ownGroup, nowMs) {
@@ -88,8 +88,3 @@
     },
   };
 }
-
-/** Returns an address in the form `host:port`. */
-export function toAddressKey({host, port}: PeerAddress): string {
-  return `${host}:${port}`;
-}
--- a/protocol/ledger/test/other_groups_test.ts
+++ b/protocol/ledger/test/other_groups_test.ts
@@ -30,11 +30,11 @@
     groups.recordMessage({instance: 'one', startedAtMs: 1}, A, 1_000);
     groups.setAddresses([], [B], 2_000);
     expect(lost).toEqual([]);
-    expect(groups.addresses()).toEqual([A]);
+    expect(groups.targets()).toEqual([{address: A}]);
     groups.setAddresses([], [B], 4_000);
     expect(lost).toEqual(['one']);
     groups.setAddresses([], [B], 6_000);
-    expect(groups.addresses()).toEqual([]);
+    expect(groups.targets()).toEqual([]);
     expect(lost).toEqual(['one']);
   });
 
