--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -7,7 +7,10 @@
   type LedgerMessage,
   type SenderStatus,
 } from './ledger_codec.js';
+import type {LedgerObserver} from './ledger_observer.js';
 import type {LedgerUpdate} from './ledger_update.js';
+import {createOtherGroups} from './other_groups.js';
+import {toAddressKey, type PeerAddress} from './peer_address.js';
 
 /** Longest delay of an update while more updates are collected for one datagram. */
 const MAX_BATCH_DELAY_MS = 10;
@@ -24,12 +27,6 @@
 /** Time without a datagram after which a peer is considered lost. */
 const PEER_TIMEOUT_MS = 2_500;
 
-/** UDP host and port of a gateway. */
-export interface PeerAddress {
-  host: string;
-  port: number;
-}
-
 /** A gateway from which a datagram arrived within the peer timeout. */
 export interface LivePeer extends SenderStatus {
   instance: string;
@@ -43,14 +40,6 @@
   sinceLastReceivedMs: number;
 }
 
-/** Callbacks of a ledger link. */
-export interface LedgerObserver {
-  /** Called for each update that a peer sends. */
-  onUpdate(instance: string, update: LedgerUpdate): void;
-  /** Called when a peer timed out or restarted. */
-  onPeerLost(instance: string): void;
-}
-
 /** Options for openLedgerLink. */
 export interface LedgerLinkOptions {
   instance: string;
@@ -69,14 +58,17 @@
 
 /** Exchanges updates with the other gateways over UDP; updates may be lost. */
 export interface LedgerLink {
-  /** Sends an update to every live peer; an urgent one is not delayed for batching. */
-  send(update: LedgerUpdate, isUrgent: boolean): void;
+  /**
+   * Sends an update to every live peer, and to the gateways of other groups if it
+   * is for all groups. An urgent one is not delayed for batching.
+   */
+  send(update: LedgerUpdate, isUrgent: boolean, isForAllGroups?: boolean): void;
   /** Sets the fleet. Until then the link sends nothing and ignores what it receives. */
   joinFleet(fleetId: string): void;
   /**
    * Replaces the addresses to which heartbeats are sent. Live peers that are not
-   * registered yet are kept; those of other groups are dropped, and what they
-   * send is ignored.
+   * registered yet are kept; those of other groups are dropped, and only what they
+   * send to all groups is received.
    */
   setAddresses(
     addresses: readonly PeerAddress[],
@@ -109,9 +101,13 @@
   const startedAtMs = clock.wallMs();
   const socket = createSocket('udp4');
   const peers = new Map<string, Peer>();
-  /** Addresses of gateways that belong to other groups. */
-  let otherGroups: ReadonlySet<string> = new Set();
+  const otherGroups = createOtherGroups({
+    onLost: observer.onPeerLost,
+    unregisteredLifetimeMs: PEER_TIMEOUT_MS,
+  });
   let pendingUpdates: LedgerUpdate[] = [];
+  /** Those of the pending updates that are for all groups. */
+  let pendingForOtherGroups: LedgerUpdate[] = [];
   let flushTimer: NodeJS.Timeout | undefined;
   let isFlushScheduled = false;
   let fleetId: string | undefined;
@@ -121,7 +117,7 @@
     peer.instance !== undefined &&
     clock.monotonicMs() - peer.lastReceivedAtMs < PEER_TIMEOUT_MS;
   const getOrCreatePeer = (peerAddress: PeerAddress) => {
-    const key = toKey(peerAddress);
+    const key = toAddressKey(peerAddress);
     let peer = peers.get(key);
     if (!peer) {
       peer = {
@@ -136,7 +132,11 @@
     }
     return peer;
   };
-  const transmit = (updates: LedgerUpdate[], targets: Peer[]) => {
+  const transmit = (
+    updates: LedgerUpdate[],
+    targets: ReadonlyArray<Pick<Peer, 'address'>>,
+    isBetweenGroups = false,
+  ) => {
     // Requests that end while the process stops are still reported.
     if (isClosed || fleetId === undefined) return;
     const message: LedgerMessage = {
@@ -145,13 +145,14 @@
       startedAtMs,
       slewedWallMs: Math.round(slewedTimeMs()),
       status: options.status(),
+      isBetweenGroups,
       updates,
     };
     const bytes = encodeLedgerMessage(message);
     if (bytes.length > MAX_DATAGRAM_BYTES && updates.length > 1) {
       const half = updates.length >> 1;
-      transmit(updates.slice(0, half), targets);
-      transmit(updates.slice(half), targets);
+      transmit(updates.slice(0, half), targets, isBetweenGroups);
+      transmit(updates.slice(half), targets, isBetweenGroups);
       return;
     }
     for (const {address: to} of targets) socket.send(bytes, to.port, to.host);
@@ -164,6 +165,17 @@
     pendingUpdates = [];
     const targets = [...peers.values()].filter(isLive);
     if (updates.length > 0 && targets.length > 0) transmit(updates, targets);
+    const forOthers = pendingForOtherGroups;
+    pendingForOtherGroups = [];
+    if (forOthers.length === 0) return;
+    // A gateway whose list differs may be a live peer, too; it got the updates already.
+    const targetKeys = new Set(
+      targets.map(({address: to}) => toAddressKey(to)),
+    );
+    const others = otherGroups
+      .targets()
+      .filter(({address: to}) => !targetKeys.has(toAddressKey(to)));
+    transmit(forOthers, others, true);
   };
   const dropPeer = (key: string, peer: Peer) => {
     peers.delete(key);
@@ -183,8 +195,17 @@
     const packet = decodeLedgerMessage(bytes);
     if (!packet || packet.fleetId !== fleetId) return;
     if (packet.instance === instance) return;
-    if (otherGroups.has(toKey({host: from.address, port: from.port}))) return;
-    const peer = getOrCreatePeer({host: from.address, port: from.port});
+    const fromAddress = {host: from.address, port: from.port};
+    // Such a message does not make its sender a peer, also if it is not known yet.
+    if (packet.isBetweenGroups) {
+      otherGroups.recordMessage(packet, fromAddress, clock.monotonicMs());
+      for (const item of packet.updates) {
+        observer.onUpdate(packet.instance, item, true);
+      }
+      return;
+    }
+    if (otherGroups.includes(toAddressKey(fromAddress))) return;
+    const peer = getOrCreatePeer(fromAddress);
     if (peer.instance === undefined) {
       logger.info('peer_found', {peer: packet.instance});
       // The peer may not know yet that this gateway is live.
@@ -197,7 +218,9 @@
     peer.lastReceivedAtMs = clock.monotonicMs();
     peer.clockOffsetMs = packet.slewedWallMs - slewedTimeMs();
     peer.status = packet.status;
-    for (const item of packet.updates) observer.onUpdate(packet.instance, item);
+    for (const item of packet.updates) {
+      observer.onUpdate(packet.instance, item, false);
+    }
   });
   socket.on('error', error =>
     logger.warn('peer_link_failed', {reason: error.message}),
@@ -211,8 +234,9 @@
   });
   const heartbeatTimer = setInterval(sendHeartbeats, HEARTBEAT_INTERVAL_MS);
   return {
-    send(update, isUrgent) {
+    send(update, isUrgent, isForAllGroups = false) {
       pendingUpdates.push(update);
+      if (isForAllGroups) pendingForOtherGroups.push(update);
       if (isUrgent && !isFlushScheduled) {
         isFlushScheduled = true;
         setImmediate(flush);
@@ -227,15 +251,21 @@
       const peerAddresses = addresses.filter(
         ({host, port}) => host !== address.host || port !== address.port,
       );
-      const addressKeys = new Set(peerAddresses.map(toKey));
-      otherGroups = new Set(otherGroupAddresses.map(toKey));
+      const addressKeys = new Set(peerAddresses.map(toAddressKey));
+      otherGroups.setAddresses(
+        otherGroupAddresses,
+        peerAddresses,
+        clock.monotonicMs(),
+      );
       peerAddresses.forEach(getOrCreatePeer);
       for (const [key, peer] of peers) {
         if (addressKeys.has(key)) continue;
-        if (otherGroups.has(key)) dropPeer(key, peer);
+        if (otherGroups.includes(key)) dropPeer(key, peer);
         else if (!isLive(peer)) peers.delete(key);
       }
       sendHeartbeats();
+      // Gateways of other groups may read this gateway's registration much later.
+      transmit([], otherGroups.targets(), true);
     },
     livePeers: () =>
       [...peers.values()].flatMap(peer =>
@@ -260,7 +290,3 @@
     },
   };
 }
-
-function toKey({host, port}: PeerAddress): string {
-  return `${host}:${port}`;
-}
