--- a/daemons/gateway/src/duties/usage_duties.ts
+++ b/daemons/gateway/src/duties/usage_duties.ts
@@ -35,10 +35,11 @@
 const FLUSH_DELAY_MS = 60;
 
 /**
- * Delay after its end before a window is closed, in milliseconds; it allows for
- * the last write and one retry.
+ * Delay after its end before a window is closed, as a share of the time in which its
+ * report is due. Counts that arrive later are lost; the rest of the time allows for an
+ * outage of the receiver and for another lease holder.
  */
-const CLOSE_DELAY_MS = 1_200;
+const CLOSE_DELAY_SHARE_OF_DUE = 0.4;
 
 /** Interval at which the lease holder looks for windows to report, in milliseconds. */
 const REPORT_INTERVAL_MS = 400;
@@ -57,6 +58,8 @@
   clock: Clock;
   peerAdjustedTimeMs: () => number;
   windowMs: number;
+  /** Time after its end in which the report of a window is due, in milliseconds. */
+  dueMs: number;
   leaseMs: number;
   restores: StoreRestores;
   /** Other gateways whose heartbeats arrived recently. */
@@ -172,7 +175,7 @@
     peerAdjustedTimeMs,
     windowMs,
     restores: options.restores,
-    closeDelayMs: CLOSE_DELAY_MS,
+    closeDelayMs: CLOSE_DELAY_SHARE_OF_DUE * options.dueMs,
     checkIntervalMs: REPORT_INTERVAL_MS,
     leaseOverrides: {
       durationMs: leaseMs,
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -253,6 +253,7 @@
       clock,
       peerAdjustedTimeMs,
       windowMs: options.usageWindowMs,
+      dueMs: options.usageDueMs,
       leaseMs: options.leaseMs,
       restores: storeRestores,
       peers: () => link.livePeers(),
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -58,6 +58,8 @@
   /** Sets the number of upstreams; undefined if the platform offers no scaling. */
   upstreamScaler: UpstreamScaler | undefined;
   usageWindowMs: number;
+  /** Time after its end in which the usage of a window has to be reported, in milliseconds. */
+  usageDueMs: number;
   /** Time after which a lease expires without renewal, in milliseconds. */
   leaseMs: number;
   /** Time after which a draining upstream must get no new request, in milliseconds. */
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -43,6 +43,7 @@
   drainLimitMs: number;
   stopGraceMs: number;
   usageWindowMs: number;
+  usageDueMs: number;
   leaseMs: number;
 }
 
@@ -51,6 +52,7 @@
   drainLimitMs: 2_000,
   stopGraceMs: 8_000,
   usageWindowMs: 2_000,
+  usageDueMs: 3_000,
   leaseMs: 1_000,
 };
 
--- a/testing/hosting/test/usage_test.ts
+++ b/testing/hosting/test/usage_test.ts
@@ -143,3 +143,56 @@
     );
   });
 });
+
+describe('a usage window whose report is due 10 s after its end', () => {
+  const WINDOW_MS = 2_000;
+  let cluster: GatewayCluster;
+  before(async () => {
+    cluster = await createGatewayCluster(1, {
+      usageWindowMs: WINDOW_MS,
+      usageDueMs: 10_000,
+    });
+    const gateway = await cluster.startGateway();
+    await gateway.call({
+      path: ROUTE_PATHS.idempotent,
+      headers: createKeyedHeaders('d0'),
+    });
+    await waitUntil(
+      'the first window to be reported',
+      () => cluster.duties.accepted.length > 0,
+    );
+  });
+  after(() => cluster.close());
+
+  // Guards against windows that are closed while the counts of a gateway that could not
+  // reach the store, or whose write was carried out late, are still on their way.
+  it('includes counts that are stored three seconds after its end', async () => {
+    const startMs = Math.ceil(Date.now() / WINDOW_MS) * WINDOW_MS;
+    const windowId = String(startMs).padStart(14, '0');
+    const sleepUntil = (atMs: number) =>
+      new Promise(resolve => setTimeout(resolve, atMs - Date.now()));
+    await sleepUntil(startMs + WINDOW_MS + 3_000);
+    const sums = {
+      'org-late': {requests: 3, promptTokens: 0, outputTokens: 0},
+    };
+    cluster.store.transact({
+      puts: [
+        {
+          table: 'system',
+          part: 'p',
+          key: `usage/sums/${windowId}/other-gateway`,
+          value: Buffer.from(JSON.stringify(sums)).toString('base64'),
+        },
+      ],
+    });
+    await waitUntil('the window to be reported', () =>
+      cluster.duties.accepted.some(
+        ({body}) => body.window_seq === startMs / WINDOW_MS,
+      ),
+    );
+    const report = cluster.duties.accepted.find(
+      ({body}) => body.window_seq === startMs / WINDOW_MS,
+    );
+    expect(report?.body.counts).toEqual({'org-late': 3});
+  });
+});
