--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -14,3 +14,4 @@
 export * from './service_pause.js';
 export * from './stream_load.js';
 export * from './upstream_health.js';
+export * from './zone_states.js';
