--- a/routing/fleet/src/membership.ts
+++ b/routing/fleet/src/membership.ts
@@ -46,7 +46,19 @@
   /** Whether any upstreams are kept that the store no longer contains. */
   hasRemovedUpstreams(): boolean;
   get(id: string): UpstreamRecord | undefined;
-  /** Returns the upstreams of a service that take new requests. */
+  /** Sets the availability zones whose upstreams get no new requests. */
+  setZonesOutOfService(zones: ReadonlySet<string>): void;
+  /** Whether the zone of an upstream may get new requests. */
+  isZoneInService(record: UpstreamRecord): boolean;
+  /**
+   * Whether the upstreams of a service would take new requests, but the zones of all of
+   * them are out of service.
+   */
+  isServiceOutOfService(service: string): boolean;
+  /**
+   * Returns the upstreams of a service that take new requests, without those in zones
+   * that are out of service.
+   */
   usableUpstreamsOf(service: string): readonly UpstreamRecord[];
   /** Returns all upstreams, including those that are draining. */
   all(): readonly UpstreamRecord[];
@@ -67,9 +79,15 @@
   let lastFailureAtMs = -Infinity;
   let lastRestoreAtMs = -Infinity;
   let usable = new Map<string, UpstreamRecord[]>();
+  let zonesOutOfService: ReadonlySet<string> = new Set();
+  /** Services with upstreams that are not usable only because of their zone. */
+  let servicesInZonesOut = new Set<string>();
 
+  const isZoneInService = ({availabilityZone}: UpstreamRecord) =>
+    !zonesOutOfService.has(availabilityZone);
   const rebuildUsable = () => {
     usable = new Map();
+    servicesInZonesOut = new Set();
     const byAddress = new Map<string, UpstreamRecord>();
     for (const record of records.values()) {
       const other = byAddress.get(record.address);
@@ -79,6 +97,10 @@
     }
     for (const record of byAddress.values()) {
       if (record.isLeaving) continue;
+      if (!isZoneInService(record)) {
+        servicesInZonesOut.add(record.service);
+        continue;
+      }
       const list = usable.get(record.service);
       if (list) list.push(record);
       else usable.set(record.service, [record]);
@@ -138,6 +160,7 @@
         previous?.address === record.address &&
         previous.isLeaving === record.isLeaving &&
         previous.service === record.service &&
+        previous.availabilityZone === record.availabilityZone &&
         previous.startedAtWallMs === record.startedAtWallMs &&
         previous.softwareVersion === record.softwareVersion;
       if (!isSame) rebuildUsable();
@@ -179,6 +202,13 @@
     },
     hasRemovedUpstreams: () => keptUntilMs.size > 0,
     get: id => records.get(id),
+    setZonesOutOfService(zones) {
+      zonesOutOfService = zones;
+      rebuildUsable();
+    },
+    isZoneInService,
+    isServiceOutOfService: service =>
+      servicesInZonesOut.has(service) && !usable.has(service),
     usableUpstreamsOf: service => usable.get(service) ?? [],
     all: () => [...records.values()],
   };
--- a/routing/fleet/src/upstream_fleet.ts
+++ b/routing/fleet/src/upstream_fleet.ts
@@ -98,6 +98,11 @@
   recordEnd(upstreamId: string, requestId: string, nowMs: number): void;
   /** Records the outcome of a request of another gateway. */
   recordPeerOutcome(upstreamId: string, isError: boolean, nowMs: number): void;
+  /**
+   * Records that operators took an availability zone back into service. Its upstreams
+   * may have become cold meanwhile.
+   */
+  recordZoneReturn(availabilityZone: string, nowMs: number): void;
   /** Removes the requests of a gateway that left or failed. */
   removeGateway(gateway: GatewayName, nowMs: number): void;
   /** Removes upstreams that no longer exist, and requests that are too old. */
@@ -276,6 +281,7 @@
     recordPeerOutcome(upstreamId, isError, nowMs) {
       states.get(upstreamId)?.health.recordPeerOutcome(isError, nowMs);
     },
+    recordZoneReturn: () => undefined,
     removeGateway(gateway, nowMs) {
       for (const [key, request] of running) {
         if (request.gateway === gateway) endRequest(key, request, nowMs);
