--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -5,6 +5,14 @@
   upstream?: string;
 }
 
+/** Change of an availability zone. */
+interface ZoneEvent {
+  availabilityZone: string;
+  storeVersion: number;
+  /** `store` or `peer`. */
+  source: string;
+}
+
 /** All log events with their fields. API keys and prompts must not be logged. */
 export interface LogEvents {
   process_started: {
@@ -161,6 +169,13 @@
   upstream_quiet: {upstream: string; quietMs: number};
   /** `limitPerS` is absent if the upstream states no limit any more. */
   upstream_limit_changed: {upstream: string; limitPerS?: number};
+  /** `storeVersion` is the version of the store from which the change follows. */
+  zone_out_of_service: ZoneEvent;
+  zone_in_service: ZoneEvent;
+  /** A newer list does not have the zone, which stays out of service for a time. */
+  zone_row_missing: ZoneEvent;
+  zone_rejected: {row: string; reason: string; storeVersion: number};
+  zone_unknown: {availabilityZone: string; reason: string};
   lease_acquired: {duty: string; fencingToken: number};
   lease_lost: {duty: string; fencingToken: number};
   upstreams_ordered: {
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -13,7 +13,11 @@
 import {createPeerClient, startPeerServer} from '@sardinestile/peer';
 import {createCacheRecovery} from './upstreams/cache_recovery.js';
 import {startCallerListener} from './calls/caller_listener.js';
-import {createConfigView, type ConfigView} from './shared/config_view.js';
+import {
+  createConfigView,
+  REWRITE_TIME_MS,
+  type ConfigView,
+} from './shared/config_view.js';
 import {createConnectionPool} from './upstreams/connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
 import {createFleetReporter} from './shared/fleet_reporter.js';
@@ -39,6 +43,7 @@
 import {breakOff} from './calls/response_framing.js';
 import {serveCall} from './calls/serve_call.js';
 import {chooseStoreReader} from './shared/store_reader.js';
+import {createZoneView} from './shared/zone_view.js';
 import {startTextServers} from './text_server.js';
 import {createUpstreamView} from './upstreams/upstream_view.js';
 import {createServiceTimeAverages} from './calls/service_time_averages.js';
@@ -69,14 +74,21 @@
 const LAST_WRITE_TIMEOUT_MS = 300;
 
 /**
- * Number of times that the configuration is confirmed within the key revocation
- * limit: by a gateway that reads the store, and by one that follows it. The
- * latter adds its own wait to the age that it is told.
+ * Time after which upstreams of a zone that is out of service must receive no request,
+ * unless the deployment states another one, in milliseconds.
  */
-const CONFIG_CHECKS_PER_KEY_LIMIT = 6;
-const FOLLOWED_CONFIG_CHECKS_PER_KEY_LIMIT = 12;
+const DEFAULT_ZONE_OUT_OF_SERVICE_LIMIT_MS = 5_000;
 
-/** Greatest age of a followed confirmation, as a share of the key revocation limit. */
+/**
+ * Number of times that the configuration is confirmed within the shorter one of the
+ * limits on revoked keys and on zones out of service: by a gateway that reads the
+ * store, and by one that follows it. The latter adds its own wait to the age that
+ * it is told.
+ */
+const CONFIG_CHECKS_PER_LIMIT = 6;
+const FOLLOWED_CONFIG_CHECKS_PER_LIMIT = 12;
+
+/** Greatest age of a followed confirmation, as a share of that limit. */
 const MAX_FOLLOWED_AGE_SHARE = 0.5;
 
 /** Largest size of a request's headers, in bytes. */
@@ -124,9 +136,12 @@
     },
     status: () => ({isStopping, hasSeenDutyHeld: usage?.isDutyHeld() ?? false}),
   });
-  const {keyWithdrawalLimitMs} = options;
+  const configLimitMs = Math.min(
+    options.keyWithdrawalLimitMs,
+    options.zoneOutOfServiceLimitMs ?? DEFAULT_ZONE_OUT_OF_SERVICE_LIMIT_MS,
+  );
   const followWaitMs = Math.round(
-    keyWithdrawalLimitMs / FOLLOWED_CONFIG_CHECKS_PER_KEY_LIMIT,
+    configLimitMs / FOLLOWED_CONFIG_CHECKS_PER_LIMIT,
   );
   const configFeed = createSharedConfig({
     instance,
@@ -135,14 +150,22 @@
     knownVersion: () => config.routes()?.table.version ?? 0,
     fetchFromPeer: (address, haveVersion, waitMs) =>
       peerClient.fetchConfig(address, haveVersion, waitMs),
-    maxAgeMs: MAX_FOLLOWED_AGE_SHARE * keyWithdrawalLimitMs,
+    maxAgeMs: MAX_FOLLOWED_AGE_SHARE * configLimitMs,
     waitMs: followWaitMs,
     clock,
     logger,
   });
+  const zones = createZoneView({
+    fleet,
+    rewriteTimeMs: REWRITE_TIME_MS,
+    onChanged: () => config.wakePeers(),
+    clock,
+    logger,
+  });
   const config: ConfigView = createConfigView({
     feed: configFeed,
-    waitMs: Math.round(keyWithdrawalLimitMs / CONFIG_CHECKS_PER_KEY_LIMIT),
+    zones,
+    waitMs: Math.round(configLimitMs / CONFIG_CHECKS_PER_LIMIT),
     minIntervalMs: () => (configFeed.isReadingOrigin ? 0 : followWaitMs / 2),
     clock,
     logger,
@@ -392,6 +415,7 @@
     sharedQuarantine.quarantine.evaluate();
     config.askPeersIfStale();
     upstreams.removeExpired();
+    if (upstreams.isLoaded) zones.reportUnknownZones();
     fleet.prune(clock.monotonicMs());
   }, HOUSEKEEPING_INTERVAL_MS);
 
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -10,7 +10,7 @@
   UpstreamScaler,
   UsageReceiver,
 } from '@sardinestile/ports';
-import type {RouteTable} from '@sardinestile/route_table';
+import type {OperatorRecord} from '@sardinestile/route_table';
 import type {Clock} from '@sardinestile/types';
 
 /** Host and port to listen on. */
@@ -41,7 +41,7 @@
   headerCodec: HeaderCodec;
   /** Costs of the resources that placements use; the defaults if absent. */
   resourceCosts?: ResourceCosts;
-  configuration: RecordFeed<RouteTable>;
+  configuration: RecordFeed<OperatorRecord>;
   upstreams: RecordFeed<UpstreamRecord>;
   /** Table with the system's own rows. */
   table: TableService;
@@ -62,6 +62,11 @@
   leaseMs: number;
   /** Time after which a draining upstream must get no new request, in milliseconds. */
   drainLimitMs: number;
+  /**
+   * Time after which upstreams of a zone that is out of service must receive no request,
+   * in milliseconds; 5,000 if absent.
+   */
+  zoneOutOfServiceLimitMs?: number;
   /** Time after which the platform kills a stopping process, in milliseconds. */
   stopGraceMs: number;
   clock: Clock;
--- a/daemons/gateway/src/shared/config_view.ts
+++ b/daemons/gateway/src/shared/config_view.ts
@@ -5,14 +5,16 @@
 } from '@sardinestile/freshness';
 import type {Logger} from '@sardinestile/logger';
 import type {ConfirmedConfig} from '@sardinestile/peer';
-import type {RecordFeed} from '@sardinestile/ports';
+import type {FeedPage, RecordFeed} from '@sardinestile/ports';
 import {
   createRouteIndex,
+  type OperatorRecord,
   type RouteIndex,
   type RouteTable,
 } from '@sardinestile/route_table';
 import type {Clock} from '@sardinestile/types';
 import {followFeed} from './follow_feed.js';
+import type {ReportSource, ZoneView} from './zone_view.js';
 
 /**
  * Age of the configuration from which any peer is asked, as a multiple of the
@@ -25,7 +27,7 @@
  * Time in which operators write again what a restore of the store has deleted,
  * in milliseconds.
  */
-const REWRITE_TIME_MS = 2_500;
+export const REWRITE_TIME_MS = 2_500;
 
 /** The newest configuration that this gateway knows. */
 export interface ConfigView {
@@ -35,7 +37,8 @@
   ageMs(): number;
   /**
    * Returns for a peer the version, its age and, if the peer has another
-   * version, the configuration. Waits up to `waitMs` for another version.
+   * version, the configuration. Waits up to `waitMs` for another version or
+   * another state of a zone.
    */
   getConfirmedConfig(
     haveVersion: number,
@@ -49,7 +52,9 @@
    * later version.
    */
   recordRestore(): void;
-  /** Asks all peers for a later version. */
+  /** Ends the waits of peers, as a zone went out of service or returned. */
+  wakePeers(): void;
+  /** Asks all peers for a later version, and for zones that are out of service. */
   askAllPeers(): void;
   /** Asks a peer if the store has not confirmed the version for a while. */
   askPeersIfStale(): void;
@@ -62,7 +67,9 @@
 
 /** Options for `createConfigView`. */
 export interface ConfigViewOptions {
-  feed: RecordFeed<RouteTable>;
+  feed: RecordFeed<OperatorRecord>;
+  /** Takes over what the feed and the peers report of the zones. */
+  zones: ZoneView;
   /**
    * Longest wait of one call to the store, in milliseconds; a confirmation may
    * be as old as this.
@@ -80,7 +87,7 @@
 
 /** Follows the configuration in the store; the version never decreases. */
 export function createConfigView(options: ConfigViewOptions): ConfigView {
-  const {clock, logger} = options;
+  const {clock, logger, zones} = options;
   const askPeersAgeMs = ASK_PEERS_AFTER_WAITS * options.waitMs;
   const freshness = createFreshnessTracker();
   let routes: RouteIndex | undefined;
@@ -91,13 +98,19 @@
   let versionAtRestore = -1;
   let distrustedUntilMs = -Infinity;
 
+  const wakePeers = () => [...wakeCallbacks].forEach(wake => wake());
   const apply = (table: RouteTable, source: string) => {
     if (routes && table.version <= routes.table.version) return;
     routes = createRouteIndex(table);
     subscribers.forEach(onApplied => onApplied(table));
-    [...wakeCallbacks].forEach(wake => wake());
+    wakePeers();
     logger.info('config_applied', {version: table.version, source});
   };
+  /** Applies what a peer knows; zones first, so that no request is sent to them. */
+  const applyFromPeer = ({table, zones: list}: ConfirmedConfig) => {
+    if (list) zones.apply({kind: 'zoneList', list}, 'peer');
+    if (table) apply(table, 'peer');
+  };
   const waitForNextVersion = (waitMs: number) =>
     new Promise<void>(resolve => {
       const wake = () => {
@@ -114,13 +127,16 @@
     waitMs: options.waitMs,
     minIntervalMs: options.minIntervalMs,
     observer: {
-      onPage({entries}) {
-        for (const {value, findings} of entries) {
-          if (value) apply(value, 'store');
-          else logger.warn('config_rejected', {reason: findings.join('; ')});
+      onPage(page) {
+        for (const {value, findings} of page.entries) {
+          if (!value) {
+            logger.warn('config_rejected', {reason: findings.join('; ')});
+          } else if (value.kind === 'routeTable') apply(value.table, 'store');
+          else zones.apply(value, sourceOf(page));
         }
       },
-      onUpToDate(sentAt) {
+      onUpToDate(sentAt, page) {
+        zones.confirm(page.version, sentAt.monotonicMs, sourceOf(page));
         const version = routes?.table.version ?? 0;
         const isTrusted =
           version > versionAtRestore ||
@@ -144,9 +160,14 @@
     const askedAt = readClocks(clock);
     const haveVersion = routes?.table.version ?? 0;
     const confirmed = await options.fetchFromPeer(haveVersion);
-    if (confirmed.table) apply(confirmed.table, 'peer');
+    applyFromPeer(confirmed);
+    const confirmedAt = subtractMs(askedAt, confirmed.ageMs);
+    if (confirmed.zones) {
+      const {storeVersion} = confirmed.zones;
+      zones.confirm(storeVersion, confirmedAt.monotonicMs, 'peer');
+    }
     if (confirmed.version === routes?.table.version) {
-      freshness.confirm(subtractMs(askedAt, confirmed.ageMs));
+      freshness.confirm(confirmedAt);
     }
   };
   return {
@@ -165,6 +186,7 @@
         ageMs: age,
         storeVersion: feed.version,
         table: table?.version === haveVersion ? undefined : table,
+        zones: zones.list(),
       };
     },
     subscribe(onApplied) {
@@ -172,13 +194,15 @@
       if (routes) onApplied(routes.table);
     },
     recordRestore() {
+      zones.recordRestore();
       versionAtRestore = routes?.table.version ?? -1;
       distrustedUntilMs = clock.monotonicMs() + REWRITE_TIME_MS;
     },
+    wakePeers,
     askAllPeers() {
       void options
         .fetchFromAllPeers(routes?.table.version ?? 0)
-        .then(all => all.forEach(({table}) => table && apply(table, 'peer')));
+        .then(all => all.forEach(applyFromPeer));
     },
     askPeersIfStale() {
       if (isSyncing || ageMs() < askPeersAgeMs) return;
@@ -199,7 +223,12 @@
     reread: () => feed.restart(),
     stop() {
       feed.stop();
-      [...wakeCallbacks].forEach(wake => wake());
+      wakePeers();
     },
   };
 }
+
+/** Only pages from the store itself state no age. */
+function sourceOf({ageMs}: FeedPage<OperatorRecord>): ReportSource {
+  return ageMs === undefined ? 'store' : 'peer';
+}
--- a/daemons/gateway/src/shared/follow_feed.ts
+++ b/daemons/gateway/src/shared/follow_feed.ts
@@ -11,8 +11,8 @@
 export interface FeedObserver<T> {
   /** Called for each page; one with `isSnapshot` holds all records, others only the changed ones. */
   onPage(page: FeedPage<T>, isSnapshot: boolean): void;
-  /** Called when all changes up to `sentAt` were received. */
-  onUpToDate(sentAt: ClockReading): void;
+  /** Called when all changes up to `sentAt` were received, the last ones with `page`. */
+  onUpToDate(sentAt: ClockReading, page: FeedPage<T>): void;
   /** Called for each failed call; the call is retried. */
   onFailure(reason: string): void;
   /** Called at the first success after failures, with the time since the first failure. */
@@ -63,7 +63,7 @@
       if (!isCurrent()) return;
       version = page.version;
       observer.onPage(page, true);
-      observer.onUpToDate(subtractMs(sentAt, page.ageMs ?? 0));
+      observer.onUpToDate(subtractMs(sentAt, page.ageMs ?? 0), page);
       return;
     }
     const changes = await feed.waitForChanges(version, options.waitMs);
@@ -77,7 +77,8 @@
     if (isSnapshot || changes.page.entries.length > 0) {
       observer.onPage(changes.page, isSnapshot);
     }
-    observer.onUpToDate(subtractMs(sentAt, changes.page.ageMs ?? 0));
+    const {page} = changes;
+    observer.onUpToDate(subtractMs(sentAt, page.ageMs ?? 0), page);
   };
   const run = async (callEpoch: number) => {
     while (!isStopped && callEpoch === epoch) {
--- a/daemons/gateway/src/shared/shared_config.ts
+++ b/daemons/gateway/src/shared/shared_config.ts
@@ -1,8 +1,8 @@
 import type {LivePeer} from '@sardinestile/ledger';
 import type {Logger} from '@sardinestile/logger';
 import type {ConfirmedConfig} from '@sardinestile/peer';
-import type {FeedPage, RecordFeed} from '@sardinestile/ports';
-import type {RouteTable} from '@sardinestile/route_table';
+import type {FeedEntry, FeedPage, RecordFeed} from '@sardinestile/ports';
+import type {OperatorRecord} from '@sardinestile/route_table';
 import {
   createFailoverFeed,
   type FailoverFeed,
@@ -17,14 +17,15 @@
  */
 const STORE_FALLBACK_MS = 3_000;
 
-/** Key of the only record of the feed. */
+/** Keys of the records of a replica. */
 const CONFIG_KEY = 'config';
+const ZONES_KEY = 'zones';
 
 /** Options for `createSharedConfig`. */
 export interface SharedConfigOptions {
   instance: string;
-  /** Feed of the configuration in the store. */
-  store: RecordFeed<RouteTable>;
+  /** Feed of the configuration and of the zones out of service in the store. */
+  store: RecordFeed<OperatorRecord>;
   /** Gateways of the same group whose heartbeats arrived recently. */
   peers: () => readonly LivePeer[];
   /** Version of the configuration that this gateway has. */
@@ -50,9 +51,9 @@
  */
 export function createSharedConfig(
   options: SharedConfigOptions,
-): FailoverFeed<RouteTable> {
+): FailoverFeed<OperatorRecord> {
   const {instance, clock, logger} = options;
-  let replica: FeedReplica<RouteTable> | undefined;
+  let replica: FeedReplica<OperatorRecord> | undefined;
   return createFailoverFeed({
     origin: options.store,
     chooseReplica() {
@@ -80,25 +81,38 @@
   options: SharedConfigOptions,
   name: string,
   address: string,
-): FeedReplica<RouteTable> {
+): FeedReplica<OperatorRecord> {
   const fetchPage = async (
     atLeastVersion: number,
     waitMs: number,
-  ): Promise<FeedPage<RouteTable>> => {
+  ): Promise<FeedPage<OperatorRecord>> => {
     const confirmed = await options.fetchFromPeer(
       address,
       options.knownVersion(),
       waitMs,
     );
-    const {table, ageMs, storeVersion} = confirmed;
+    const {table, zones, ageMs, storeVersion} = confirmed;
     if (ageMs > options.maxAgeMs) {
       throw new Error(`the confirmation is ${Math.round(ageMs)} ms old`);
     }
     if (storeVersion === undefined) {
       throw new Error('the peer has not read the store');
     }
+    // A gateway of an earlier build does not know zones, and would hide them.
+    if (!zones) throw new Error('the peer reports no zones');
+    const entries: Array<FeedEntry<OperatorRecord>> = [
+      {
+        key: ZONES_KEY,
+        value: {kind: 'zoneList', list: zones},
+        findings: [],
+      },
+    ];
+    if (table) {
+      const value: OperatorRecord = {kind: 'routeTable', table};
+      entries.push({key: CONFIG_KEY, value, findings: []});
+    }
     return {
-      entries: table ? [{key: CONFIG_KEY, value: table, findings: []}] : [],
+      entries,
       // This gateway may have read the store itself, later than the reader.
       version: Math.max(atLeastVersion, storeVersion),
       ageMs,
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -40,7 +40,7 @@
   /**
    * Fetches the configuration that the peer at `host:port` last confirmed; the
    * table is omitted if its version is `knownVersion`. With `waitMs` it is a
-   * long poll for another version.
+   * long poll for another version or another state of a zone.
    */
   fetchConfig(
     address: string,
--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -1,5 +1,5 @@
 import {upstreamRecordSchema} from '@sardinestile/fleet';
-import {routeTableSchema} from '@sardinestile/route_table';
+import {routeTableSchema, zoneListSchema} from '@sardinestile/route_table';
 import {usageSumsSchema} from '@sardinestile/usage';
 import {z} from 'zod';
 
@@ -21,6 +21,11 @@
   storeVersion: z.number().int().optional(),
   /** The configuration itself; absent if the requester already has this version. */
   table: routeTableSchema.optional(),
+  /**
+   * States of the availability zones; absent if the gateway has not read them yet, or if
+   * its build does not know them.
+   */
+  zones: zoneListSchema.optional(),
 });
 
 /**
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -31,7 +31,7 @@
   fleetId: () => string | undefined;
   /**
    * Returns the configuration that this gateway last confirmed, after waiting
-   * up to `waitMs` for another version; undefined if there is none.
+   * up to `waitMs` for another version or state of a zone; undefined if there is none.
    */
   getConfirmedConfig: (
     knownVersion: number,
--- a/routing/route_table/src/operator_records.ts
+++ b/routing/route_table/src/operator_records.ts
@@ -34,7 +34,7 @@
   /** States of all zones. */
   | {kind: 'zoneList'; list: ZoneList}
   /** State of a zone that cannot be read. */
-  | {kind: 'invalidZone'; row: string; reason: string};
+  | {kind: 'invalidZone'; row: string; reason: string; storeVersion: number};
 
 /** Record about availability zones. */
 export type ZoneRecord = Exclude<OperatorRecord, {kind: 'routeTable'}>;
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -41,6 +41,7 @@
 export interface TestLimits {
   keyWithdrawalLimitMs: number;
   drainLimitMs: number;
+  zoneOutOfServiceLimitMs?: number;
   stopGraceMs: number;
   usageWindowMs: number;
   leaseMs: number;
@@ -83,6 +84,8 @@
   ): Promise<UpstreamStandIn>;
   /** Writes the registration row of an upstream to the store. */
   register(upstream: UpstreamStandIn, fields?: Record<string, unknown>): void;
+  /** Takes an availability zone out of service or back into it. */
+  setZoneOutOfService(zone: string, isOutOfService: boolean): void;
   /** Writes the next version of the configuration and returns its number. */
   configure(change?: (config: StoredConfiguration) => void): number;
   startGateway(clock?: Clock): Promise<TestGateway>;
@@ -129,6 +132,11 @@
         ...fields,
       });
     },
+    setZoneOutOfService(zone, isOutOfService) {
+      const key = `evacuate/${zone}`;
+      if (isOutOfService) store.putJson('op', key, {});
+      else store.remove('op', key);
+    },
     configure(change) {
       config.version++;
       change?.(config);
