--- a/daemons/gateway/src/calls/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -16,12 +16,16 @@
   /** Header names and values, alternating. */
   headers: string[];
   body: Buffer | null;
+  /** Returns why the request must not be sent any more; undefined if it may be. */
+  findSendBlocker: () => string | undefined;
 }
 
 /** Failure of an attempt that got no complete response. */
 export interface AttemptFailure {
   /** Whether any byte of the request may have reached the upstream. */
   isSent: boolean;
+  /** Whether it was not sent because `findSendBlocker` returned a reason. */
+  isBlocked: boolean;
   /** Whether the connection ended or was reset, rather than carried an invalid response. */
   isConnectionLost: boolean;
   reason: string;
@@ -52,6 +56,7 @@
   let controller: Dispatcher.DispatchController | undefined;
   let isSent = false;
   let isFinished = false;
+  let blocker: string | undefined;
 
   const finish = () => {
     if (isFinished) return false;
@@ -68,8 +73,12 @@
     {
       onRequestStart(started) {
         controller = started;
-        if (isFinished) started.abort(new Error('aborted before sending'));
-        else isSent = true;
+        // The request may have waited for its connection.
+        blocker = isFinished
+          ? 'aborted before sending'
+          : request.findSendBlocker();
+        if (blocker === undefined) isSent = true;
+        else started.abort(new Error(blocker));
       },
       onResponseStart(_controller, status, headers) {
         // 1xx responses are interim; the final response follows.
@@ -82,7 +91,12 @@
         if (!finish()) return;
         if (connection.wasReset()) {
           const reason = 'the connection was reset during the response';
-          handlers.onFailure({isSent, isConnectionLost: true, reason});
+          handlers.onFailure({
+            isSent,
+            isBlocked: false,
+            isConnectionLost: true,
+            reason,
+          });
           return;
         }
         connection.release();
@@ -95,7 +109,8 @@
           (error as NodeJS.ErrnoException).code ?? '',
         );
         const reason = error.message;
-        handlers.onFailure({isSent, isConnectionLost, reason});
+        const isBlocked = blocker !== undefined;
+        handlers.onFailure({isSent, isBlocked, isConnectionLost, reason});
       },
     },
   );
--- a/daemons/gateway/src/calls/call.ts
+++ b/daemons/gateway/src/calls/call.ts
@@ -62,8 +62,11 @@
   | {kind: 'heldAnswer'; response: BufferedResponse}
   /** The upstream stated that the request has not run and will not run. */
   | {kind: 'notRun'; reason: string}
-  /** No byte of the request was sent; this does not count as an attempt. */
-  | {kind: 'notSent'; reason: string}
+  /**
+   * No byte of the request was sent; this does not count as an attempt. If `isBlocked`, it
+   * was held back here, which says nothing about the upstream.
+   */
+  | {kind: 'notSent'; isBlocked: boolean; reason: string}
   /** The request may have run; its response is missing or incomplete. */
   | UnknownOutcome
   | {kind: 'interrupted'; reason: InterruptReason};
--- a/daemons/gateway/src/calls/prepare_attempt.ts
+++ b/daemons/gateway/src/calls/prepare_attempt.ts
@@ -39,9 +39,24 @@
       copyFrom: copyPromptFrom,
     }),
     body: call.body,
+    findSendBlocker: () => findZoneOutOfService(context, placement),
   };
 }
 
+/** Returns why the placement does not hold any more; undefined if it does. */
+function findZoneOutOfService(
+  {fleet: {membership}}: GatewayContext,
+  {upstream, copyPromptFrom}: Placement,
+): string | undefined {
+  const record = [upstream, copyPromptFrom].find(
+    used => used && !membership.isZoneInService(used),
+  );
+  return (
+    record &&
+    `zone ${record.availabilityZone} of ${record.id} is out of service`
+  );
+}
+
 /** Whether a response belongs to the call; one without a request id counts as its own. */
 export function isResponseToCall(
   context: GatewayContext,
--- a/daemons/gateway/src/calls/refuse.ts
+++ b/daemons/gateway/src/calls/refuse.ts
@@ -28,6 +28,10 @@
     message:
       'no upstream of the service takes a request before its limit allows it',
   },
+  upstreamsOutOfService: {
+    status: 503,
+    message: 'the zones of all upstreams of the service are out of service',
+  },
   harmfulPrompt: {
     status: 503,
     message: 'upstreams crashed under a part of the prompt',
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -106,9 +106,9 @@
           const buffered = bufferResponse(headerCodec, status, headers, chunks);
           settle({kind: 'heldAnswer', response: buffered});
         },
-        onFailure({isSent, isConnectionLost, reason}) {
+        onFailure({isSent, isBlocked, isConnectionLost, reason}) {
           if (isForwarding) breakOff(call.response);
-          if (!isSent) return settle({kind: 'notSent', reason});
+          if (!isSent) return settle({kind: 'notSent', isBlocked, reason});
           const lostConnection = isConnectionLost
             ? {hadHeaders: status > 0}
             : undefined;
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -193,8 +193,8 @@
             });
           }
         },
-        onFailure({isSent, isConnectionLost, reason}) {
-          if (!isSent) return settle({kind: 'notSent', reason});
+        onFailure({isSent, isBlocked, isConnectionLost, reason}) {
+          if (!isSent) return settle({kind: 'notSent', isBlocked, reason});
           const lostConnection = isConnectionLost
             ? {hadHeaders: status > 0}
             : undefined;
--- a/daemons/gateway/src/calls/run_attempt.ts
+++ b/daemons/gateway/src/calls/run_attempt.ts
@@ -79,7 +79,7 @@
   if (firstEventMs !== undefined && isConclusive) {
     learnFirstEventTime(fleet, call, placement, firstEventMs);
   }
-  applyOutcome(context, call, outcome);
+  applyOutcome(context, call, upstreamId, outcome);
   if (isConclusive) {
     context.crashWatch.observe({
       call,
@@ -126,13 +126,20 @@
   );
 }
 
+/** Whether the request was held back by this gateway. */
+function wasBlocked(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'notSent' && outcome.isBlocked;
+}
+
 /** Updates the call's attempt count, whether it may have run and whether its usage counts. */
 function applyOutcome(
   context: GatewayContext,
   call: Call,
+  upstreamId: string,
   outcome: AttemptOutcome,
 ): void {
   if (outcome.kind === 'notSent') call.attempts--;
+  if (wasBlocked(outcome)) call.triedUpstreamIds.delete(upstreamId);
   if (outcome.kind === 'unknown' || outcome.kind === 'heldAnswer') {
     call.mayHaveRun = true;
   }
@@ -171,7 +178,7 @@
 
 /** Whether an outcome is a failure of the upstream; undefined if it says nothing about it. */
 function indicatesFailure(outcome: AttemptOutcome): boolean | undefined {
-  if (outcome.kind === 'interrupted') return undefined;
+  if (outcome.kind === 'interrupted' || wasBlocked(outcome)) return undefined;
   if (outcome.kind === 'answered') return false;
   if (outcome.kind !== 'heldAnswer') return true;
   return outcome.response.status >= MIN_FAILURE_STATUS;
--- a/daemons/gateway/src/calls/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -38,6 +38,12 @@
  */
 const RETURN_DELAY_PER_RANK_MS = 100;
 
+/**
+ * Delay of the return of callers whose service has all its zones out of service, in
+ * milliseconds; operators end that by hand, and gateways learn it within this time.
+ */
+const OUT_OF_SERVICE_RETRY_AFTER_MS = 5_000;
+
 /** Whether a call may be retried after an attempt that may have run, by kind of route. */
 const CAN_RETRY: Readonly<Record<RouteKind, (call: Call) => boolean>> = {
   idempotent: () => true,
@@ -77,6 +83,7 @@
     }
     const placement = choosePlacement(context, call, nowMs);
     if (!placement) {
+      if (refuseIfOutOfService(context, call)) return;
       if (refuseIfPaused(context, call, nowMs)) return;
       if (refuseIfVersionUnavailable(context, call)) return;
       reason = `${reason}; no other upstream takes the request`;
@@ -200,6 +207,22 @@
   return true;
 }
 
+/**
+ * Refuses a call that has not run if the zones of all upstreams of its service are out
+ * of service. Returns whether it did.
+ */
+function refuseIfOutOfService(context: GatewayContext, call: Call): boolean {
+  const {service, urgency, mayHaveRun, response} = call;
+  const isOut = context.fleet.membership.isServiceOutOfService(service);
+  if (!isOut || mayHaveRun || response.headersSent) return false;
+  refuse(context, call, 'upstreamsOutOfService', {
+    retryAfterMs:
+      OUT_OF_SERVICE_RETRY_AFTER_MS + urgency * RETURN_DELAY_PER_RANK_MS,
+    reason: `the zones of all upstreams of ${service} are out of service`,
+  });
+  return true;
+}
+
 /** Refuses a call, which has not run, because it or a part of its prompt crashes upstreams. */
 function refuseHarmful(
   context: GatewayContext,
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -42,6 +42,10 @@
   const {open, idle} = connections.counts();
   metrics.setGauge('sardinestile_connections_open', {}, open);
   metrics.setGauge('sardinestile_connections_idle', {}, idle);
+  for (const [zone, isInService] of fleet.membership.zones()) {
+    const labels = {zone};
+    metrics.setGauge('sardinestile_zone_out_of_service', labels, +!isInService);
+  }
   for (const {name} of table?.services ?? []) {
     const records = fleet.membership.usableUpstreamsOf(name);
     const states = records.map(record => fleet.upstreamStateOf(record));
--- a/daemons/gateway/src/upstreams/cache_recovery.ts
+++ b/daemons/gateway/src/upstreams/cache_recovery.ts
@@ -121,6 +121,7 @@
     const own = engines.filter(
       engine =>
         readerOf(engine.id, names) === instance &&
+        fleet.membership.isZoneInService(engine) &&
         !fleet.requestLimits.isLimited(engine),
     );
     const upstreams = (await Promise.all(own.map(readEngine))).flat();
--- a/routing/fleet/src/membership.ts
+++ b/routing/fleet/src/membership.ts
@@ -50,6 +50,8 @@
   setZonesOutOfService(zones: ReadonlySet<string>): void;
   /** Whether the zone of an upstream may get new requests. */
   isZoneInService(record: UpstreamRecord): boolean;
+  /** Returns whether each zone that has upstreams, or was out of service, is in service. */
+  zones(): ReadonlyMap<string, boolean>;
   /**
    * Whether the upstreams of a service would take new requests, but the zones of all of
    * them are out of service.
@@ -80,6 +82,7 @@
   let lastRestoreAtMs = -Infinity;
   let usable = new Map<string, UpstreamRecord[]>();
   let zonesOutOfService: ReadonlySet<string> = new Set();
+  const zonesEverOut = new Set<string>();
   /** Services with upstreams that are not usable only because of their zone. */
   let servicesInZonesOut = new Set<string>();
 
@@ -204,9 +207,21 @@
     get: id => records.get(id),
     setZonesOutOfService(zones) {
       zonesOutOfService = zones;
+      zones.forEach(zone => zonesEverOut.add(zone));
       rebuildUsable();
     },
     isZoneInService,
+    zones() {
+      const names = [...records.values()].map(
+        record => record.availabilityZone,
+      );
+      return new Map(
+        [...names, ...zonesEverOut].map(zone => [
+          zone,
+          !zonesOutOfService.has(zone),
+        ]),
+      );
+    },
     isServiceOutOfService: service =>
       servicesInZonesOut.has(service) && !usable.has(service),
     usableUpstreamsOf: service => usable.get(service) ?? [],
