--- a/routing/fleet/test/zones_in_placement_test.ts
+++ b/routing/fleet/test/zones_in_placement_test.ts
@@ -66,8 +66,14 @@
     const fleet = createFleet();
     const source = fleet.membership.get('x1')!;
     fleet.upstreamStateOf(source).cache.restore([SHARED_PART]);
-    const copied = placeRequest(fleet, createRequest(), 0)!;
-    expect([copied.upstream.id, copied.copyPromptFrom?.id]).toInclude('x1');
+    // The source is full, so that another upstream copies from it.
+    for (let i = 0; i < source.places; i++) {
+      const request = {...createRequest(), requestId: `full-${i}`};
+      const placed = {...request, upstreamId: 'x1', uncachedTokens: 0};
+      fleet.recordPlacement('self', placed, 0);
+    }
+    const before = placeRequest(fleet, createRequest(), 0)!;
+    expect(before.copyPromptFrom?.id).toEqual('x1');
     fleet.membership.setZonesOutOfService(new Set(['x']));
     const placed = placeRequest(fleet, createRequest(), 0)!;
     expect(placed.copyPromptFrom).toEqual(undefined);
