--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -16,3 +16,4 @@
 export * from './stream_load.js';
 export * from './upstream_division.js';
 export * from './upstream_health.js';
+export * from './zone_states.js';
