--- a/core/ports/src/header_codec.ts
+++ b/core/ports/src/header_codec.ts
@@ -60,6 +60,11 @@
    * if it states no limit.
    */
   limitPerS: number | undefined;
+  /**
+   * Time for which the upstream is still cold, in milliseconds; undefined if it does
+   * not state it.
+   */
+  coldMs: number | undefined;
 }
 
 /** Reads and writes the headers that carry metadata of requests and responses. */
--- a/core/ports/src/record_feed.ts
+++ b/core/ports/src/record_feed.ts
@@ -3,7 +3,7 @@
   key: string;
   /** Undefined if the record was deleted or is invalid. */
   value: T | undefined;
-  /** Reasons why the record is invalid. */
+  /** Reasons why the record is invalid, or which values of a valid one are ignored. */
   findings: readonly string[];
 }
 
--- a/routing/fleet/src/fleet_types.ts
+++ b/routing/fleet/src/fleet_types.ts
@@ -14,10 +14,10 @@
   /** Whether it is draining, so that it takes no new requests. */
   isLeaving: z.boolean(),
   /**
-   * Remaining time for which it is slow after its start, as of the
-   * registration.
+   * Remaining time for which it is cold, as of the registration; absent if the
+   * registration contains no valid one.
    */
-  coldMs: z.number(),
+  coldMs: z.number().optional(),
   /**
    * Wall-clock time of its start, as a Unix time in milliseconds; 0 if unknown.
    */
--- a/routing/route_table/src/route_table_schema.ts
+++ b/routing/route_table/src/route_table_schema.ts
@@ -69,6 +69,17 @@
 /** Properties of the model engines of a service. */
 export type EngineTraits = z.infer<typeof engineTraitsSchema>;
 
+/** Schema of ColdStart. */
+export const coldStartSchema = z.object({
+  /** Time for which an upstream is cold after its start. */
+  durationMs: z.number().positive(),
+  /** Requests a second that it takes meanwhile from all gateways together. */
+  requestsPerS: z.number().positive(),
+});
+
+/** Limit on the requests to upstreams that have just started. */
+export type ColdStart = z.infer<typeof coldStartSchema>;
+
 /** Schema of RoutedService. */
 export const routedServiceSchema = z.object({
   name: z.string(),
@@ -76,6 +87,8 @@
   /** Maximum number of connections that one upstream accepts in total. */
   maxConnections: z.number().int().positive(),
   engine: engineTraitsSchema.optional(),
+  /** Absent if its upstreams take all requests from their start. */
+  coldStart: coldStartSchema.optional(),
   /**
    * Limits on the upstreams in each availability zone; absent if the platform
    * does not scale the service.
