--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -1,3 +1,4 @@
+export * from './cold_upstreams.js';
 export * from './decaying_sum.js';
 export * from './engine_latency_model.js';
 export * from './upstream_fleet.js';
--- a/routing/fleet/src/membership.ts
+++ b/routing/fleet/src/membership.ts
@@ -52,8 +52,10 @@
   all(): readonly UpstreamRecord[];
 }
 
-/** Creates an empty membership. */
-export function createMembership(): Membership {
+/** Creates an empty membership; `onRecord` receives each record that is read. */
+export function createMembership(
+  onRecord: (record: UpstreamRecord, nowMs: number) => void = () => undefined,
+): Membership {
   const records = new Map<string, UpstreamRecord>();
   /**
    * Times at which records that expired during a store outage are removed, by
@@ -126,6 +128,7 @@
       for (const record of current) {
         records.set(record.id, withKnownLeaving(record, nowMs));
         keptUntilMs.delete(record.id);
+        onRecord(record, nowMs);
       }
       rebuildUsable();
     },
@@ -134,6 +137,7 @@
       const previous = records.get(record.id);
       records.set(record.id, record);
       keptUntilMs.delete(record.id);
+      onRecord(record, nowMs);
       const isSame =
         previous?.address === record.address &&
         previous.isLeaving === record.isLeaving &&
--- a/routing/fleet/src/place_request.ts
+++ b/routing/fleet/src/place_request.ts
@@ -128,7 +128,7 @@
   const isEligible = (record: UpstreamRecord) =>
     !triedUpstreamIds.has(record.id) &&
     (softwareVersion === undefined ||
-      record.softwareVersion === softwareVersion) &&
+      fleet.coldUpstreams.versionOf(record) === softwareVersion) &&
     waitUntilTakenMs(fleet, record, nowMs) === 0;
   const groupRecords = fleet.upstreamsOf(service).filter(isEligible);
   if (groupRecords.length > 0) return groupRecords;
@@ -136,7 +136,10 @@
   return fleet.membership
     .usableUpstreamsOf(service)
     .filter(
-      record => isEligible(record) && !fleet.requestLimits.isLimited(record),
+      record =>
+        isEligible(record) &&
+        !fleet.requestLimits.isLimited(record) &&
+        fleet.coldUpstreams.ratePerS(record, nowMs) === undefined,
     );
 }
 
@@ -153,6 +156,8 @@
   records.forEach((record, i) => {
     const tokens = states[i].cache.prefilledTokens(shared);
     if (!states[i].health.isUsable(nowMs)) return;
+    // A copy would count as a request to an upstream that takes few.
+    if (fleet.coldUpstreams.ratePerS(record, nowMs) !== undefined) return;
     if (tokens > (copySource?.tokens ?? 0)) copySource = {record, tokens};
   });
   return {
--- a/routing/fleet/src/upstream_fleet.ts
+++ b/routing/fleet/src/upstream_fleet.ts
@@ -1,5 +1,7 @@
 import type {PromptPart} from '@sardinestile/ports';
-import type {EngineTraits} from '@sardinestile/route_table';
+import type {ColdStart, EngineTraits} from '@sardinestile/route_table';
+import type {RandomSource} from '@sardinestile/types';
+import {createColdUpstreams, type ColdUpstreams} from './cold_upstreams.js';
 import {
   createEngineLatencyModel,
   type EngineLatencyModel,
@@ -62,6 +64,8 @@
   readonly quietPeriods: QuietPeriods;
   /** Limits that upstreams state for the requests of all gateways together. */
   readonly requestLimits: RequestLimits;
+  /** Upstreams that take fewer requests, since they have just started. */
+  readonly coldUpstreams: ColdUpstreams;
   /** Costs of the resources that placements use. */
   readonly resourceCosts: ResourceCosts;
   /** Returns the state of an upstream; creates it at the first call. */
@@ -80,6 +84,11 @@
    * there are fewer of them than groups.
    */
   isSharedByGroups(service: string): boolean;
+  /**
+   * Records that a zone was taken back into service: its upstreams count as cold for
+   * the cold time of their service.
+   */
+  recordZoneReturn(availabilityZone: string, nowMs: number): void;
   /** Sets the group of this gateway. */
   setGroup(group: GroupAssignment): void;
   /**
@@ -120,6 +129,11 @@
    * 1 if absent.
    */
   heardShareOfGroup?: () => number;
+  /** Returns the cold rate of a service from the current configuration; none if absent. */
+  coldStartOf?: (service: string) => ColdStart | undefined;
+  /** Numbers of gateways of all groups and of this one; one each if absent. */
+  gateways?: Readonly<{inFleet: number; inGroup: number}>;
+  random?: RandomSource;
 }
 
 interface RunningRequest {
@@ -138,7 +152,13 @@
   options: UpstreamFleetOptions,
 ): UpstreamFleet {
   const {traitsOf} = options;
-  const membership = createMembership();
+  const membership = createMembership((record, nowMs) =>
+    coldUpstreams.applyRecord(record, nowMs),
+  );
+  const coldUpstreams = createColdUpstreams({
+    coldStartOf: options.coldStartOf ?? (() => undefined),
+    recordOf: membership.get,
+  });
   const quietPeriods = createQuietPeriods();
   const heardShareOfGroup = options.heardShareOfGroup ?? (() => 1);
   const requestLimits = createRequestLimits({
@@ -148,6 +168,13 @@
         heardShareOfGroup() / (isSharedByGroups(service) ? group.count : 1)
       );
     },
+    coldRatePerS: coldUpstreams.ratePerS,
+    senderCount({id}) {
+      const {inFleet, inGroup} = options.gateways ?? {inFleet: 1, inGroup: 1};
+      const service = membership.get(id)?.service ?? '';
+      return isSharedByGroups(service) ? inFleet : inGroup;
+    },
+    random: options.random,
   });
   const states = new Map<string, UpstreamState>();
   const services = new Map<string, ServiceState>();
@@ -219,6 +246,8 @@
     membership,
     quietPeriods,
     requestLimits,
+    coldUpstreams,
+    recordZoneReturn: coldUpstreams.recordZoneReturn,
     isSharedByGroups,
     resourceCosts: options.resourceCosts ?? DEFAULT_RESOURCE_COSTS,
     upstreamStateOf,
@@ -284,6 +313,7 @@
     prune(nowMs) {
       quietPeriods.prune(nowMs);
       requestLimits.prune(nowMs);
+      coldUpstreams.prune(nowMs);
       for (const [key, request] of running) {
         if (nowMs - request.placedAtMs < STALE_REQUEST_MS) break;
         endRequest(key, request, nowMs);
