--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -73,6 +73,8 @@
     upstream: string;
     /** Software version of the upstream. */
     softwareVersion?: string;
+    /** Requests a second that it takes from all gateways, if it is cold or was until just now. */
+    coldLimitPerS?: number;
     isFreshConnection: boolean;
     /** Time for which the connection was idle before the attempt. */
     restedMs: number;
@@ -161,6 +163,20 @@
   upstream_quiet: {upstream: string; quietMs: number};
   /** `limitPerS` is absent if the upstream states no limit any more. */
   upstream_limit_changed: {upstream: string; limitPerS?: number};
+  /** `limitPerS` is what it takes from all gateways; `coldMs` is from its record. */
+  upstream_cold: {
+    upstream: string;
+    limitPerS: number;
+    coldMs?: number;
+    isInDoubt: boolean;
+    availabilityZone: string;
+  };
+  upstream_warm: {upstream: string};
+  /** The upstream may have restarted under its id; `reason` says what was lost. */
+  upstream_in_doubt: {upstream: string; reason: string};
+  upstream_doubt_ended: {upstream: string; listAgeMs: number};
+  upstream_value_ignored: {upstream: string; reason: string};
+  config_value_ignored: {version: number; reason: string};
   lease_acquired: {duty: string; fencingToken: number};
   lease_lost: {duty: string; fencingToken: number};
   upstreams_ordered: {
--- a/daemons/gateway/src/calls/call_records.ts
+++ b/daemons/gateway/src/calls/call_records.ts
@@ -51,6 +51,7 @@
     attempt: call.attempts,
     upstream: upstream.id,
     softwareVersion: upstream.softwareVersion,
+    coldLimitPerS: context.fleet.coldUpstreams.ratePerS(upstream, startedAtMs),
     isFreshConnection: connection.isFresh,
     restedMs: Math.round(connection.idleMs),
     unreadTokens: placement.uncachedTokens,
--- a/daemons/gateway/src/calls/run_attempt.ts
+++ b/daemons/gateway/src/calls/run_attempt.ts
@@ -65,6 +65,7 @@
         })
       : await relayResponse(context, call, prepared);
   const endedAtMs = clock.monotonicMs();
+  context.coldWatch.observe(outcome, placement.upstream);
   // While this process was paused, delays and lost connections were its own
   // and say nothing about the upstream.
   const isConclusive = !context.hasPausedSince(startedAtMs);
@@ -102,14 +103,14 @@
 
 /** Records which software version began the stream, when its first event arrives. */
 function recordStreamStart(
-  {continuations}: GatewayContext,
+  {continuations, fleet}: GatewayContext,
   call: Call,
-  {upstream: {softwareVersion}}: Placement,
+  {upstream}: Placement,
   nowMs: number,
 ): void {
   if (call.firstEventAtMs !== undefined) return;
   call.firstEventAtMs = nowMs;
-  call.streamVersion ??= softwareVersion;
+  call.streamVersion ??= fleet.coldUpstreams.versionOf(upstream);
   continuations.origins.record(call.requestId, call.streamVersion, nowMs);
 }
 
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import {createCacheRecovery} from './upstreams/cache_recovery.js';
 import {startCallerListener} from './calls/caller_listener.js';
 import {createConfigView, type ConfigView} from './shared/config_view.js';
+import {createColdWatch} from './upstreams/cold_watch.js';
 import {createConnectionPool} from './upstreams/connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
 import {createFleetReporter} from './shared/fleet_reporter.js';
@@ -105,6 +106,10 @@
     shortestTargetGapMs: name =>
       config.routes()?.shortestTargetGapMs(name) ?? Infinity,
     resourceCosts: options.resourceCosts,
+    coldStartOf: name => config.routes()?.findService(name)?.coldStart,
+    get gateways() {
+      return gateways;
+    },
     heardShareOfGroup() {
       const heard = 1 + link.livePeers().length;
       const registered = 1 + (groupPeers?.length ?? gateways.inGroup - 1);
@@ -155,9 +160,13 @@
     link,
     clock,
     streamOrigins: () => continuations.origins,
-    onEvidence: item => sharedQuarantine.recordFromPeer(item),
+    onEvidence(item) {
+      coldWatch.recordEvidence(item);
+      sharedQuarantine.recordFromPeer(item);
+    },
   });
   const gateways = createGatewayCount();
+  const coldWatch = createColdWatch({fleet, clock, logger, metrics});
   const cacheRecovery = createCacheRecovery({
     instance,
     fleet,
@@ -288,6 +297,7 @@
       usage?.source.record(organisation, {promptTokens: 0, outputTokens: 0}),
     reporter,
     quarantine: sharedQuarantine.quarantine,
+    coldWatch,
     get crashWatch() {
       return crashWatch;
     },
@@ -392,6 +402,7 @@
     sharedQuarantine.quarantine.evaluate();
     config.askPeersIfStale();
     upstreams.removeExpired();
+    coldWatch.update(upstreams.ageMs());
     fleet.prune(clock.monotonicMs());
   }, HOUSEKEEPING_INTERVAL_MS);
 
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -6,6 +6,7 @@
 import type {Quarantine} from '@sardinestile/quarantine';
 import type {RouteIndex} from '@sardinestile/route_table';
 import type {Clock} from '@sardinestile/types';
+import type {ColdWatch} from './upstreams/cold_watch.js';
 import type {CrashWatch} from './upstreams/crash_watch.js';
 import type {ConnectionPool} from './upstreams/connection_pool.js';
 import type {RetryBudgets} from './calls/retry_budgets.js';
@@ -37,6 +38,8 @@
   /** Prompt parts and requests that crash upstreams. */
   quarantine: Quarantine;
   crashWatch: CrashWatch;
+  /** Upstreams that are cold or may have restarted. */
+  coldWatch: ColdWatch;
   /** Software versions at which streams have to go on. */
   continuations: StreamContinuations;
   /** Unix time in milliseconds on which the gateways agree. */
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -58,6 +58,18 @@
       labels,
       records.filter(record => fleet.requestLimits.isLimited(record)).length,
     );
+    metrics.setGauge(
+      'sardinestile_upstreams_cold',
+      labels,
+      records.filter(
+        record => fleet.coldUpstreams.ratePerS(record, nowMs) !== undefined,
+      ).length,
+    );
+    metrics.setGauge(
+      'sardinestile_upstreams_in_doubt',
+      labels,
+      records.filter(record => fleet.coldUpstreams.isInDoubt(record)).length,
+    );
     metrics.setGauge(
       'sardinestile_upstreams_resting',
       labels,
--- a/daemons/gateway/src/shared/config_view.ts
+++ b/daemons/gateway/src/shared/config_view.ts
@@ -92,11 +92,12 @@
   let distrustedUntilMs = -Infinity;
 
   const apply = (table: RouteTable, source: string) => {
-    if (routes && table.version <= routes.table.version) return;
+    if (routes && table.version <= routes.table.version) return false;
     routes = createRouteIndex(table);
     subscribers.forEach(onApplied => onApplied(table));
     [...wakeCallbacks].forEach(wake => wake());
     logger.info('config_applied', {version: table.version, source});
+    return true;
   };
   const waitForNextVersion = (waitMs: number) =>
     new Promise<void>(resolve => {
@@ -116,8 +117,14 @@
     observer: {
       onPage({entries}) {
         for (const {value, findings} of entries) {
-          if (value) apply(value, 'store');
-          else logger.warn('config_rejected', {reason: findings.join('; ')});
+          const reason = findings.join('; ');
+          if (!value) logger.warn('config_rejected', {reason});
+          else if (apply(value, 'store') && reason) {
+            logger.warn('config_value_ignored', {
+              version: value.version,
+              reason,
+            });
+          }
         }
       },
       onUpToDate(sentAt) {
--- a/daemons/gateway/src/shared/fleet_reporter.ts
+++ b/daemons/gateway/src/shared/fleet_reporter.ts
@@ -61,7 +61,8 @@
     firstEvent(_peer, {upstreamId, requestId}) {
       const nowMs = clock.monotonicMs();
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
-      const version = fleet.membership.get(upstreamId)?.softwareVersion;
+      const record = fleet.membership.get(upstreamId);
+      const version = record && fleet.coldUpstreams.versionOf(record);
       options.streamOrigins().record(requestId, version, nowMs);
     },
     leaving: (_peer, {upstreamId, startedAtWallMs}) =>
@@ -102,6 +103,9 @@
     },
     recordFirstEvent(upstreamId, requestId, nowMs) {
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
+      const record = fleet.membership.get(upstreamId);
+      // Peers would record the version in the registration, which may be outdated.
+      if (record && fleet.coldUpstreams.isInDoubt(record)) return;
       link.send({kind: 'firstEvent', requestId, upstreamId}, false);
     },
     recordEnd(upstreamId, requestId, hasFailed, nowMs) {
--- a/daemons/gateway/src/shared/shared_upstreams.ts
+++ b/daemons/gateway/src/shared/shared_upstreams.ts
@@ -216,6 +216,8 @@
     one.availabilityZone === other.availabilityZone &&
     one.places === other.places &&
     one.isLeaving === other.isLeaving &&
-    one.startedAtWallMs === other.startedAtWallMs
+    one.startedAtWallMs === other.startedAtWallMs &&
+    one.coldMs === other.coldMs &&
+    one.softwareVersion === other.softwareVersion
   );
 }
--- a/daemons/gateway/src/upstreams/cache_recovery.ts
+++ b/daemons/gateway/src/upstreams/cache_recovery.ts
@@ -121,7 +121,8 @@
     const own = engines.filter(
       engine =>
         readerOf(engine.id, names) === instance &&
-        !fleet.requestLimits.isLimited(engine),
+        !fleet.requestLimits.isLimited(engine) &&
+        fleet.coldUpstreams.ratePerS(engine, clock.monotonicMs()) === undefined,
     );
     const upstreams = (await Promise.all(own.map(readEngine))).flat();
     logger.info('caches_recovered', {
--- a/daemons/gateway/src/upstreams/upstream_signals.ts
+++ b/daemons/gateway/src/upstreams/upstream_signals.ts
@@ -29,7 +29,7 @@
   // The address was reassigned, so that the response is about another upstream.
   if (status === MISDIRECTED_STATUS) return;
   const {fleet, clock, reporter, logger, metrics} = context;
-  const {isLeaving, retryAfterMs, limitPerS} =
+  const {isLeaving, retryAfterMs, limitPerS, coldMs} =
     context.headerCodec.readResponse(headers);
   const {id, startedAtWallMs, service} = upstream;
   if (isLeaving && fleet.membership.markLeaving(upstream)) {
@@ -43,6 +43,11 @@
     logger.info('upstream_quiet', {upstream: id, quietMs: retryAfterMs});
   }
   applyLimit(context, upstream, limitPerS, sentAtMs);
+  const nowMs = clock.monotonicMs();
+  fleet.coldUpstreams.recordAnswer(upstream, sentAtMs, nowMs);
+  if (coldMs !== undefined) {
+    fleet.coldUpstreams.applyResponse(upstream, coldMs, sentAtMs, nowMs);
+  }
 }
 
 function applyLimit(
--- a/daemons/gateway/src/upstreams/upstream_view.ts
+++ b/daemons/gateway/src/upstreams/upstream_view.ts
@@ -56,6 +56,18 @@
   const freshness = createFreshnessTracker();
   let isKnown = false;
   const minStoreIntervalMs = options.drainLimitMs / CALLS_PER_DRAIN_LIMIT;
+  /** Latest ignored values by upstream, which are in each heartbeat. */
+  const ignoredValues = new Map<string, string>();
+  const logFindings = (upstream: string, isUsed: boolean, reason: string) => {
+    const isLogged = isUsed && ignoredValues.get(upstream) === reason;
+    if (isUsed && reason) ignoredValues.set(upstream, reason);
+    else ignoredValues.delete(upstream);
+    if (!reason || isLogged) return;
+    logger.warn(isUsed ? 'upstream_value_ignored' : 'upstream_rejected', {
+      upstream,
+      reason,
+    });
+  };
   const feed = followFeed({
     feed: shared.feed,
     clock,
@@ -71,12 +83,7 @@
           isKnown = true;
         }
         for (const {key, value, findings} of page.entries) {
-          if (findings.length > 0) {
-            logger.warn('upstream_rejected', {
-              upstream: key,
-              reason: findings.join('; '),
-            });
-          }
+          logFindings(key, value !== undefined, findings.join('; '));
           if (isSnapshot) continue;
           if (value) membership.put(value, nowMs);
           else membership.remove(key, nowMs);
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -126,9 +126,10 @@
   close(): Promise<void>;
 }
 
-/** Starts an upstream that by default answers every request immediately. */
+/** Starts an upstream that by default answers every request immediately; any port if absent. */
 export async function startUpstreamStandIn(
   id: string,
+  listenPort = 0,
 ): Promise<UpstreamStandIn> {
   const received: ReceivedRequest[] = [];
   const idleSinceMs = new WeakMap<object, number>();
@@ -158,7 +159,9 @@
   });
   server.keepAliveTimeout = 60_000;
   server.on('connection', () => upstream.connections++);
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  await new Promise<void>(resolve =>
+    server.listen(listenPort, '127.0.0.1', resolve),
+  );
   const {port} = server.address() as AddressInfo;
   const upstream: UpstreamStandIn = {
     id,
--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -15,3 +15,4 @@
 export * from './service_pause.js';
 export * from './stream_load.js';
 export * from './upstream_health.js';
+export type {UpstreamStart} from './upstream_key.js';
