--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
   REWRITE_TIME_MS,
   type ConfigView,
 } from './shared/config_view.js';
+import {createColdWatch} from './upstreams/cold_watch.js';
 import {createConnectionPool} from './upstreams/connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
 import {createFleetReporter} from './shared/fleet_reporter.js';
@@ -118,6 +119,10 @@
     shortestTargetGapMs: name =>
       config.routes()?.shortestTargetGapMs(name) ?? Infinity,
     resourceCosts: options.resourceCosts,
+    coldStartOf: name => config.routes()?.findService(name)?.coldStart,
+    get gateways() {
+      return gateways;
+    },
     heardShareOfGroup() {
       const heard = 1 + link.livePeers().length;
       const registered = 1 + (groupPeers?.length ?? gateways.inGroup - 1);
@@ -185,9 +190,13 @@
     link,
     clock,
     streamOrigins: () => continuations.origins,
-    onEvidence: item => sharedQuarantine.recordFromPeer(item),
+    onEvidence(item) {
+      coldWatch.recordEvidence(item);
+      sharedQuarantine.recordFromPeer(item);
+    },
   });
   const gateways = createGatewayCount();
+  const coldWatch = createColdWatch({fleet, clock, logger, metrics});
   const cacheRecovery = createCacheRecovery({
     instance,
     fleet,
@@ -319,6 +328,7 @@
       usage?.source.record(organisation, {promptTokens: 0, outputTokens: 0}),
     reporter,
     quarantine: sharedQuarantine.quarantine,
+    coldWatch,
     get crashWatch() {
       return crashWatch;
     },
@@ -424,6 +434,7 @@
     config.askPeersIfStale();
     upstreams.removeExpired();
     if (upstreams.isLoaded) zones.reportUnknownZones();
+    coldWatch.update(upstreams.ageMs());
     fleet.prune(clock.monotonicMs());
   }, HOUSEKEEPING_INTERVAL_MS);
 
--- a/daemons/gateway/src/shared/config_view.ts
+++ b/daemons/gateway/src/shared/config_view.ts
@@ -100,11 +100,12 @@
 
   const wakePeers = () => [...wakeCallbacks].forEach(wake => wake());
   const apply = (table: RouteTable, source: string) => {
-    if (routes && table.version <= routes.table.version) return;
+    if (routes && table.version <= routes.table.version) return false;
     routes = createRouteIndex(table);
     subscribers.forEach(onApplied => onApplied(table));
     wakePeers();
     logger.info('config_applied', {version: table.version, source});
+    return true;
   };
   /** Applies what a peer knows; zones first, so that no request is sent to them. */
   const applyFromPeer = ({table, zones: list}: ConfirmedConfig) => {
@@ -129,10 +130,14 @@
     observer: {
       onPage(page) {
         for (const {value, findings} of page.entries) {
-          if (!value) {
-            logger.warn('config_rejected', {reason: findings.join('; ')});
-          } else if (value.kind === 'routeTable') apply(value.table, 'store');
-          else zones.apply(value, sourceOf(page));
+          const reason = findings.join('; ');
+          if (!value) logger.warn('config_rejected', {reason});
+          else if (value.kind !== 'routeTable') {
+            zones.apply(value, sourceOf(page));
+          } else if (apply(value.table, 'store') && reason) {
+            const {version} = value.table;
+            logger.warn('config_value_ignored', {version, reason});
+          }
         }
       },
       onUpToDate(sentAt, page) {
--- a/daemons/gateway/src/upstreams/cache_recovery.ts
+++ b/daemons/gateway/src/upstreams/cache_recovery.ts
@@ -122,7 +122,8 @@
       engine =>
         readerOf(engine.id, names) === instance &&
         fleet.membership.isZoneInService(engine) &&
-        !fleet.requestLimits.isLimited(engine),
+        !fleet.requestLimits.isLimited(engine) &&
+        fleet.coldUpstreams.ratePerS(engine, clock.monotonicMs()) === undefined,
     );
     const upstreams = (await Promise.all(own.map(readEngine))).flat();
     logger.info('caches_recovered', {
--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -1,3 +1,4 @@
+export * from './cold_upstreams.js';
 export * from './decaying_sum.js';
 export * from './engine_latency_model.js';
 export * from './upstream_fleet.js';
@@ -17,3 +18,4 @@
 export * from './upstream_division.js';
 export * from './upstream_health.js';
 export * from './zone_states.js';
+export type {UpstreamStart} from './upstream_key.js';
--- a/routing/fleet/src/upstream_fleet.ts
+++ b/routing/fleet/src/upstream_fleet.ts
@@ -1,5 +1,7 @@
 import type {PromptPart} from '@sardinestile/ports';
-import type {EngineTraits} from '@sardinestile/route_table';
+import type {ColdStart, EngineTraits} from '@sardinestile/route_table';
+import type {RandomSource} from '@sardinestile/types';
+import {createColdUpstreams, type ColdUpstreams} from './cold_upstreams.js';
 import {
   createEngineLatencyModel,
   type EngineLatencyModel,
@@ -67,6 +69,8 @@
   readonly quietPeriods: QuietPeriods;
   /** Limits that upstreams state for the requests of all gateways together. */
   readonly requestLimits: RequestLimits;
+  /** Upstreams that take fewer requests, since they have just started. */
+  readonly coldUpstreams: ColdUpstreams;
   /** Costs of the resources that placements use. */
   readonly resourceCosts: ResourceCosts;
   /** Returns the state of an upstream; creates it at the first call. */
@@ -137,6 +141,11 @@
   heardShareOfGroup?: () => number;
   /** Called when upstreams move between groups of gateways. */
   onDivisionChange?: (change: DivisionChange) => void;
+  /** Returns the cold rate of a service from the current configuration; none if absent. */
+  coldStartOf?: (service: string) => ColdStart | undefined;
+  /** Numbers of gateways of all groups and of this one; one each if absent. */
+  gateways?: Readonly<{inFleet: number; inGroup: number}>;
+  random?: RandomSource;
 }
 
 interface RunningRequest {
@@ -155,7 +164,13 @@
   options: UpstreamFleetOptions,
 ): UpstreamFleet {
   const {traitsOf} = options;
-  const membership = createMembership();
+  const membership = createMembership((record, nowMs) =>
+    coldUpstreams.applyRecord(record, nowMs),
+  );
+  const coldUpstreams = createColdUpstreams({
+    coldStartOf: options.coldStartOf ?? (() => undefined),
+    recordOf: membership.get,
+  });
   const quietPeriods = createQuietPeriods();
   const heardShareOfGroup = options.heardShareOfGroup ?? (() => 1);
   const requestLimits = createRequestLimits({
@@ -166,6 +181,13 @@
         : 1;
       return heardShareOfGroup() * groupShare;
     },
+    coldRatePerS: coldUpstreams.ratePerS,
+    senderCount({id}) {
+      const {inFleet, inGroup} = options.gateways ?? {inFleet: 1, inGroup: 1};
+      const service = membership.get(id)?.service ?? '';
+      return groupUpstreams.isShared(service) ? inFleet : inGroup;
+    },
+    random: options.random,
   });
   const states = new Map<string, UpstreamState>();
   const services = new Map<string, ServiceState>();
@@ -223,6 +245,8 @@
     membership,
     quietPeriods,
     requestLimits,
+    coldUpstreams,
+    recordZoneReturn: coldUpstreams.recordZoneReturn,
     isSharedByGroups: groupUpstreams.isShared,
     unheardRequests: groupUpstreams.unheardRequests,
     resourceCosts: options.resourceCosts ?? DEFAULT_RESOURCE_COSTS,
@@ -278,7 +302,6 @@
     recordPeerOutcome(upstreamId, isError, nowMs) {
       states.get(upstreamId)?.health.recordPeerOutcome(isError, nowMs);
     },
-    recordZoneReturn: () => undefined,
     removeGateway(gateway, nowMs) {
       for (const [key, request] of running) {
         if (request.gateway === gateway) endRequest(key, request, nowMs);
@@ -287,6 +310,7 @@
     prune(nowMs) {
       quietPeriods.prune(nowMs);
       requestLimits.prune(nowMs);
+      coldUpstreams.prune(nowMs);
       for (const [key, request] of running) {
         if (nowMs - request.placedAtMs < STALE_REQUEST_MS) break;
         endRequest(key, request, nowMs);
