--- a/config/service_text/src/parse_service_text.ts
+++ b/config/service_text/src/parse_service_text.ts
@@ -1,6 +1,6 @@
 import {Err, Ok, type Result} from 'ts-results-es';
-import {isNode, LineCounter, parseDocument, type Document} from 'yaml';
 import type {Finding} from './finding.js';
+import {parseLocatedDocument} from './locate_path.js';
 import {REFERENCE_CHECKS, type UnlocatedFinding} from './reference_checks.js';
 import {serviceTextSchema, type ServiceText} from './service_text_schema.js';
 
@@ -19,12 +19,11 @@
     const message = `the text is over ${MAX_TEXT_CHARS} characters`;
     return Err([{line: 1, column: 1, path: '', message}]);
   }
-  const lineCounter = new LineCounter();
-  const document = parseDocument(source, {lineCounter});
+  const {document, positionAt, locate} = parseLocatedDocument(source);
   if (document.errors.length > 0) {
     return Err(
       document.errors.map(error => ({
-        ...positionAt(lineCounter, error.pos[0]),
+        ...positionAt(error.pos[0]),
         path: '',
         message: error.message.split('\n')[0].replace(/ at line.*$/, ''),
       })),
@@ -40,29 +39,9 @@
   if (parsed.success && unlocatedFindings.length === 0) return Ok(parsed.data);
   return Err(
     unlocatedFindings.map(finding => ({
-      ...positionAt(lineCounter, findOffset(document, finding.path)),
+      ...locate(finding.path),
       path: finding.path.join('.'),
       message: finding.message,
     })),
   );
 }
-
-function positionAt(lineCounter: LineCounter, offset: number) {
-  const {line, col} = lineCounter.linePos(offset);
-  return {line: Math.max(1, line), column: Math.max(1, col)};
-}
-
-/** Returns the offset of the value at a path, or of its nearest existing parent. */
-function findOffset(
-  document: Document,
-  path: ReadonlyArray<string | number>,
-): number {
-  for (let length = path.length; length >= 0; length--) {
-    const node =
-      length === 0
-        ? document.contents
-        : document.getIn(path.slice(0, length), true);
-    if (isNode(node) && node.range) return node.range[0];
-  }
-  return 0;
-}
