--- /dev/null
+++ b/config/checks/src/index.ts
@@ -0,0 +1,2 @@
+export * from './check_finding.js';
+export * from './check_service_text.js';
