--- a/admin/api/src/admin_api.ts
+++ b/admin/api/src/admin_api.ts
@@ -1,8 +1,8 @@
 import {createHash, randomBytes, randomUUID} from 'node:crypto';
+import {checkServiceText} from '@sardinestile/checks';
 import {SardinestileError, type ErrorCode} from '@sardinestile/errors';
 import {hasAdminKey, unauthorizedResponse} from '@sardinestile/ops';
 import {diffText, type ConfigReplica} from '@sardinestile/replica';
-import {parseServiceText} from '@sardinestile/service_text';
 import {
   versionConflict,
   type NewConfigChange,
@@ -171,14 +171,15 @@
   });
 }
 
+/** Throws if a text has errors; warnings do not prevent its acceptance. */
 function validateText(text: string): void {
-  const parsed = parseServiceText(text);
-  if (parsed.isOk()) return;
+  const {serviceText, findings} = checkServiceText(text);
+  if (serviceText) return;
   throw new SardinestileError({
     code: 'TEXT_REFUSED',
-    message: `the text has ${parsed.error.length} findings`,
+    message: `the text has ${findings.length} findings`,
     hint: 'Run "sardinestile config check" on the text.',
-    cause: parsed.error,
+    cause: findings,
   });
 }
 
