--- a/cli/sardinestile/src/commands/config_commands.ts
+++ b/cli/sardinestile/src/commands/config_commands.ts
@@ -1,10 +1,11 @@
 import {readFile} from 'node:fs/promises';
+import {checkServiceText, formatCheckFinding} from '@sardinestile/checks';
 import {SardinestileError} from '@sardinestile/errors';
 import {diffText, type TextEdit} from '@sardinestile/replica';
-import {formatFinding, parseServiceText} from '@sardinestile/service_text';
 import {command, number, option, positional, string, subcommands} from 'cmd-ts';
 import {callAdmin} from '../admin_client.js';
 import {adminClientSettings} from '../settings.js';
+import {checkCommand} from './config_check_command.js';
 
 const TEXT_PATH = '/admin/v1/text';
 
@@ -14,17 +15,6 @@
   description: 'file with the service text (YAML)',
 });
 
-const checkCommand = command({
-  name: 'check',
-  description:
-    'Validate a service text and print every finding with its position.',
-  args: {file: fileArgument},
-  handler: async ({file}) => {
-    await readValidText(file);
-    process.stdout.write(`${file}: no findings\n`);
-  },
-});
-
 const applyCommand = command({
   name: 'apply',
   description:
@@ -108,12 +98,14 @@
   },
 });
 
+/** Reads a text and prints its findings; throws if one is an error. */
 async function readValidText(file: string): Promise<string> {
   const text = await readFile(file, 'utf8');
-  const parsed = parseServiceText(text);
-  if (parsed.isOk()) return text;
-  const findings = parsed.error.map(finding => formatFinding(finding, file));
-  process.stdout.write(findings.join('\n') + '\n');
+  const {serviceText, findings} = checkServiceText(text);
+  for (const finding of findings) {
+    process.stderr.write(`${formatCheckFinding(finding, file)}\n`);
+  }
+  if (serviceText) return text;
   throw new SardinestileError({
     code: 'TEXT_REFUSED',
     message: `${file} has ${findings.length} findings`,
