--- a/config/checks/src/index.ts
+++ b/config/checks/src/index.ts
@@ -1,2 +1,5 @@
 export * from './check_finding.js';
 export * from './check_service_text.js';
+export * from './compare_versions.js';
+export * from './key_checks.js';
+export * from './text_sections.js';
