--- a/cli/sardinestile/src/settings.ts
+++ b/cli/sardinestile/src/settings.ts
@@ -1,4 +1,4 @@
-import {number, oneOf, option, string, type Type} from 'cmd-ts';
+import {number, oneOf, option, optional, string, type Type} from 'cmd-ts';
 
 /** Time for which an entry trusts its keys after the store or a peer confirmed them. */
 const DEFAULT_KEY_FRESHNESS_LIMIT_MS = 10_000;
@@ -206,3 +206,19 @@
   }),
   adminKey: adminKeySetting,
 };
+
+/** `adminClientSettings` for commands that call the administration API only on request. */
+export const optionalAdminClientSettings = {
+  adminUrl: option({
+    type: optional(httpUrl),
+    long: 'admin-url',
+    env: 'SARDINESTILE_ADMIN_URL',
+    description: "base URL of an entry's ops server",
+  }),
+  adminKey: option({
+    type: optional(nonEmptyString),
+    long: 'admin-key',
+    env: 'SARDINESTILE_ADMIN_KEY',
+    description: 'key for the administration API',
+  }),
+};
