--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -117,6 +117,10 @@
     status?: number;
     attempts: number;
     firstEventMs?: number;
+    /** Longest time between the arrivals of two events of the stream. */
+    longestPauseMs?: number;
+    /** Longest time from the arrival of data until the caller's connection took it. */
+    longestWaitMs?: number;
     durationMs: number;
   };
   config_rejected: {reason: string};
--- a/daemons/gateway/src/calls/call.ts
+++ b/daemons/gateway/src/calls/call.ts
@@ -2,6 +2,7 @@
 import type {RequestMetadata} from '@sardinestile/ports';
 import type {RequestProfile} from '@sardinestile/quarantine';
 import type {KeyHolder, Route} from '@sardinestile/route_table';
+import type {CallerOutput} from './caller_output.js';
 
 /** Lowest HTTP status that counts as a failure of the upstream. */
 export const MIN_FAILURE_STATUS = 500;
@@ -10,6 +11,8 @@
 export interface Call {
   request: IncomingMessage;
   response: ServerResponse;
+  /** Writes responses that are forwarded as they arrive. */
+  output: CallerOutput;
   requestId: string;
   requestMetadata: RequestMetadata;
   route: Route;
--- a/daemons/gateway/src/calls/call_records.ts
+++ b/daemons/gateway/src/calls/call_records.ts
@@ -1,4 +1,6 @@
+import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {AttemptOutcome, Call} from './call.js';
+import type {StreamDelays} from './caller_output.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
 
@@ -112,7 +114,9 @@
   call: Call,
 ): void {
   const {response, route, organisation} = call;
-  const durationMs = clock.monotonicMs() - call.arrivedAtMs;
+  const endedAtMs = clock.monotonicMs();
+  const durationMs = endedAtMs - call.arrivedAtMs;
+  const delays = call.output.delays(endedAtMs);
   const outcome = outcomeOf(call);
   const status = response.headersSent ? response.statusCode : undefined;
   metrics.increment('sardinestile_calls_total', {
@@ -125,6 +129,7 @@
     {route: route.name},
     durationMs,
   );
+  if (route.kind === 'stream') recordStreamDelays(metrics, call, delays);
   logger.info('call_ended', {
     requestId: call.requestId,
     route: route.name,
@@ -134,10 +139,28 @@
     attempts: call.attempts,
     firstEventMs:
       call.firstEventAtMs && Math.round(call.firstEventAtMs - call.arrivedAtMs),
+    longestPauseMs: roundMs(delays.longestPauseMs),
+    longestWaitMs: roundMs(delays.longestWaitMs),
     durationMs: Math.round(durationMs),
   });
 }
 
+function recordStreamDelays(
+  metrics: MetricsRegistry,
+  {service}: Call,
+  {longestPauseMs, longestWaitMs}: StreamDelays,
+): void {
+  const record = (name: string, delayMs: number | undefined) => {
+    if (delayMs !== undefined) metrics.recordMs(name, {service}, delayMs);
+  };
+  record('sardinestile_stream_longest_pause_seconds', longestPauseMs);
+  record('sardinestile_stream_longest_wait_seconds', longestWaitMs);
+}
+
+function roundMs(durationMs: number | undefined): number | undefined {
+  return durationMs === undefined ? undefined : Math.round(durationMs);
+}
+
 function outcomeOf({
   hasCallerDisconnected: hasCallerDisconnected,
   response,
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -44,7 +44,8 @@
     const forwardHeld = () => {
       if (isCloseDelimited(headers)) makeCloseDelimited(call.response);
       call.response.writeHead(status, callerResponseHeaders(context, headers));
-      for (const chunk of chunks) call.response.write(chunk);
+      const nowMs = context.clock.monotonicMs();
+      for (const chunk of chunks) call.output.write(chunk, nowMs);
       chunks = [];
       isForwarding = true;
     };
@@ -68,9 +69,10 @@
         },
         onData(chunk) {
           if (isForwarding) {
-            if (call.response.write(chunk)) return;
+            call.output.write(chunk, context.clock.monotonicMs());
+            if (!call.response.writableNeedDrain) return;
             attempt.pause();
-            call.response.once('drain', () => attempt.resume());
+            call.output.onceTaken(() => attempt.resume());
             return;
           }
           chunks.push(chunk);
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -51,7 +51,7 @@
   observer: StreamObserver,
 ): Promise<AttemptOutcome> {
   const {headerCodec, clock} = context;
-  const {response, route} = call;
+  const {response, route, output} = call;
   const stallTimeoutMs = Math.max(
     MIN_STALL_TIMEOUT_MS,
     STALL_TIMEOUT_GAPS * (route.targetGapMs ?? DEFAULT_GAP_MS),
@@ -86,7 +86,11 @@
       response.writeHead(status, headerCodec.callerHeaders(headers));
     };
     /** Returns why the event cannot be forwarded, or undefined. */
-    const forwardEvent = (bytes: Buffer, id: number | undefined) => {
+    const forwardEvent = (
+      bytes: Buffer,
+      id: number | undefined,
+      nowMs: number,
+    ) => {
       if (id !== undefined) {
         const last = call.lastEventId;
         if (last !== undefined && id <= last) return undefined;
@@ -96,9 +100,10 @@
         call.lastEventId = id;
       }
       startResponse();
-      if (!response.write(bytes)) {
+      output.write(bytes, nowMs);
+      if (response.writableNeedDrain) {
         attempt.pause();
-        response.once('drain', () => {
+        output.onceTaken(() => {
           lastProgressAtMs = clock.monotonicMs();
           attempt.resume();
         });
@@ -107,6 +112,7 @@
     };
     /** Parts of events and comments are no progress: a stalled upstream may send them. */
     const recordProgress = (nowMs: number) => {
+      output.recordEvent(nowMs);
       if (hasNewEvent) recordGap(context, call, nowMs - lastProgressAtMs);
       lastProgressAtMs = nowMs;
       bytesSinceProgress = 0;
@@ -154,7 +160,7 @@
           bytesSinceProgress += chunk.length;
           for (const {bytes, id, hasData} of splitter.push(chunk)) {
             if (hasData) recordProgress(nowMs);
-            const gapReason = forwardEvent(bytes, id);
+            const gapReason = forwardEvent(bytes, id, nowMs);
             if (gapReason !== undefined) return failAttempt(gapReason);
           }
           if (bytesSinceProgress > MAX_EVENT_BYTES) {
--- a/daemons/gateway/src/calls/serve_call.ts
+++ b/daemons/gateway/src/calls/serve_call.ts
@@ -3,6 +3,7 @@
 import {createRequestProfile} from '@sardinestile/quarantine';
 import {chooseTarget, type RouteIndex} from '@sardinestile/route_table';
 import type {Call, InterruptReason} from './call.js';
+import {createCallerOutput} from './caller_output.js';
 import {isCallerPresent} from './caller_presence.js';
 import {recordAdmission, recordCallEnd} from './call_records.js';
 import type {GatewayContext} from '../gateway_context.js';
@@ -80,6 +81,7 @@
   const call: Call = {
     request,
     response,
+    output: createCallerOutput(response, context.clock),
     requestId: requestId ?? '',
     requestMetadata,
     route,
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -85,6 +85,16 @@
       isUnframed?: boolean;
       isUnanswered?: boolean;
     }
+  /**
+   * Streams events of `eventBytes` each, as fast as they are read. It resets the connection
+   * when the response has stayed unread for `cutOffUnreadMs`.
+   */
+  | {
+      kind: 'bulkStream';
+      events: number;
+      eventBytes: number;
+      cutOffUnreadMs?: number;
+    }
   /** Streams events with these ids and ignores the `last-event-id` header. */
   | {kind: 'streamIds'; ids: readonly number[]; delayMs?: number};
 
@@ -319,6 +329,36 @@
     const events = ids.map(id => `id: ${id}\ndata: event ${id}\n\n`);
     setTimeout(() => response.end(events.join('')), delayMs);
   },
+  bulkStream(
+    {events, eventBytes, cutOffUnreadMs},
+    {request, response, baseHeaders, entry},
+  ) {
+    response.writeHead(200, {
+      ...baseHeaders,
+      'content-type': 'text/event-stream',
+    });
+    const text = 'x'.repeat(eventBytes);
+    let id = Number(entry.headers['last-event-id'] ?? -1) + 1;
+    const sendMore = () => {
+      let canWrite = true;
+      while (canWrite && id < events) {
+        canWrite = response.write(`id: ${id}\ndata: ${text}\n\n`);
+        id++;
+      }
+      if (canWrite) {
+        response.end();
+        return;
+      }
+      const timer =
+        cutOffUnreadMs !== undefined &&
+        setTimeout(() => request.socket.resetAndDestroy(), cutOffUnreadMs);
+      response.once('drain', () => {
+        if (timer) clearTimeout(timer);
+        sendMore();
+      });
+    };
+    sendMore();
+  },
   endless({part}, {upstream, request, entry}) {
     upstream.openEndless++;
     request.socket.once('close', () => upstream.openEndless--);
--- a/testing/hosting/src/index.ts
+++ b/testing/hosting/src/index.ts
@@ -3,3 +3,4 @@
 export * from './initial_configuration.js';
 export * from './raw_request.js';
 export * from './stepped_clock.js';
+export * from './slow_caller.js';
--- a/testing/hosting/test/metrics_test.ts
+++ b/testing/hosting/test/metrics_test.ts
@@ -20,6 +20,8 @@
   sardinestile_refusals_by_organisation_total: 'counter',
   sardinestile_first_event_seconds: 'histogram',
   sardinestile_event_gap_seconds: 'histogram',
+  sardinestile_stream_longest_pause_seconds: 'histogram',
+  sardinestile_stream_longest_wait_seconds: 'histogram',
   sardinestile_held_seconds: 'histogram',
   sardinestile_expected_wait_seconds: 'histogram',
   sardinestile_upstream_connections_total: 'counter',
