--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -126,6 +126,23 @@
   config_rejected: {reason: string};
   settings_reloaded: {path: string; changed: string};
   settings_rejected: {path: string; reason: string};
+  /** The process began or ceased to take a step under memory pressure. */
+  memory_step_changed: {
+    step: string;
+    heldBytes: number;
+    limitBytes: number;
+    requestBody: number;
+    heldResponse: number;
+    unreadResponse: number;
+    readAhead: number;
+  };
+  /** The response that the caller left unread the most was ended, as memory is short. */
+  unread_response_ended: {
+    requestId?: string;
+    unreadBytes: number;
+    heldBytes: number;
+    limitBytes: number;
+  };
   process_stood_still: {gapMs: number};
   session_opened: {peer: string};
   session_closed: {peer: string; reason: string};
--- a/daemons/gateway/src/calls/call.ts
+++ b/daemons/gateway/src/calls/call.ts
@@ -2,6 +2,7 @@
 import type {RequestMetadata} from '@sardinestile/ports';
 import type {RequestProfile} from '@sardinestile/quarantine';
 import type {KeyHolder, Route} from '@sardinestile/route_table';
+import type {MemoryAccount} from '../memory/memory_budget.js';
 import type {CallerOutput} from './caller_output.js';
 
 /** Lowest HTTP status that counts as a failure of the upstream. */
@@ -11,6 +12,8 @@
 export interface Call {
   request: IncomingMessage;
   response: ServerResponse;
+  /** What is held for the request and its response. */
+  account: MemoryAccount;
   /** Writes responses that are forwarded as they arrive. */
   output: CallerOutput;
   requestId: string;
@@ -50,7 +53,7 @@
 }
 
 /** Why a running attempt is interrupted. */
-export type InterruptReason = 'callerLeft' | 'timeout';
+export type InterruptReason = 'callerLeft' | 'timeout' | 'memoryShort';
 
 /** Outcome of one attempt. */
 export type AttemptOutcome =
--- a/daemons/gateway/src/calls/caller_output.ts
+++ b/daemons/gateway/src/calls/caller_output.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {Clock} from '@sardinestile/types';
+import type {MemoryAccount} from '../memory/memory_budget.js';
 
 /** Delays of the events of one stream. */
 export interface StreamDelays {
@@ -26,6 +27,7 @@
 /** Creates the output of a response to which nothing was written. */
 export function createCallerOutput(
   response: ServerResponse,
+  account: MemoryAccount,
   clock: Clock,
 ): CallerOutput {
   /** Sizes and times of arrival of the writes that were not taken, oldest first. */
@@ -47,6 +49,7 @@
     const bytes = sizes.shift() ?? 0;
     const arrivedAtMs = arrivalsMs.shift() ?? 0;
     unreadBytes -= bytes;
+    account.set('unreadResponse', unreadBytes);
     if (error) return;
     recordWait(clock.monotonicMs() - arrivedAtMs);
     if (unreadBytes > 0 || !notifyTaken) return;
@@ -69,6 +72,7 @@
       arrivalsMs.push(arrivedAtMs);
       unreadBytes += bytes.length;
       response.write(bytes, onTaken);
+      account.set('unreadResponse', unreadBytes);
     },
     onceTaken(callback) {
       notifyTaken = callback;
--- a/daemons/gateway/src/calls/event_splitter.ts
+++ b/daemons/gateway/src/calls/event_splitter.ts
@@ -17,8 +17,8 @@
 export interface EventSplitter {
   /** Adds bytes and returns the events that they complete. */
   push(chunk: Buffer): StreamEvent[];
-  /** Whether bytes of an incomplete event are buffered. */
-  readonly hasPartialEvent: boolean;
+  /** Number of bytes of an incomplete event that are buffered. */
+  readonly partialBytes: number;
 }
 
 /** Creates a splitter for the beginning of a stream. */
@@ -44,8 +44,8 @@
       pending = bytes.subarray(start);
       return events;
     },
-    get hasPartialEvent() {
-      return pending.length > 0;
+    get partialBytes() {
+      return pending.length;
     },
   };
 }
--- a/daemons/gateway/src/calls/finish_call.ts
+++ b/daemons/gateway/src/calls/finish_call.ts
@@ -48,7 +48,7 @@
 }
 
 function sendBufferedResponse(
-  {response}: Call,
+  {response, account}: Call,
   buffered: BufferedResponse,
 ): void {
   const {status, headers, body} = buffered;
@@ -58,5 +58,7 @@
   } else {
     response.writeHead(status, {...headers, 'content-length': body.length});
   }
+  account.set('heldResponse', 0);
+  account.set('unreadResponse', body.length);
   response.end(body);
 }
--- a/daemons/gateway/src/calls/read_body.ts
+++ b/daemons/gateway/src/calls/read_body.ts
@@ -1,18 +1,27 @@
 import type {IncomingMessage} from 'node:http';
+import type {MemoryAccount, MemoryBudget} from '../memory/memory_budget.js';
 
-/** Result of reading a body; `aborted` if the caller disconnected before its end. */
+/**
+ * Result of reading a body; `aborted` if the caller disconnected before its end, `memoryShort`
+ * if too much is held for other requests.
+ */
 export type BodyReadResult =
   | {kind: 'complete'; body: Buffer | null}
   | {kind: 'tooLarge'}
+  | {kind: 'memoryShort'}
   | {kind: 'aborted'};
 
 /** Reads a request's body up to a size limit; an empty body is null. */
 export function readBody(
   request: IncomingMessage,
   maxBytes: number,
+  budget: MemoryBudget,
+  account: MemoryAccount,
 ): Promise<BodyReadResult> {
-  if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
-    return Promise.resolve({kind: 'tooLarge'});
+  const statedBytes = Number(request.headers['content-length'] ?? 0);
+  if (statedBytes > maxBytes) return Promise.resolve({kind: 'tooLarge'});
+  if (!budget.canTakeBody(statedBytes, 0)) {
+    return Promise.resolve({kind: 'memoryShort'});
   }
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
@@ -24,7 +33,13 @@
         resolve({kind: 'tooLarge'});
         return;
       }
+      if (!budget.canTakeBody(size, size - chunk.length)) {
+        request.pause();
+        resolve({kind: 'memoryShort'});
+        return;
+      }
       chunks.push(chunk);
+      account.set('requestBody', size);
     });
     request.on('end', () => {
       const body =
--- a/daemons/gateway/src/calls/refuse.ts
+++ b/daemons/gateway/src/calls/refuse.ts
@@ -11,6 +11,10 @@
     message: 'withdrawals of keys cannot be learnt at present',
   },
   bodyTooLarge: {status: 413, message: 'the body is over the size limit'},
+  memoryShort: {
+    status: 503,
+    message: 'this instance holds too much to take a large body',
+  },
   overloaded: {
     status: 503,
     message: 'the request could not be served within its target',
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -13,6 +13,7 @@
   isResponseToCall,
   type PreparedAttempt,
 } from './prepare_attempt.js';
+import {createReadingPause} from './reading_pause.js';
 import {applyUpstreamSignals} from '../upstreams/upstream_signals.js';
 
 /** Size up to which a response is buffered until it is complete, in bytes. */
@@ -47,6 +48,8 @@
       const nowMs = context.clock.monotonicMs();
       for (const chunk of chunks) call.output.write(chunk, nowMs);
       chunks = [];
+      call.account.set('heldResponse', 0);
+      readingPause.update();
       isForwarding = true;
     };
     const attempt = startAttempt(
@@ -70,13 +73,12 @@
         onData(chunk) {
           if (isForwarding) {
             call.output.write(chunk, context.clock.monotonicMs());
-            if (!call.response.writableNeedDrain) return;
-            attempt.pause();
-            call.output.onceTaken(() => attempt.resume());
+            readingPause.update();
             return;
           }
           chunks.push(chunk);
           heldBytes += chunk.length;
+          call.account.set('heldResponse', heldBytes);
           if (heldBytes <= MAX_HELD_BYTES) return;
           if (isSuccess(status)) {
             forwardHeld();
@@ -118,6 +120,12 @@
         },
       },
     );
+    const readingPause = createReadingPause(
+      context,
+      call,
+      attempt,
+      () => undefined,
+    );
     call.onInterrupt = reason => {
       attempt.abort();
       settle({kind: 'interrupted', reason});
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -15,6 +15,7 @@
   isResponseToCall,
   type PreparedAttempt,
 } from './prepare_attempt.js';
+import {createReadingPause} from './reading_pause.js';
 import {applyUpstreamSignals} from '../upstreams/upstream_signals.js';
 
 /** Callbacks of `relayStream`. */
@@ -63,6 +64,7 @@
     /** Body of a response that is not a stream. */
     const nonStreamBody: Buffer[] = [];
     let nonStreamBytes = 0;
+    let heldPartialBytes = 0;
     let hasNewEvent = false;
     let lastProgressAtMs = clock.monotonicMs();
     let bytesSinceProgress = 0;
@@ -101,13 +103,7 @@
       }
       startResponse();
       output.write(bytes, nowMs);
-      if (response.writableNeedDrain) {
-        attempt.pause();
-        output.onceTaken(() => {
-          lastProgressAtMs = clock.monotonicMs();
-          attempt.resume();
-        });
-      }
+      readingPause.update();
       return undefined;
     };
     /** Parts of events and comments are no progress: a stalled upstream may send them. */
@@ -149,6 +145,7 @@
           if (!isStream()) {
             nonStreamBody.push(chunk);
             nonStreamBytes += chunk.length;
+            call.account.set('heldResponse', nonStreamBytes);
             if (nonStreamBytes > MAX_HELD_BYTES) {
               failAttempt(
                 `the response with status ${status} exceeds ${MAX_HELD_BYTES} bytes`,
@@ -163,6 +160,11 @@
             const gapReason = forwardEvent(bytes, id, nowMs);
             if (gapReason !== undefined) return failAttempt(gapReason);
           }
+          const {partialBytes} = splitter;
+          if (partialBytes !== heldPartialBytes) {
+            heldPartialBytes = partialBytes;
+            call.account.set('heldResponse', partialBytes);
+          }
           if (bytesSinceProgress > MAX_EVENT_BYTES) {
             failAttempt(`no complete event in ${bytesSinceProgress} bytes`);
           }
@@ -181,7 +183,7 @@
               nonStreamBody,
             );
             settle({kind: 'heldAnswer', response: buffered});
-          } else if (splitter.hasPartialEvent || !hasAnyEvent()) {
+          } else if (splitter.partialBytes > 0 || !hasAnyEvent()) {
             settle({
               kind: 'unknown',
               reason: 'the stream ended without a complete event',
@@ -208,6 +210,9 @@
         },
       },
     );
+    const readingPause = createReadingPause(context, call, attempt, () => {
+      lastProgressAtMs = clock.monotonicMs();
+    });
     call.onInterrupt = reason => {
       attempt.abort();
       settle({kind: 'interrupted', reason});
--- a/daemons/gateway/src/calls/serve_call.ts
+++ b/daemons/gateway/src/calls/serve_call.ts
@@ -4,6 +4,7 @@
 import {chooseTarget, type RouteIndex} from '@sardinestile/route_table';
 import type {Call, InterruptReason} from './call.js';
 import {createCallerOutput} from './caller_output.js';
+import {openCallAccount} from '../memory/call_account.js';
 import {isCallerPresent} from './caller_presence.js';
 import {recordAdmission, recordCallEnd} from './call_records.js';
 import type {GatewayContext} from '../gateway_context.js';
@@ -17,6 +18,9 @@
 /** Retry delay for callers while this instance cannot serve requests, in milliseconds. */
 const UNAVAILABLE_RETRY_AFTER_MS = 200;
 
+/** Retry delay for callers whose body this instance cannot hold at present, in milliseconds. */
+const MEMORY_SHORT_RETRY_AFTER_MS = 500;
+
 /** Handles one caller request, from reading its headers to sending the final response. */
 export async function serveCall(
   context: GatewayContext,
@@ -40,7 +44,11 @@
     });
     return;
   }
-  const body = await readBody(request, index.table.limits.maxBodyBytes);
+  const callAccount = openCallAccount(context, request, response);
+  const {account} = callAccount;
+  const {memoryBudget} = context;
+  const {maxBodyBytes} = index.table.limits;
+  const body = await readBody(request, maxBodyBytes, memoryBudget, account);
   if (body.kind === 'aborted' || !(await isCallerPresent(request))) {
     recordAbandoned(context, requestId);
     return;
@@ -49,6 +57,14 @@
     refuse(context, exchange, 'bodyTooLarge');
     return;
   }
+  if (body.kind === 'memoryShort') {
+    const {heldBytes, limitBytes} = memoryBudget;
+    refuse(context, exchange, 'memoryShort', {
+      retryAfterMs: MEMORY_SHORT_RETRY_AFTER_MS,
+      reason: `the process holds ${heldBytes} bytes of at most ${limitBytes}`,
+    });
+    return;
+  }
   // The configuration may have changed while the request was read.
   const current = context.routes() ?? index;
   const {headers, url: path = '/'} = request;
@@ -81,7 +97,8 @@
   const call: Call = {
     request,
     response,
-    output: createCallerOutput(response, context.clock),
+    account,
+    output: createCallerOutput(response, account, context.clock),
     requestId: requestId ?? '',
     requestMetadata,
     route,
@@ -111,7 +128,12 @@
     hasCallerDisconnected: false,
     onInterrupt: undefined,
   };
-  await runInterruptible(context, call);
+  callAccount.attach(call);
+  try {
+    await runInterruptible(context, call);
+  } finally {
+    callAccount.endCall();
+  }
 }
 
 /** Logs and counts a request whose caller left before it was sent to an upstream. */
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -16,6 +16,8 @@
 import {createConfigView, type ConfigView} from './shared/config_view.js';
 import {createConnectionPool} from './upstreams/connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
+import {createMemoryBudget, heldBytesLimit} from './memory/memory_budget.js';
+import {createMemoryWatch} from './memory/memory_watch.js';
 import {createFleetReporter} from './shared/fleet_reporter.js';
 import {createGatewayCount} from './shared/gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -278,6 +280,7 @@
     connections: createConnectionPool(clock, () =>
       metrics.increment('sardinestile_upstream_connections_total', {}),
     ),
+    memoryBudget: createMemoryBudget(heldBytesLimit(options.memoryLimitMb)),
     retryBudgets: createRetryBudgets({
       retryRatio: () => deployment.retryRatio,
       windowMs: () => deployment.retryWindowMs,
@@ -308,6 +311,7 @@
     isRefusingRequests: () => listener.isRefusingRequests,
     routes: () => config.routes(),
   };
+  const memoryWatch = createMemoryWatch(context.memoryBudget, logger, metrics);
   const crashWatch: CrashWatch = createCrashWatch(context);
   const sharedUpstreams = createSharedUpstreams({
     instance,
@@ -388,6 +392,7 @@
       config.askAllPeers();
     }
     pauseDetector.check();
+    memoryWatch.check();
     continuations.observeVersions();
     sharedQuarantine.quarantine.evaluate();
     config.askPeersIfStale();
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -9,6 +9,7 @@
 import type {CrashWatch} from './upstreams/crash_watch.js';
 import type {ConnectionPool} from './upstreams/connection_pool.js';
 import type {RetryBudgets} from './calls/retry_budgets.js';
+import type {MemoryBudget} from './memory/memory_budget.js';
 import type {ServiceTimeAverages} from './calls/service_time_averages.js';
 import type {GatewayCount} from './shared/gateway_count.js';
 import type {FleetReporter} from './shared/fleet_reporter.js';
@@ -28,6 +29,8 @@
   headerCodec: HeaderCodec;
   fleet: UpstreamFleet;
   connections: ConnectionPool;
+  /** Counts what this process holds for callers and upstreams. */
+  memoryBudget: MemoryBudget;
   retryBudgets: RetryBudgets;
   serviceTimeAverages: ServiceTimeAverages;
   /** Counts a request that an upstream started to answer as usage of its organisation. */
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -57,6 +57,8 @@
   promptCacheReader?: PromptCacheReader;
   /** Sets the number of upstreams; undefined if the platform offers no scaling. */
   upstreamScaler: UpstreamScaler | undefined;
+  /** Memory above which the platform kills the process, in megabytes; absent for no limit. */
+  memoryLimitMb?: number;
   usageWindowMs: number;
   /** Time after which a lease expires without renewal, in milliseconds. */
   leaseMs: number;
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -42,6 +42,15 @@
   const {open, idle} = connections.counts();
   metrics.setGauge('sardinestile_connections_open', {}, open);
   metrics.setGauge('sardinestile_connections_idle', {}, idle);
+  const {memoryBudget} = context;
+  for (const [kind, bytes] of Object.entries(memoryBudget.heldByKind())) {
+    metrics.setGauge('sardinestile_held_bytes', {kind}, bytes);
+  }
+  metrics.setGauge(
+    'sardinestile_held_bytes_limit',
+    {},
+    memoryBudget.limitBytes,
+  );
   for (const {name} of table?.services ?? []) {
     const records = fleet.membership.usableUpstreamsOf(name);
     const states = records.map(record => fleet.upstreamStateOf(record));
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -44,6 +44,8 @@
   stopGraceMs: number;
   usageWindowMs: number;
   leaseMs: number;
+  /** Memory limit of each gateway, in megabytes; none if absent. */
+  memoryLimitMb?: number;
 }
 
 const DEFAULT_LIMITS: TestLimits = {
