--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -126,6 +126,13 @@
   config_rejected: {reason: string};
   settings_reloaded: {path: string; changed: string};
   settings_rejected: {path: string; reason: string};
+  /** The upstream cut off a response that the gateway had stopped reading for its caller. */
+  response_cut_off_unread: {
+    requestId: string;
+    upstream: string;
+    unreadMs: number;
+    reason: string;
+  };
   /** The process began or ceased to take a step under memory pressure. */
   memory_step_changed: {
     step: string;
--- a/daemons/gateway/src/calls/call.ts
+++ b/daemons/gateway/src/calls/call.ts
@@ -70,6 +70,8 @@
   | {kind: 'notRun'; reason: string}
   /** No byte of the request was sent; this does not count as an attempt. */
   | {kind: 'notSent'; reason: string}
+  /** The upstream cut off its response because the gateway had stopped reading it. */
+  | {kind: 'cutOff'; reason: string; unreadMs: number}
   /** The request may have run; its response is missing or incomplete. */
   | UnknownOutcome
   | {kind: 'interrupted'; reason: InterruptReason};
--- a/daemons/gateway/src/calls/call_records.ts
+++ b/daemons/gateway/src/calls/call_records.ts
@@ -94,6 +94,15 @@
       firstEventMs,
     );
   }
+  if (outcome.kind === 'cutOff') {
+    metrics.increment('sardinestile_responses_cut_off_unread_total', {service});
+    logger.info('response_cut_off_unread', {
+      requestId: call.requestId,
+      upstream: prepared.placement.upstream.id,
+      unreadMs: Math.round(outcome.unreadMs),
+      reason: outcome.reason,
+    });
+  }
   logger.info('attempt_ended', {
     requestId: call.requestId,
     attempt: call.attempts,
--- a/daemons/gateway/src/calls/reading_pause.ts
+++ b/daemons/gateway/src/calls/reading_pause.ts
@@ -8,34 +8,71 @@
  */
 const READ_AHEAD_BYTES = 65_536;
 
+/**
+ * Shortest pause after which a lost connection counts as cut off because the response
+ * stayed unread, in milliseconds. Upstreams wait some seconds.
+ */
+const MIN_UNREAD_MS = 500;
+
+/**
+ * Time after such a pause within which the loss is noticed, in milliseconds: a gateway
+ * that does not read learns of a reset only after it has read what arrived before.
+ */
+const NOTICE_MS = 1_000;
+
 /** Stops reading a response of an upstream while the caller does not take it. */
 export interface ReadingPause {
   /** Stops reading if too much is unread; called after each write to the caller. */
   update(): void;
+  readonly isPaused: boolean;
+  /**
+   * Returns for how long the response stayed unread, if that explains that its connection
+   * is lost now.
+   */
+  unreadBeforeLossMs(): number | undefined;
 }
 
 /** Creates a pause for the response of one attempt. `onResumed` is called when reading goes on. */
 export function createReadingPause(
-  {memoryBudget}: GatewayContext,
+  {memoryBudget, clock}: GatewayContext,
   {response, output, account}: Call,
   attempt: Pick<Attempt, 'pause' | 'resume'>,
   onResumed: () => void,
 ): ReadingPause {
-  let isPaused = false;
+  let pausedAtMs: number | undefined;
+  /** The last pause that was long enough. */
+  let lastLongPause: {endedAtMs: number; durationMs: number} | undefined;
+  const recordPauseEnd = () => {
+    if (pausedAtMs === undefined) return;
+    const endedAtMs = clock.monotonicMs();
+    const durationMs = endedAtMs - pausedAtMs;
+    pausedAtMs = undefined;
+    if (durationMs >= MIN_UNREAD_MS) lastLongPause = {endedAtMs, durationMs};
+  };
   const resume = () => {
-    isPaused = false;
+    recordPauseEnd();
     account.set('readAhead', 0);
     onResumed();
     attempt.resume();
   };
   return {
+    get isPaused() {
+      return pausedAtMs !== undefined;
+    },
+    unreadBeforeLossMs() {
+      recordPauseEnd();
+      if (!lastLongPause) return undefined;
+      const {endedAtMs, durationMs} = lastLongPause;
+      const isRecent = clock.monotonicMs() - endedAtMs <= NOTICE_MS;
+      return isRecent ? durationMs : undefined;
+    },
     update() {
-      if (isPaused) return;
+      if (pausedAtMs !== undefined) return;
       const mustStop =
         response.writableNeedDrain ||
         memoryBudget.shouldStopReading(output.unreadBytes);
       if (!mustStop) return;
-      isPaused = true;
+      pausedAtMs = clock.monotonicMs();
       account.set('readAhead', READ_AHEAD_BYTES);
       attempt.pause();
       output.onceTaken(resume);
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -111,6 +111,12 @@
           settle({kind: 'heldAnswer', response: buffered});
         },
         onFailure({isSent, isConnectionLost, reason}) {
+          const unreadMs = isConnectionLost
+            ? readingPause.unreadBeforeLossMs()
+            : undefined;
+          if (unreadMs !== undefined) {
+            return settle({kind: 'cutOff', reason, unreadMs});
+          }
           if (isForwarding) breakOff(call.response);
           if (!isSent) return settle({kind: 'notSent', reason});
           const lostConnection = isConnectionLost
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -121,7 +121,7 @@
       const limitMs = hasNewEvent ? stallTimeoutMs : prepared.responseTimeoutMs;
       if (limitMs === undefined) return;
       const leftMs = lastProgressAtMs + limitMs - clock.monotonicMs();
-      if (leftMs <= 0 && !response.writableNeedDrain) {
+      if (leftMs <= 0 && !readingPause.isPaused) {
         failAttempt(`no event for ${Math.round(limitMs)} ms`);
         return;
       }
@@ -203,6 +203,12 @@
         },
         onFailure({isSent, isConnectionLost, reason}) {
           if (!isSent) return settle({kind: 'notSent', reason});
+          const unreadMs = isConnectionLost
+            ? readingPause.unreadBeforeLossMs()
+            : undefined;
+          if (unreadMs !== undefined) {
+            return settle({kind: 'cutOff', reason, unreadMs});
+          }
           const lostConnection = isConnectionLost
             ? {hadHeaders: status > 0}
             : undefined;
--- a/daemons/gateway/src/calls/run_attempt.ts
+++ b/daemons/gateway/src/calls/run_attempt.ts
@@ -133,7 +133,11 @@
   outcome: AttemptOutcome,
 ): void {
   if (outcome.kind === 'notSent') call.attempts--;
-  if (outcome.kind === 'unknown' || outcome.kind === 'heldAnswer') {
+  if (
+    outcome.kind === 'unknown' ||
+    outcome.kind === 'cutOff' ||
+    outcome.kind === 'heldAnswer'
+  ) {
     call.mayHaveRun = true;
   }
   const isServed =
@@ -171,7 +175,9 @@
 
 /** Whether an outcome is a failure of the upstream; undefined if it says nothing about it. */
 function indicatesFailure(outcome: AttemptOutcome): boolean | undefined {
-  if (outcome.kind === 'interrupted') return undefined;
+  if (outcome.kind === 'interrupted' || outcome.kind === 'cutOff') {
+    return undefined;
+  }
   if (outcome.kind === 'answered') return false;
   if (outcome.kind !== 'heldAnswer') return true;
   return outcome.response.status >= MIN_FAILURE_STATUS;
--- a/daemons/gateway/src/calls/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -100,6 +100,11 @@
       endInterrupted(context, call, outcome.reason);
       return;
     }
+    if (outcome.kind === 'cutOff') {
+      // The caller's own pause is the cause, so that another attempt would end alike.
+      finishCall(context, call, undefined, outcome.reason);
+      return;
+    }
     if (outcome.kind === 'heldAnswer') {
       heldResponse = outcome.response;
       const {status} = outcome.response;
