--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -13,6 +13,7 @@
   isResponseToCall,
   type PreparedAttempt,
 } from './prepare_attempt.js';
+import {createReadingPause} from './reading_pause.js';
 import {applyUpstreamSignals} from '../upstreams/upstream_signals.js';
 
 /** Size up to which a response is buffered until it is complete, in bytes. */
@@ -44,8 +45,11 @@
     const forwardHeld = () => {
       if (isCloseDelimited(headers)) makeCloseDelimited(call.response);
       call.response.writeHead(status, callerResponseHeaders(context, headers));
-      for (const chunk of chunks) call.response.write(chunk);
+      const nowMs = context.clock.monotonicMs();
+      for (const chunk of chunks) call.output.write(chunk, nowMs);
       chunks = [];
+      call.account.set('heldResponse', 0);
+      readingPause.update();
       isForwarding = true;
     };
     const attempt = startAttempt(
@@ -68,13 +72,13 @@
         },
         onData(chunk) {
           if (isForwarding) {
-            if (call.response.write(chunk)) return;
-            attempt.pause();
-            call.response.once('drain', () => attempt.resume());
+            call.output.write(chunk, context.clock.monotonicMs());
+            readingPause.update();
             return;
           }
           chunks.push(chunk);
           heldBytes += chunk.length;
+          call.account.set('heldResponse', heldBytes);
           if (heldBytes <= MAX_HELD_BYTES) return;
           if (isSuccess(status)) {
             forwardHeld();
@@ -107,6 +111,12 @@
           settle({kind: 'heldAnswer', response: buffered});
         },
         onFailure({isSent, isBlocked, isConnectionLost, reason}) {
+          const unreadMs = isConnectionLost
+            ? readingPause.unreadBeforeLossMs()
+            : undefined;
+          if (unreadMs !== undefined) {
+            return settle({kind: 'cutOff', reason, unreadMs});
+          }
           if (isForwarding) breakOff(call.response);
           if (!isSent) return settle({kind: 'notSent', isBlocked, reason});
           const lostConnection = isConnectionLost
@@ -116,6 +126,12 @@
         },
       },
     );
+    const readingPause = createReadingPause(
+      context,
+      call,
+      attempt,
+      () => undefined,
+    );
     call.onInterrupt = reason => {
       attempt.abort();
       settle({kind: 'interrupted', reason});
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -15,6 +15,7 @@
   isResponseToCall,
   type PreparedAttempt,
 } from './prepare_attempt.js';
+import {createReadingPause} from './reading_pause.js';
 import {applyUpstreamSignals} from '../upstreams/upstream_signals.js';
 
 /** Callbacks of `relayStream`. */
@@ -51,7 +52,7 @@
   observer: StreamObserver,
 ): Promise<AttemptOutcome> {
   const {headerCodec, clock} = context;
-  const {response, route} = call;
+  const {response, route, output} = call;
   const stallTimeoutMs = Math.max(
     MIN_STALL_TIMEOUT_MS,
     STALL_TIMEOUT_GAPS * (route.targetGapMs ?? DEFAULT_GAP_MS),
@@ -63,6 +64,7 @@
     /** Body of a response that is not a stream. */
     const nonStreamBody: Buffer[] = [];
     let nonStreamBytes = 0;
+    let heldPartialBytes = 0;
     let hasNewEvent = false;
     let lastProgressAtMs = clock.monotonicMs();
     let bytesSinceProgress = 0;
@@ -86,7 +88,11 @@
       response.writeHead(status, headerCodec.callerHeaders(headers));
     };
     /** Returns why the event cannot be forwarded, or undefined. */
-    const forwardEvent = (bytes: Buffer, id: number | undefined) => {
+    const forwardEvent = (
+      bytes: Buffer,
+      id: number | undefined,
+      nowMs: number,
+    ) => {
       if (id !== undefined) {
         const last = call.lastEventId;
         if (last !== undefined && id <= last) return undefined;
@@ -96,17 +102,13 @@
         call.lastEventId = id;
       }
       startResponse();
-      if (!response.write(bytes)) {
-        attempt.pause();
-        response.once('drain', () => {
-          lastProgressAtMs = clock.monotonicMs();
-          attempt.resume();
-        });
-      }
+      output.write(bytes, nowMs);
+      readingPause.update();
       return undefined;
     };
     /** Parts of events and comments are no progress: a stalled upstream may send them. */
     const recordProgress = (nowMs: number) => {
+      output.recordEvent(nowMs);
       if (hasNewEvent) recordGap(context, call, nowMs - lastProgressAtMs);
       lastProgressAtMs = nowMs;
       bytesSinceProgress = 0;
@@ -119,7 +121,7 @@
       const limitMs = hasNewEvent ? stallTimeoutMs : prepared.responseTimeoutMs;
       if (limitMs === undefined) return;
       const leftMs = lastProgressAtMs + limitMs - clock.monotonicMs();
-      if (leftMs <= 0 && !response.writableNeedDrain) {
+      if (leftMs <= 0 && !readingPause.isPaused) {
         failAttempt(`no event for ${Math.round(limitMs)} ms`);
         return;
       }
@@ -143,6 +145,7 @@
           if (!isStream()) {
             nonStreamBody.push(chunk);
             nonStreamBytes += chunk.length;
+            call.account.set('heldResponse', nonStreamBytes);
             if (nonStreamBytes > MAX_HELD_BYTES) {
               failAttempt(
                 `the response with status ${status} exceeds ${MAX_HELD_BYTES} bytes`,
@@ -154,9 +157,14 @@
           bytesSinceProgress += chunk.length;
           for (const {bytes, id, hasData} of splitter.push(chunk)) {
             if (hasData) recordProgress(nowMs);
-            const gapReason = forwardEvent(bytes, id);
+            const gapReason = forwardEvent(bytes, id, nowMs);
             if (gapReason !== undefined) return failAttempt(gapReason);
           }
+          const {partialBytes} = splitter;
+          if (partialBytes !== heldPartialBytes) {
+            heldPartialBytes = partialBytes;
+            call.account.set('heldResponse', partialBytes);
+          }
           if (bytesSinceProgress > MAX_EVENT_BYTES) {
             failAttempt(`no complete event in ${bytesSinceProgress} bytes`);
           }
@@ -175,7 +183,7 @@
               nonStreamBody,
             );
             settle({kind: 'heldAnswer', response: buffered});
-          } else if (splitter.hasPartialEvent || !hasAnyEvent()) {
+          } else if (splitter.partialBytes > 0 || !hasAnyEvent()) {
             settle({
               kind: 'unknown',
               reason: 'the stream ended without a complete event',
@@ -195,6 +203,12 @@
         },
         onFailure({isSent, isBlocked, isConnectionLost, reason}) {
           if (!isSent) return settle({kind: 'notSent', isBlocked, reason});
+          const unreadMs = isConnectionLost
+            ? readingPause.unreadBeforeLossMs()
+            : undefined;
+          if (unreadMs !== undefined) {
+            return settle({kind: 'cutOff', reason, unreadMs});
+          }
           const lostConnection = isConnectionLost
             ? {hadHeaders: status > 0}
             : undefined;
@@ -202,6 +216,9 @@
         },
       },
     );
+    const readingPause = createReadingPause(context, call, attempt, () => {
+      lastProgressAtMs = clock.monotonicMs();
+    });
     call.onInterrupt = reason => {
       attempt.abort();
       settle({kind: 'interrupted', reason});
--- a/daemons/gateway/src/calls/run_attempt.ts
+++ b/daemons/gateway/src/calls/run_attempt.ts
@@ -141,7 +141,11 @@
 ): void {
   if (outcome.kind === 'notSent') call.attempts--;
   if (wasBlocked(outcome)) call.triedUpstreamIds.delete(upstreamId);
-  if (outcome.kind === 'unknown' || outcome.kind === 'heldAnswer') {
+  if (
+    outcome.kind === 'unknown' ||
+    outcome.kind === 'cutOff' ||
+    outcome.kind === 'heldAnswer'
+  ) {
     call.mayHaveRun = true;
   }
   const isServed =
@@ -179,7 +183,10 @@
 
 /** Whether an outcome is a failure of the upstream; undefined if it says nothing about it. */
 function indicatesFailure(outcome: AttemptOutcome): boolean | undefined {
-  if (outcome.kind === 'interrupted' || wasBlocked(outcome)) return undefined;
+  if (outcome.kind === 'interrupted' || outcome.kind === 'cutOff') {
+    return undefined;
+  }
+  if (wasBlocked(outcome)) return undefined;
   if (outcome.kind === 'answered') return false;
   if (outcome.kind !== 'heldAnswer') return true;
   return outcome.response.status >= MIN_FAILURE_STATUS;
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -21,6 +21,8 @@
 import {createColdWatch} from './upstreams/cold_watch.js';
 import {createConnectionPool} from './upstreams/connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
+import {createMemoryBudget, heldBytesLimit} from './memory/memory_budget.js';
+import {createMemoryWatch} from './memory/memory_watch.js';
 import {createFleetReporter} from './shared/fleet_reporter.js';
 import {createGatewayCount} from './shared/gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -318,6 +320,7 @@
     connections: createConnectionPool(clock, () =>
       metrics.increment('sardinestile_upstream_connections_total', {}),
     ),
+    memoryBudget: createMemoryBudget(heldBytesLimit(options.memoryLimitMb)),
     retryBudgets: createRetryBudgets({
       retryRatio: () => deployment.retryRatio,
       windowMs: () => deployment.retryWindowMs,
@@ -349,6 +352,7 @@
     isRefusingRequests: () => listener.isRefusingRequests,
     routes: () => config.routes(),
   };
+  const memoryWatch = createMemoryWatch(context.memoryBudget, logger, metrics);
   const crashWatch: CrashWatch = createCrashWatch(context);
   const sharedUpstreams = createSharedUpstreams({
     instance,
@@ -429,6 +433,7 @@
       config.askAllPeers();
     }
     pauseDetector.check();
+    memoryWatch.check();
     continuations.observeVersions();
     sharedQuarantine.quarantine.evaluate();
     config.askPeersIfStale();
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -46,6 +46,15 @@
     const labels = {zone};
     metrics.setGauge('sardinestile_zone_out_of_service', labels, +!isInService);
   }
+  const {memoryBudget} = context;
+  for (const [kind, bytes] of Object.entries(memoryBudget.heldByKind())) {
+    metrics.setGauge('sardinestile_held_bytes', {kind}, bytes);
+  }
+  metrics.setGauge(
+    'sardinestile_held_bytes_limit',
+    {},
+    memoryBudget.limitBytes,
+  );
   for (const {name} of table?.services ?? []) {
     const records = fleet.membership.usableUpstreamsOf(name);
     const states = records.map(record => fleet.upstreamStateOf(record));
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -46,6 +46,8 @@
   usageWindowMs: number;
   usageDueMs: number;
   leaseMs: number;
+  /** Memory limit of each gateway, in megabytes; none if absent. */
+  memoryLimitMb?: number;
 }
 
 const DEFAULT_LIMITS: TestLimits = {
