--- a/daemons/gateway/src/shared/peer_calls.ts
+++ b/daemons/gateway/src/shared/peer_calls.ts
@@ -6,12 +6,20 @@
   PeerClient,
   RelayedUsage,
 } from '@sardinestile/peer';
+import {shuffle} from './shuffle.js';
+
+/**
+ * Peers that are asked to store usage, one after the other. While the store rejects a
+ * third of the gateways, one in 240 tries finds none that it serves.
+ */
+const MAX_RELAY_PEERS = 5;
 
 /** Calls to live peers. */
 export interface PeerCalls {
   fetchConfig(haveVersion: number): Promise<ConfirmedConfig>;
   /** Fetches the configuration of all live peers, without those that fail. */
   fetchAllConfigs(haveVersion: number): Promise<ConfirmedConfig[]>;
+  /** Asks peers until one has stored the usage; rejects with the last reason if none could. */
   relayUsage(usage: RelayedUsage): Promise<void>;
 }
 
@@ -24,17 +32,18 @@
   link: () => LedgerLink,
   logger: Logger,
 ): PeerCalls {
-  const choosePeer = () => {
-    const peers = link().livePeers();
-    const peer = peers[Math.floor(Math.random() * peers.length)];
-    if (!peer) {
+  /** Returns the addresses of up to `count` peers in random order; throws if there is none. */
+  const choosePeers = (count: number) => {
+    const peers = shuffle(link().livePeers()).slice(0, count);
+    if (peers.length === 0) {
       throw new SardinestileError({
         code: 'PEER_UNAVAILABLE',
         message: 'no heartbeat of another gateway arrived recently',
       });
     }
-    return `${peer.address.host}:${peer.address.port}`;
+    return peers.map(({address: {host, port}}) => `${host}:${port}`);
   };
+  const choosePeer = () => choosePeers(1)[0];
   return {
     fetchConfig: async haveVersion =>
       client.fetchConfig(choosePeer(), haveVersion),
@@ -55,6 +64,19 @@
         return [];
       });
     },
-    relayUsage: async usage => client.relayUsage(choosePeer(), usage),
+    async relayUsage(usage) {
+      const addresses = choosePeers(MAX_RELAY_PEERS);
+      const last = addresses.pop()!;
+      for (const address of addresses) {
+        try {
+          return await client.relayUsage(address, usage);
+        } catch (error) {
+          const operation = 'relay usage';
+          const reason = (error as Error).message;
+          logger.info('peer_failed', {operation, reason});
+        }
+      }
+      return client.relayUsage(last, usage);
+    },
   };
 }
