--- a/scheduling/admission/test/decide_admission_test.ts
+++ b/scheduling/admission/test/decide_admission_test.ts
@@ -34,7 +34,11 @@
 
   it('tells a refused caller to retry after the burst', () => {
     const decision = decideAdmission({...TYPICAL, waitMs: 1_200});
-    expect(decision).toEqual({kind: 'refuse', retryAfterMs: 1_000});
+    expect(decision).toEqual({
+      kind: 'refuse',
+      retryAfterMs: 1_000,
+      allowedWaitMs: 400,
+    });
   });
 
   it('always gives a retry time before the caller times out', () => {
@@ -56,4 +60,38 @@
       ),
     );
   });
+
+  describe('with shares', () => {
+    const share = {excess: 4, coveredPart: 0.25, backlogMs: 0, draw: 0.1};
+
+    it('refuses the part of the requests that the share does not cover', () => {
+      expect(isAdmitted({share})).toEqual(true);
+      expect(isAdmitted({share: {...share, draw: 0.3}})).toEqual(false);
+    });
+
+    it('lets requests beyond the share wait less than others', () => {
+      expect(isAdmitted({waitMs: 300, share})).toEqual(false);
+      const covered = {...share, coveredPart: 1};
+      expect(isAdmitted({waitMs: 300, share: covered})).toEqual(true);
+    });
+
+    it('counts work that an urgent request beyond its share would pass', () => {
+      expect(isAdmitted({share: {...share, backlogMs: 900}})).toEqual(false);
+    });
+
+    it('delays and spreads retries by the excess, within the time left', () => {
+      const retryOf = (change: Partial<typeof share>) => {
+        const full = {...share, coveredPart: 0, ...change};
+        const decision = decideAdmission({...TYPICAL, share: full});
+        return decision.kind === 'refuse' ? decision.retryAfterMs : 0;
+      };
+      expect(retryOf({excess: 1, draw: 0})).toEqual(1_000);
+      expect(retryOf({excess: 2, draw: 0})).toEqual(2_000);
+      expect(retryOf({excess: 2, draw: 0.5})).toEqual(2_500);
+      expect(retryOf({excess: 50, draw: 0.99}) < 5_000).toEqual(true);
+      expect(
+        retryOf({excess: 50, draw: 0}) < retryOf({excess: 50, draw: 0.9}),
+      ).toEqual(true);
+    });
+  });
 });
