--- a/protocol/ledger/src/ledger_update.ts
+++ b/protocol/ledger/src/ledger_update.ts
@@ -3,6 +3,7 @@
   partAnswerSchema,
   upstreamCrashSchema,
 } from '@sardinestile/quarantine';
+import {usageReportSchema} from '@sardinestile/shares';
 import {z} from 'zod';
 
 /** A gateway sent a request to an upstream. */
@@ -51,6 +52,15 @@
   limitPerS: z.number().nonnegative().optional(),
 });
 
+/** What organisations asked for and were given at a service, over the last seconds. */
+const usageSchema = usageReportSchema.extend({
+  kind: z.literal('usage'),
+  /** Number of the group whose gateways were counted; absent for the sender alone. */
+  group: z.number().int().nonnegative().optional(),
+  /** Age of the sums when they were sent, in milliseconds. */
+  ageMs: z.number().nonnegative(),
+});
+
 /**
  * A change in the state of one request at one upstream, or of an upstream, or
  * evidence about prompt parts that crash upstreams.
@@ -64,6 +74,7 @@
   upstreamCrashSchema,
   partAnswerSchema,
   harmfulPartSchema,
+  usageSchema,
 ]);
 
 /** A change in the state of one request at one upstream, or of an upstream. */
--- a/protocol/ledger/src/update_rows.ts
+++ b/protocol/ledger/src/update_rows.ts
@@ -105,6 +105,40 @@
       lastCrashAtMs,
     }),
   },
+  usage: {
+    code: 'u',
+    encode: ({service, group, gateways, maturity, ageMs, sums}) => [
+      service,
+      group ?? null,
+      gateways,
+      // More digits are below what requests change by chance.
+      round(maturity, 3),
+      Math.round(ageMs),
+      ...sums.flatMap(sum => [
+        sum.organisation,
+        sum.urgency,
+        round(sum.demandPerS, 1),
+        round(sum.usagePerS, 1),
+        round(sum.usualPerS, 1),
+      ]),
+    ],
+    decode: ([service, group, gateways, maturity, ageMs, ...values]) => ({
+      service,
+      group: group ?? undefined,
+      gateways,
+      maturity,
+      ageMs,
+      sums: toRows(values, 5).map(
+        ([organisation, urgency, demandPerS, usagePerS, usualPerS]) => ({
+          organisation,
+          urgency,
+          demandPerS,
+          usagePerS,
+          usualPerS,
+        }),
+      ),
+    }),
+  },
 };
 
 const KINDS_BY_CODE: ReadonlyMap<unknown, LedgerUpdate['kind']> = new Map(
@@ -135,7 +169,18 @@
 
 /** Splits the values into pairs; the last one may be incomplete. */
 function toPairs(values: UpdateRow): UpdateRow[] {
-  const pairs: UpdateRow[] = [];
-  for (let i = 0; i < values.length; i += 2) pairs.push(values.slice(i, i + 2));
-  return pairs;
+  return toRows(values, 2);
+}
+
+/** Splits the values into rows of a length; the last one may be incomplete. */
+function toRows(values: UpdateRow, length: number): UpdateRow[] {
+  const rows: UpdateRow[] = [];
+  for (let i = 0; i < values.length; i += length) {
+    rows.push(values.slice(i, i + length));
+  }
+  return rows;
+}
+
+function round(value: number, digits: number): number {
+  return Number(value.toFixed(digits));
 }
--- a/protocol/ledger/test/ledger_codec_test.ts
+++ b/protocol/ledger/test/ledger_codec_test.ts
@@ -34,6 +34,30 @@
   },
   {kind: 'answer', partId: 'a', atMs: 9},
   {kind: 'harmful', partId: 'b', crashes: 3, lastCrashAtMs: 9},
+  {
+    kind: 'usage',
+    service: 's',
+    group: 1,
+    gateways: 22,
+    maturity: 21.5,
+    ageMs: 40,
+    sums: [
+      {
+        organisation: 'o',
+        urgency: 2,
+        demandPerS: 10.5,
+        usagePerS: 9,
+        usualPerS: 1.5,
+      },
+      {
+        organisation: 'p',
+        urgency: 0,
+        demandPerS: 1,
+        usagePerS: 1,
+        usualPerS: 1,
+      },
+    ],
+  },
 ];
 
 const messageWith = (...updates: LedgerUpdate[]): LedgerMessage => ({
@@ -77,6 +101,27 @@
   });
 });
 
+describe('an update with the usage of many organisations', () => {
+  it('fits into one datagram', () => {
+    const sums = Array.from({length: 32}, (_, i) => ({
+      organisation: `bocu5${i + 100}`,
+      urgency: 3,
+      demandPerS: 12_345.678,
+      usagePerS: 12_345.678,
+      usualPerS: 12_345.678,
+    }));
+    const message = messageWith({
+      kind: 'usage',
+      service: 'deda23a',
+      gateways: 32,
+      maturity: 31.999999,
+      ageMs: 999,
+      sums,
+    });
+    expect(encodeLedgerMessage(message).length <= 1_300).toEqual(true);
+  });
+});
+
 describe('decodeLedgerMessage', () => {
   it('skips updates of kinds that a later version may send', () => {
     const [first] = UPDATES;
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -14,7 +14,9 @@
   UPSTREAMS_PATH,
   USAGE_PATH,
   type CachedParts,
+  GROUP_USAGE_PATH,
   type ConfirmedConfig,
+  type GroupUsage,
   type RelayedUsage,
   type StreamVersion,
   type UpstreamChanges,
@@ -70,6 +72,8 @@
   ): Promise<StreamVersion>;
   /** Tells the peer which prompt parts engines have in their caches. */
   sendCachedParts(address: string, cached: CachedParts): Promise<void>;
+  /** Tells a peer of another group what organisations were given in this group. */
+  sendGroupUsage(address: string, usage: GroupUsage): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -163,6 +167,9 @@
     async sendCachedParts(address, cached) {
       await call('POST', address, CACHED_PARTS_PATH, {body: cached});
     },
+    async sendGroupUsage(address, usage) {
+      await call('POST', address, GROUP_USAGE_PATH, {body: usage});
+    },
     async close() {
       await dispatcher.destroy();
       await longPollDispatcher.destroy();
--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -1,5 +1,6 @@
 import {upstreamRecordSchema} from '@sardinestile/fleet';
 import {routeTableSchema} from '@sardinestile/route_table';
+import {usageReportSchema} from '@sardinestile/shares';
 import {usageSumsSchema} from '@sardinestile/usage';
 import {z} from 'zod';
 
@@ -98,6 +99,16 @@
 /** Software version at which a stream has to go on, as a gateway knows it. */
 export type StreamVersion = z.infer<typeof streamVersionSchema>;
 
+/** What organisations asked for and were given at the gateways of one group. */
+export const groupUsageSchema = z.object({
+  /** Number of the group. */
+  group: z.number().int().nonnegative(),
+  reports: z.array(usageReportSchema),
+});
+
+/** What organisations asked for and were given at the gateways of one group. */
+export type GroupUsage = z.infer<typeof groupUsageSchema>;
+
 /**
  * Header with the requester's fleet; checked because an address may be
  * reassigned to another fleet.
@@ -124,3 +135,6 @@
 
 /** Path that accepts usage counts by POST. */
 export const USAGE_PATH = '/peer/usage';
+
+/** Path that accepts the usage of another group by POST. */
+export const GROUP_USAGE_PATH = '/peer/group-usage';
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -9,12 +9,15 @@
   cachedPartsSchema,
   CONFIG_PATH,
   FLEET_HEADER,
+  GROUP_USAGE_PATH,
+  groupUsageSchema,
   relayedUsageSchema,
   STREAM_VERSION_PATH,
   UPSTREAMS_PATH,
   USAGE_PATH,
   type CachedParts,
   type ConfirmedConfig,
+  type GroupUsage,
   type RelayedUsage,
   type StreamVersion,
   type UpstreamChanges,
@@ -54,6 +57,8 @@
   getCachedParts: () => CachedParts | undefined;
   /** Takes over cached prompt parts that another gateway has read. */
   applyCachedParts: (cached: CachedParts) => void;
+  /** Takes over what organisations were given in another group. */
+  applyGroupUsage: (usage: GroupUsage) => void;
   /** Stores usage counts for another gateway; rejects if the store is unavailable. */
   storeUsage: (usage: RelayedUsage) => Promise<void>;
 }
@@ -98,6 +103,10 @@
       );
       return {};
     },
+    async [`POST ${GROUP_USAGE_PATH}`](_url, request) {
+      options.applyGroupUsage(groupUsageSchema.parse(await readJson(request)));
+      return {};
+    },
     async [`POST ${USAGE_PATH}`](_url, request) {
       const usage = relayedUsageSchema.parse(await readJson(request));
       await options.storeUsage(usage);
--- a/scheduling/shares/src/usage_sums.ts
+++ b/scheduling/shares/src/usage_sums.ts
@@ -36,7 +36,6 @@
 /** Schema of UsageSum. */
 export const usageSumSchema = z.object({
   organisation: z.string(),
-  service: z.string(),
   /** Rank of the requests; 0 is the most urgent. */
   urgency: z.number().int().nonnegative(),
   /** Units a second that were asked for. */
@@ -51,10 +50,13 @@
 export type UsageSum = z.infer<typeof usageSumSchema>;
 
 /** What a request belongs to. */
-export type UsageKey = Pick<UsageSum, 'organisation' | 'service' | 'urgency'>;
+export interface UsageKey extends Pick<UsageSum, 'organisation' | 'urgency'> {
+  service: string;
+}
 
 /** Schema of UsageReport. */
 export const usageReportSchema = z.object({
+  service: z.string(),
   sums: z.array(usageSumSchema),
   /** Number of gateways whose requests were counted. */
   gateways: z.number().nonnegative(),
@@ -62,7 +64,7 @@
   maturity: z.number().nonnegative(),
 });
 
-/** Sums that one or several gateways counted. */
+/** Sums of a service that one or several gateways counted. */
 export type UsageReport = z.infer<typeof usageReportSchema>;
 
 /** Sums of a service over all gateways that were heard of, and how old they are. */
@@ -81,8 +83,8 @@
   /** Counts a request that this gateway admitted. */
   recordUsage(key: UsageKey, units: number, nowMs: number): void;
   /**
-   * Replaces what a source reported: a gateway, or a group of them. `ageMs` is the age
-   * of the sums when they arrived.
+   * Replaces what a source reported about a service. A source is a gateway or a group
+   * of them. `ageMs` is the age of the sums when they arrived.
    */
   applyReport(
     source: string,
@@ -90,10 +92,8 @@
     ageMs: number,
     nowMs: number,
   ): void;
-  /** Forgets what a source reported. */
-  removeSource(source: string): void;
-  /** Returns the heaviest sums of this gateway and the given sources. */
-  report(includes: (source: string) => boolean, nowMs: number): UsageReport;
+  /** Returns the heaviest sums of each service over this gateway and the given sources. */
+  report(includes: (source: string) => boolean, nowMs: number): UsageReport[];
   /** Returns the sums of one service over this gateway and all sources. */
   serviceUsage(service: string, nowMs: number): ServiceUsage;
 }
@@ -111,7 +111,8 @@
   usual: Sum;
 }
 
-interface Source extends UsageReport {
+interface ReceivedReport extends UsageReport {
+  source: string;
   /** Time as of which the sums were counted. */
   countedAtMs: number;
 }
@@ -119,7 +120,7 @@
 /** Creates sums without usage. */
 export function createUsageSums(): UsageSums {
   const own = new Map<string, OwnSums>();
-  const sources = new Map<string, Source>();
+  const received = new Map<string, ReceivedReport>();
   let startedAtMs: number | undefined;
 
   const ownSumsOf = (
@@ -142,16 +143,21 @@
     const countedMs = Math.max(MIN_COUNTED_MS, nowMs - (startedAtMs ?? nowMs));
     return 1 - Math.exp(-countedMs / timeConstantMs);
   };
-  const readOwn = (nowMs: number): UsageReport => {
+  const readOwn = (service: string, nowMs: number): UsageReport => {
     const rate = (sum: Sum, timeConstantMs: number) =>
       (decay(sum, timeConstantMs, nowMs) * 1_000) / timeConstantMs;
     // An organisation that has just appeared has no part of its own: its first
     // request would look like a high rate.
     const demandPart = countedPart(DEMAND_TIME_CONSTANT_MS, nowMs);
     const usagePart = countedPart(USAGE_TIME_CONSTANT_MS, nowMs);
+    const ofService = [...own.values()].filter(
+      ({key}) => key.service === service,
+    );
     return {
-      sums: [...own.values()].map(({key, demand, usage, usual}) => ({
-        ...key,
+      service,
+      sums: ofService.map(({key, demand, usage, usual}) => ({
+        organisation: key.organisation,
+        urgency: key.urgency,
         demandPerS: rate(demand, DEMAND_TIME_CONSTANT_MS) / demandPart,
         usagePerS: rate(usage, USAGE_TIME_CONSTANT_MS) / usagePart,
         usualPerS: rate(usual, USUAL_TIME_CONSTANT_MS),
@@ -160,15 +166,19 @@
       maturity: countedPart(USUAL_TIME_CONSTANT_MS, nowMs),
     };
   };
-  const collect = (includes: (source: string) => boolean, nowMs: number) => {
-    for (const [source, {countedAtMs}] of sources) {
-      if (nowMs - countedAtMs > MAX_SUMS_AGE_MS) sources.delete(source);
+  const collect = (
+    service: string,
+    includes: (source: string) => boolean,
+    nowMs: number,
+  ) => {
+    for (const [id, {countedAtMs}] of received) {
+      if (nowMs - countedAtMs > MAX_SUMS_AGE_MS) received.delete(id);
     }
-    const included = [...sources].flatMap(([source, report]) =>
-      includes(source) ? [report] : [],
+    const included = [...received.values()].filter(
+      report => report.service === service && includes(report.source),
     );
     return {
-      reports: [readOwn(nowMs), ...included],
+      total: addUp([readOwn(service, nowMs), ...included]),
       ageMs: Math.max(
         0,
         ...included.map(({countedAtMs}) => nowMs - countedAtMs),
@@ -184,22 +194,26 @@
       add(usual, USUAL_TIME_CONSTANT_MS, units, nowMs);
     },
     applyReport(source, report, ageMs, nowMs) {
-      sources.set(source, {...report, countedAtMs: nowMs - ageMs});
+      const id = `${source} ${report.service}`;
+      received.set(id, {...report, source, countedAtMs: nowMs - ageMs});
     },
-    removeSource: source => void sources.delete(source),
     report(includes, nowMs) {
-      const {reports} = collect(includes, nowMs);
-      return {...addUp(reports), sums: selectHeaviest(addUp(reports).sums)};
+      const services = new Set([
+        ...[...own.values()].map(({key}) => key.service),
+        ...[...received.values()].map(({service}) => service),
+      ]);
+      return [...services].map(service => {
+        const {total} = collect(service, includes, nowMs);
+        return {service, ...total, sums: selectHeaviest(total.sums)};
+      });
     },
     serviceUsage(service, nowMs) {
-      const {reports, ageMs} = collect(() => true, nowMs);
-      const {sums, gateways, maturity} = addUp(reports);
+      const {total, ageMs} = collect(service, () => true, nowMs);
+      const {sums, gateways, maturity} = total;
       // Gateways that have just started count the usual usage of the others.
       const factor = gateways / maturity;
       return {
-        sums: sums
-          .filter(sum => sum.service === service)
-          .map(sum => ({...sum, usualPerS: sum.usualPerS * factor})),
+        sums: sums.map(sum => ({...sum, usualPerS: sum.usualPerS * factor})),
         gateways,
         ageMs,
       };
@@ -226,11 +240,11 @@
   return `${urgency} ${service} ${organisation}`;
 }
 
-/** Adds up reports, and their sums of the same organisation, service and urgency. */
-function addUp(reports: readonly UsageReport[]): UsageReport {
+/** Adds up reports about a service, and their sums of the same organisation and urgency. */
+function addUp(reports: readonly UsageReport[]): Omit<UsageReport, 'service'> {
   const totals = new Map<string, UsageSum>();
   for (const sum of reports.flatMap(({sums}) => sums)) {
-    const id = idOf(sum);
+    const id = `${sum.urgency} ${sum.organisation}`;
     const total = totals.get(id);
     if (!total) {
       totals.set(id, {...sum});
@@ -247,21 +261,13 @@
   };
 }
 
-/** Returns the notable sums of each service, those with the highest part of it first. */
+/** Returns the notable sums, the heaviest first. */
 function selectHeaviest(sums: readonly UsageSum[]): UsageSum[] {
-  const byService = new Map<string, UsageSum[]>();
-  for (const sum of sums) {
-    const ofService = byService.get(sum.service);
-    if (ofService) ofService.push(sum);
-    else byService.set(sum.service, [sum]);
-  }
-  return [...byService.values()].flatMap(ofService => {
-    const total = ofService.reduce((sum, item) => sum + weightOf(item), 0);
-    return ofService
-      .filter(sum => weightOf(sum) > MIN_REPORTED_SHARE * total)
-      .sort((a, b) => weightOf(b) - weightOf(a))
-      .slice(0, MAX_REPORTED_SUMS);
-  });
+  const total = sums.reduce((total, sum) => total + weightOf(sum), 0);
+  return sums
+    .filter(sum => weightOf(sum) > MIN_REPORTED_SHARE * total)
+    .sort((a, b) => weightOf(b) - weightOf(a))
+    .slice(0, MAX_REPORTED_SUMS);
 }
 
 function weightOf({demandPerS, usualPerS}: UsageSum): number {
--- a/scheduling/shares/test/usage_sums_test.ts
+++ b/scheduling/shares/test/usage_sums_test.ts
@@ -35,8 +35,14 @@
 
   it('replaces the report of a source, and adds those of several', () => {
     const usage = createUsageSums();
-    const sum = {...KEY, demandPerS: 5, usagePerS: 5, usualPerS: 5};
-    const report = {sums: [sum], gateways: 1, maturity: 1};
+    const sum = {
+      organisation: 'a',
+      urgency: 1,
+      demandPerS: 5,
+      usagePerS: 5,
+      usualPerS: 5,
+    };
+    const report = {service: 's', sums: [sum], gateways: 1, maturity: 1};
     usage.applyReport('g1', report, 0, 0);
     usage.applyReport('g1', report, 0, 1_000);
     usage.applyReport('g2', report, 0, 1_000);
@@ -47,8 +53,14 @@
 
   it('forgets reports by their age when counted, not when received', () => {
     const usage = createUsageSums();
-    const sum = {...KEY, demandPerS: 5, usagePerS: 5, usualPerS: 5};
-    const report = {sums: [sum], gateways: 1, maturity: 1};
+    const sum = {
+      organisation: 'a',
+      urgency: 1,
+      demandPerS: 5,
+      usagePerS: 5,
+      usualPerS: 5,
+    };
+    const report = {service: 's', sums: [sum], gateways: 1, maturity: 1};
     usage.applyReport('g1', report, 3_000, 0);
     expect(usage.serviceUsage('s', 1_900).ageMs).toEqual(4_900);
     expect(usage.serviceUsage('s', 2_100).sums).toEqual([]);
@@ -60,16 +72,30 @@
       usage.recordDemand({...KEY, organisation: `o${i}`}, 100 + i, 0);
     }
     usage.recordDemand({...KEY, service: 't'}, 1, 0);
-    const {sums} = usage.report(() => true, 0);
-    expect(sums.length).toEqual(MAX_REPORTED_SUMS + 1);
+    usage.recordDemand({...KEY, organisation: 'tiny'}, 1, 0);
+    const [{sums}, other] = usage.report(() => true, 0);
+    expect(sums.length).toEqual(MAX_REPORTED_SUMS);
+    expect(sums.some(sum => sum.organisation === 'tiny')).toEqual(false);
+    expect(other.service).toEqual('t');
     expect(sums[0].organisation).toEqual('o99');
   });
 
   it('does not take the load of a gateway that has just started for the usual one', () => {
     const usage = createUsageSums();
     recordSteady(usage, ['a'], 0, 1_000);
-    const known = {...KEY, demandPerS: 10, usagePerS: 10, usualPerS: 10};
-    usage.applyReport('g', {sums: [known], gateways: 1, maturity: 1}, 0, 1_000);
+    const known = {
+      organisation: 'a',
+      urgency: 1,
+      demandPerS: 10,
+      usagePerS: 10,
+      usualPerS: 10,
+    };
+    usage.applyReport(
+      'g',
+      {service: 's', sums: [known], gateways: 1, maturity: 1},
+      0,
+      1_000,
+    );
     const [sum] = usage.serviceUsage('s', 1_000).sums;
     expect(sum.usualPerS < 25).toEqual(true);
   });
--- a/scheduling/shares/test/virtual_gateways.ts
+++ b/scheduling/shares/test/virtual_gateways.ts
@@ -259,14 +259,15 @@
     }
   });
   const reportSums = (gateway: Gateway, nowMs: number) => {
-    const own = gateway.usage.report(() => false, nowMs);
+    const [own] = gateway.usage.report(() => false, nowMs);
+    if (!own) return;
     for (const mate of mates(gateway)) {
       if (!isLost()) mate.usage.applyReport(gateway.name, own, 0, nowMs);
     }
     const isSender =
       gateways.find(({group}) => group === gateway.group) === gateway;
     if (!isSender) return;
-    const groupReport = gateway.usage.report(
+    const [groupReport] = gateway.usage.report(
       source => !source.startsWith('group'),
       nowMs,
     );
