--- a/cli/sardinestile/src/gateway_environment.ts
+++ b/cli/sardinestile/src/gateway_environment.ts
@@ -1,5 +1,9 @@
 import {SardinestileError} from '@sardinestile/errors';
 import {resourceCostsSchema, type ResourceCosts} from '@sardinestile/fleet';
+import {
+  DEFAULT_OUTPUT_TOKEN_WEIGHT,
+  type FairShareSettings,
+} from '@sardinestile/gateway';
 import {logLevelSchema, type LogLevel} from '@sardinestile/logger';
 import {z} from 'zod';
 
@@ -8,6 +12,8 @@
   logLevel: 'SARDINESTILE_LOG_LEVEL',
   copyCost: 'SARDINESTILE_COPY_COST_MS_PER_1000_TOKENS',
   recomputeCost: 'SARDINESTILE_RECOMPUTE_COST_MS_PER_1000_TOKENS',
+  fairShares: 'SARDINESTILE_FAIR_SHARES',
+  outputTokenWeight: 'SARDINESTILE_OUTPUT_TOKEN_WEIGHT',
 } as const;
 
 const costSchema = z
@@ -16,10 +22,18 @@
   .transform(Number)
   .optional();
 
+const weightSchema = z
+  .string()
+  .regex(/^\d+(\.\d+)?$/, 'expected a number')
+  .transform(Number)
+  .default(DEFAULT_OUTPUT_TOKEN_WEIGHT);
+
 const environmentSchema = z.object({
   [GATEWAY_VARIABLES.logLevel]: logLevelSchema.default('info'),
   [GATEWAY_VARIABLES.copyCost]: costSchema,
   [GATEWAY_VARIABLES.recomputeCost]: costSchema,
+  [GATEWAY_VARIABLES.fairShares]: z.enum(['on', 'off']).default('on'),
+  [GATEWAY_VARIABLES.outputTokenWeight]: weightSchema,
 });
 
 /** Settings of a gateway that its environment states. */
@@ -27,6 +41,8 @@
   /** Minimum level of the log lines that are written. */
   logLevel: LogLevel;
   resourceCosts: ResourceCosts;
+  /** Sharing of scarce capacity between organisations. */
+  fairShares: FairShareSettings;
 }
 
 /**
@@ -55,5 +71,9 @@
       copyMsPerThousandTokens: data[GATEWAY_VARIABLES.copyCost],
       recomputeMsPerThousandTokens: data[GATEWAY_VARIABLES.recomputeCost],
     }),
+    fairShares: {
+      isEnabled: data[GATEWAY_VARIABLES.fairShares] === 'on',
+      outputTokenWeight: data[GATEWAY_VARIABLES.outputTokenWeight],
+    },
   };
 }
--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -71,6 +71,7 @@
   const gateway = await startGateway({
     ...settings,
     resourceCosts: environment.resourceCosts,
+    fairShares: environment.fairShares,
     callerAddress,
     readinessAddress: settings.readinessAddress,
     metricsAddress: {
--- a/cli/sardinestile/test/gateway_environment_test.ts
+++ b/cli/sardinestile/test/gateway_environment_test.ts
@@ -8,9 +8,18 @@
     expect(readGatewayEnvironment({})).toEqual({
       logLevel: 'info',
       resourceCosts: DEFAULT_RESOURCE_COSTS,
+      fairShares: {isEnabled: true, outputTokenWeight: 4},
     });
   });
 
+  it('reads the settings of fair shares', () => {
+    const {fairShares} = readGatewayEnvironment({
+      SARDINESTILE_FAIR_SHARES: 'off',
+      SARDINESTILE_OUTPUT_TOKEN_WEIGHT: '2.5',
+    });
+    expect(fairShares).toEqual({isEnabled: false, outputTokenWeight: 2.5});
+  });
+
   it('reads the costs of copied and recomputed prompt tokens', () => {
     const {resourceCosts} = readGatewayEnvironment({
       SARDINESTILE_COPY_COST_MS_PER_1000_TOKENS: '7.5',
@@ -27,9 +36,11 @@
       readGatewayEnvironment({
         SARDINESTILE_LOG_LEVEL: 'loud',
         SARDINESTILE_COPY_COST_MS_PER_1000_TOKENS: '-1',
+        SARDINESTILE_OUTPUT_TOKEN_WEIGHT: '-4',
+        SARDINESTILE_FAIR_SHARES: 'yes',
       }),
     ).toThrow(
-      /SARDINESTILE_LOG_LEVEL is "loud".*SARDINESTILE_COPY_COST_MS_PER_1000_TOKENS is "-1"/,
+      /SARDINESTILE_LOG_LEVEL is "loud".*SARDINESTILE_COPY_COST_MS_PER_1000_TOKENS is "-1".*SARDINESTILE_FAIR_SHARES is "yes".*SARDINESTILE_OUTPUT_TOKEN_WEIGHT is "-4"/,
     );
   });
 });
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -46,6 +46,20 @@
     reason?: string;
     configVersion?: number;
   };
+  call_beyond_share: {
+    requestId: string;
+    service: string;
+    organisation: string;
+    urgency: number;
+    sharePerS: number;
+    usagePerS: number;
+    demandPerS: number;
+    coveredPart: number;
+    sumsAgeMs: number;
+    backlogMs: number;
+    allowedWaitMs: number;
+    retryAfterMs: number;
+  };
   log_suppressed: {suppressedEvent: string; lines: number};
   log_dropped: {lines: number};
   call_failed: {reason: string};
--- a/daemons/gateway/src/calls/call_records.ts
+++ b/daemons/gateway/src/calls/call_records.ts
@@ -1,5 +1,7 @@
+import type {AdmissionDecision} from '@sardinestile/admission';
 import type {AttemptOutcome, Call} from './call.js';
 import type {GatewayContext} from '../gateway_context.js';
+import type {CallShare} from '../shared/fair_shares.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
 
 /** Attempt that ended, for its log line and metrics. */
@@ -25,6 +27,40 @@
   });
 }
 
+/**
+ * Counts the decision about a call by organisation and urgency, and logs a refusal
+ * that depends on the organisation's share.
+ */
+export function recordDecision(
+  {metrics, logger}: GatewayContext,
+  call: Call,
+  decision: AdmissionDecision,
+  share: CallShare | undefined,
+): void {
+  const organisation = call.organisation?.name ?? '';
+  const isBeyondShare = share !== undefined && share.coveredPart < 1;
+  metrics.increment('sardinestile_admissions_total', {
+    organisation,
+    urgency: String(call.urgency),
+    outcome: `${decision.kind}${isBeyondShare ? 'BeyondShare' : ''}`,
+  });
+  if (!isBeyondShare || decision.kind !== 'refuse') return;
+  logger.info('call_beyond_share', {
+    requestId: call.requestId,
+    service: call.service,
+    organisation,
+    urgency: call.urgency,
+    sharePerS: Math.round(share.sharePerS),
+    usagePerS: Math.round(share.usagePerS),
+    demandPerS: Math.round(share.demandPerS),
+    coveredPart: roundToHundredths(share.coveredPart),
+    sumsAgeMs: Math.round(share.ageMs),
+    backlogMs: Math.round(share.backlogMs),
+    allowedWaitMs: decision.allowedWaitMs,
+    retryAfterMs: decision.retryAfterMs,
+  });
+}
+
 /** Logs and counts the start of an attempt, with the chosen upstream and the expected times. */
 export function recordAttemptStart(
   context: GatewayContext,
--- a/daemons/gateway/src/calls/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -1,4 +1,4 @@
-import {decideAdmission} from '@sardinestile/admission';
+import {decideAdmission, type AdmissionRefusal} from '@sardinestile/admission';
 import {
   findServicePause,
   placeRequest,
@@ -7,6 +7,7 @@
 } from '@sardinestile/fleet';
 import {isFingerprint, type QuarantineVerdict} from '@sardinestile/quarantine';
 import type {RouteKind} from '@sardinestile/route_table';
+import {recordDecision} from './call_records.js';
 import {MIN_FAILURE_STATUS, type BufferedResponse, type Call} from './call.js';
 import {connectionShare} from '../upstreams/connection_share.js';
 import {
@@ -14,6 +15,7 @@
   prepareContinuation,
   refuseIfVersionUnavailable,
 } from './prepare_continuation.js';
+import type {CallShare} from '../shared/fair_shares.js';
 import {endInterrupted, finishCall} from './finish_call.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
@@ -83,9 +85,13 @@
       break;
     }
     if (call.attempts === 0) {
-      const decision = admit(context, call, placement, nowMs);
+      const share = isContinued(call)
+        ? undefined
+        : context.fairShares.recordDemand(call, placement, nowMs);
+      const decision = admit(context, call, placement, share, nowMs);
+      recordDecision(context, call, decision, share);
       if (decision.kind === 'refuse') {
-        refuseOverload(context, call, placement, decision.retryAfterMs);
+        refuseOverload(context, call, placement, decision, share);
         return;
       }
     }
@@ -94,6 +100,7 @@
       reason = `the connection limit of ${placement.upstream.id} is reached`;
       break;
     }
+    context.fairShares.recordAdmission(call, nowMs);
     const outcome = await runAttempt(context, call, prepared);
     if (outcome.kind === 'answered') return;
     if (outcome.kind === 'interrupted') {
@@ -152,14 +159,16 @@
   context: GatewayContext,
   call: Call,
   {expectedWaitMs, expectedFirstEventMs}: Placement,
+  share: CallShare | undefined,
   nowMs: number,
 ) {
   const serviceTimeMs = expectedFirstEventMs - expectedWaitMs;
   const timeLeftMs =
     Math.min(call.routeDeadlineAtMs, call.callerDeadlineAtMs) - nowMs;
   // A stream that goes on is past the target for its first event.
-  const targetLatencyMs =
-    call.streamVersion === undefined ? call.route.targetLatencyMs : timeLeftMs;
+  const targetLatencyMs = isContinued(call)
+    ? timeLeftMs
+    : call.route.targetLatencyMs;
   return decideAdmission({
     waitMs: expectedWaitMs,
     serviceTimeMs,
@@ -169,9 +178,15 @@
     ),
     targetLatencyMs,
     timeLeftMs,
+    share,
   });
 }
 
+/** Whether the call goes on with a stream that has begun. */
+function isContinued({streamVersion}: Call): boolean {
+  return streamVersion !== undefined;
+}
+
 /** Refusal and reason by the cause of a pause. */
 const PAUSE_REFUSALS: Readonly<
   Record<ServicePause['cause'], {code: GatewayRefusal; reason: string}>
@@ -218,13 +233,19 @@
   context: GatewayContext,
   call: Call,
   {expectedWaitMs, expectedFirstEventMs, upstream}: Placement,
-  retryAfterMs: number,
+  {retryAfterMs, allowedWaitMs}: AdmissionRefusal,
+  share: CallShare | undefined,
 ): void {
+  const beyondShare =
+    share && share.coveredPart < 1
+      ? `; the organisation's demand is ${share.excess.toFixed(1)} times its share`
+      : '';
   refuse(context, call, 'overloaded', {
     retryAfterMs,
     reason:
       `${upstream.id} is expected to start after ${Math.round(expectedWaitMs)} ms ` +
-      `and to respond after ${Math.round(expectedFirstEventMs)} ms`,
+      `and to respond after ${Math.round(expectedFirstEventMs)} ms; ` +
+      `the longest allowed wait is ${allowedWaitMs} ms${beyondShare}`,
   });
 }
 
--- a/daemons/gateway/src/calls/serve_call.ts
+++ b/daemons/gateway/src/calls/serve_call.ts
@@ -148,6 +148,7 @@
     if (!call.response.destroyed) await runCall(context, call);
   } finally {
     recordCallEnd(context, call);
+    context.fairShares.recordEnd(call, context.clock.monotonicMs());
     clearTimeout(timer);
     call.response.off('close', onClose);
   }
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -16,6 +16,11 @@
 import {createConfigView, type ConfigView} from './shared/config_view.js';
 import {createConnectionPool} from './upstreams/connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
+import {
+  DEFAULT_OUTPUT_TOKEN_WEIGHT,
+  startFairShares,
+  type FairShares,
+} from './shared/fair_shares.js';
 import {createFleetReporter} from './shared/fleet_reporter.js';
 import {createGatewayCount} from './shared/gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -155,8 +160,24 @@
     link,
     clock,
     streamOrigins: () => continuations.origins,
+    onUsage: (peer, update) => fairShares.applyPeerUpdate(peer, update),
     onEvidence: item => sharedQuarantine.recordFromPeer(item),
   });
+  const fairShares: FairShares = startFairShares({
+    instance,
+    settings: options.fairShares ?? {
+      isEnabled: true,
+      outputTokenWeight: DEFAULT_OUTPUT_TOKEN_WEIGHT,
+    },
+    hasOrganisations: () => config.routes()?.table.keyHolders !== undefined,
+    fleet,
+    link,
+    group: () => assignGroup(instance, registeredNames),
+    registeredGateways: () => registeredGateways,
+    sendGroupUsage: peerClient.sendGroupUsage,
+    clock,
+    logger,
+  });
   const gateways = createGatewayCount();
   const cacheRecovery = createCacheRecovery({
     instance,
@@ -288,6 +309,7 @@
       usage?.source.record(organisation, {promptTokens: 0, outputTokens: 0}),
     reporter,
     quarantine: sharedQuarantine.quarantine,
+    fairShares,
     get crashWatch() {
       return crashWatch;
     },
@@ -345,6 +367,7 @@
       return softwareVersion === undefined ? undefined : {softwareVersion};
     },
     getCachedParts: () => cacheRecovery.getCachedParts(),
+    applyGroupUsage: usageOfGroup => fairShares.applyGroupUsage(usageOfGroup),
     applyCachedParts: cached => cacheRecovery.applyCachedParts(cached),
     async storeUsage(relayed) {
       if (!usage) throw new Error('this gateway reports no usage');
@@ -428,6 +451,7 @@
     isStopping = true;
     clearInterval(housekeeping);
     sharedQuarantine.stop();
+    fairShares.stop();
     listener.close();
     scaling?.stop();
     await usage?.stop();
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -11,6 +11,7 @@
 import type {RetryBudgets} from './calls/retry_budgets.js';
 import type {ServiceTimeAverages} from './calls/service_time_averages.js';
 import type {GatewayCount} from './shared/gateway_count.js';
+import type {FairShares} from './shared/fair_shares.js';
 import type {FleetReporter} from './shared/fleet_reporter.js';
 import type {StreamContinuations} from './shared/stream_continuations.js';
 
@@ -36,6 +37,8 @@
   reporter: FleetReporter;
   /** Prompt parts and requests that crash upstreams. */
   quarantine: Quarantine;
+  /** Shares of the organisations in scarce capacity. */
+  fairShares: FairShares;
   crashWatch: CrashWatch;
   /** Software versions at which streams have to go on. */
   continuations: StreamContinuations;
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -12,6 +12,7 @@
 } from '@sardinestile/ports';
 import type {RouteTable} from '@sardinestile/route_table';
 import type {Clock} from '@sardinestile/types';
+import type {FairShareSettings} from './shared/fair_shares.js';
 
 /** Host and port to listen on. */
 export interface ListenAddress {
@@ -41,6 +42,8 @@
   headerCodec: HeaderCodec;
   /** Costs of the resources that placements use; the defaults if absent. */
   resourceCosts?: ResourceCosts;
+  /** Sharing of scarce capacity between organisations; the defaults if absent. */
+  fairShares?: FairShareSettings;
   configuration: RecordFeed<RouteTable>;
   upstreams: RecordFeed<UpstreamRecord>;
   /** Table with the system's own rows. */
--- a/daemons/gateway/src/shared/fleet_reporter.ts
+++ b/daemons/gateway/src/shared/fleet_reporter.ts
@@ -37,6 +37,11 @@
   clock: Clock;
   /** Receives which software versions began the streams of peers. */
   streamOrigins: () => StreamOrigins;
+  /** Receives what organisations were given at peers or in other groups. */
+  onUsage: (
+    peer: string,
+    update: Extract<LedgerUpdate, {kind: 'usage'}>,
+  ) => void;
   /** Receives evidence about prompt parts and requests from a peer. */
   onEvidence: (item: EvidenceItem) => void;
 }
@@ -75,6 +80,7 @@
     crash: applyEvidence,
     answer: applyEvidence,
     harmful: applyEvidence,
+    usage: (peer, update) => options.onUsage(peer, update),
     ended(_peer, {upstreamId, requestId, hasFailed}) {
       const nowMs = clock.monotonicMs();
       fleet.recordEnd(upstreamId, requestId, nowMs);
--- a/scheduling/admission/src/decide_admission.ts
+++ b/scheduling/admission/src/decide_admission.ts
@@ -50,16 +50,17 @@
   share?: AdmissionShare;
 }
 
-/** Result of decideAdmission. */
-export type AdmissionDecision =
-  | {kind: 'admit'}
+/** Refusal of a request that has not run. */
+export interface AdmissionRefusal {
+  kind: 'refuse';
   /** The caller may retry after this time, when the queue is expected to be shorter. */
-  | {
-      kind: 'refuse';
-      retryAfterMs: number;
-      /** Longest wait with which the request would have been admitted. */
-      allowedWaitMs: number;
-    };
+  retryAfterMs: number;
+  /** Longest wait with which the request would have been admitted. */
+  allowedWaitMs: number;
+}
+
+/** Result of decideAdmission. */
+export type AdmissionDecision = {kind: 'admit'} | AdmissionRefusal;
 
 /**
  * Decides whether a request is sent now or refused at once.
