--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -23,6 +23,11 @@
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
 import {createMemoryBudget, heldBytesLimit} from './memory/memory_budget.js';
 import {createMemoryWatch} from './memory/memory_watch.js';
+import {
+  DEFAULT_OUTPUT_TOKEN_WEIGHT,
+  startFairShares,
+  type FairShares,
+} from './shared/fair_shares.js';
 import {createFleetReporter} from './shared/fleet_reporter.js';
 import {createGatewayCount} from './shared/gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -192,11 +197,27 @@
     link,
     clock,
     streamOrigins: () => continuations.origins,
+    onUsage: (peer, update) => fairShares.applyPeerUpdate(peer, update),
     onEvidence(item) {
       coldWatch.recordEvidence(item);
       sharedQuarantine.recordFromPeer(item);
     },
   });
+  const fairShares: FairShares = startFairShares({
+    instance,
+    settings: options.fairShares ?? {
+      isEnabled: false,
+      outputTokenWeight: DEFAULT_OUTPUT_TOKEN_WEIGHT,
+    },
+    hasOrganisations: () => config.routes()?.table.keyHolders !== undefined,
+    fleet,
+    link,
+    group: () => assignGroup(instance, registeredNames),
+    registeredGateways: () => registeredGateways,
+    sendGroupUsage: peerClient.sendGroupUsage,
+    clock,
+    logger,
+  });
   const gateways = createGatewayCount();
   const coldWatch = createColdWatch({fleet, clock, logger, metrics});
   const cacheRecovery = createCacheRecovery({
@@ -332,6 +353,7 @@
     reporter,
     quarantine: sharedQuarantine.quarantine,
     coldWatch,
+    fairShares,
     get crashWatch() {
       return crashWatch;
     },
@@ -390,6 +412,7 @@
       return softwareVersion === undefined ? undefined : {softwareVersion};
     },
     getCachedParts: () => cacheRecovery.getCachedParts(),
+    applyGroupUsage: usageOfGroup => fairShares.applyGroupUsage(usageOfGroup),
     applyCachedParts: cached => cacheRecovery.applyCachedParts(cached),
     async storeUsage(relayed) {
       if (!usage) throw new Error('this gateway reports no usage');
@@ -476,6 +499,7 @@
     isStopping = true;
     clearInterval(housekeeping);
     sharedQuarantine.stop();
+    fairShares.stop();
     listener.close();
     scaling?.stop();
     await usage?.stop();
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -13,6 +13,7 @@
 import type {MemoryBudget} from './memory/memory_budget.js';
 import type {ServiceTimeAverages} from './calls/service_time_averages.js';
 import type {GatewayCount} from './shared/gateway_count.js';
+import type {FairShares} from './shared/fair_shares.js';
 import type {FleetReporter} from './shared/fleet_reporter.js';
 import type {StreamContinuations} from './shared/stream_continuations.js';
 
@@ -40,6 +41,8 @@
   reporter: FleetReporter;
   /** Prompt parts and requests that crash upstreams. */
   quarantine: Quarantine;
+  /** Shares of the organisations in scarce capacity. */
+  fairShares: FairShares;
   crashWatch: CrashWatch;
   /** Upstreams that are cold or may have restarted. */
   coldWatch: ColdWatch;
