--- a/cli/sardinestile/src/check_configuration.ts
+++ b/cli/sardinestile/src/check_configuration.ts
@@ -1,8 +1,11 @@
+import {decodeRouteTable, toWirePath} from '@sardinestile/adapter_platform';
 import {
   checkGrantedKeys,
+  checkRouteTable,
   checkServiceText,
   compareVersions,
   locateWarning,
+  TABLE_SECTIONS,
   TEXT_SECTIONS,
   type CheckFinding,
   type GrantedKey,
@@ -60,3 +63,62 @@
     hint: `Run "sardinestile config check" on ${name}.`,
   });
 }
+
+/** Checks a route table in the format of the platform's operators (JSON). */
+export const checkTableFile: ConfigurationChecker = (source, other) => {
+  const {document, locate, positionAt} = parseLocatedDocument(source);
+  const createError = (message: string, path: Array<string | number>) => ({
+    level: 'error' as const,
+    rule: 'invalid-table',
+    path: path.join('.'),
+    message,
+    ...locate(path),
+  });
+  let value: unknown;
+  try {
+    value = JSON.parse(source);
+  } catch (error) {
+    const {message} = error as Error;
+    const offset = /at position (\d+)/.exec(message)?.[1];
+    const position = positionAt(
+      Number(offset ?? document.errors[0]?.pos[0] ?? 0),
+    );
+    return {findings: [{...createError(message, []), ...position}]};
+  }
+  const decoded = decodeRouteTable(value);
+  if (!decoded.isValid) {
+    const findings = decoded.issues.map(({path, message}) =>
+      createError(message, path),
+    );
+    return {findings};
+  }
+  const {table, skippedRoutes} = decoded;
+  const warnings = [
+    ...skippedRoutes.map(index => ({
+      rule: 'route-never-matches',
+      path: ['routes', index],
+      message: 'the route leads to no service and is left out',
+    })),
+    ...checkRouteTable(table).map(warning => ({
+      ...warning,
+      path: toWirePath(warning.path, skippedRoutes),
+    })),
+  ];
+  const findings = warnings.map(warning => locateWarning(warning, locate));
+  if (!other) return {findings};
+  const tableInForce = parseTable(other);
+  return {
+    findings,
+    differences: compareVersions(TABLE_SECTIONS, tableInForce, table),
+  };
+};
+
+function parseTable(other: OtherVersion) {
+  try {
+    const decoded = decodeRouteTable(JSON.parse(other.source));
+    if (decoded.isValid) return decoded.table;
+  } catch {
+    // A text that is not JSON is reported like an invalid table.
+  }
+  throw createComparisonError(other);
+}
--- a/cli/sardinestile/src/commands/config_check_command.ts
+++ b/cli/sardinestile/src/commands/config_check_command.ts
@@ -8,12 +8,16 @@
 import {command, flag, option, optional, positional, string} from 'cmd-ts';
 import {callAdmin} from '../admin_client.js';
 import {
+  checkTableFile,
   checkTextFile,
   type ConfigurationReport,
   type OtherVersion,
 } from '../check_configuration.js';
 import {optionalAdminClientSettings} from '../settings.js';
 
+/** Files with this suffix are route tables, others service texts. */
+const ROUTE_TABLE_SUFFIX = '.json';
+
 interface ComparisonArguments {
   against: string | undefined;
   isAgainstCurrent: boolean;
@@ -25,13 +29,13 @@
 export const checkCommand = command({
   name: 'check',
   description:
-    'Check a service text and print every error and warning with its position.',
+    'Check a service text or route table; print errors and warnings with positions.',
   args: {
     ...optionalAdminClientSettings,
     file: positional({
       type: string,
       displayName: 'file',
-      description: 'file with the service text (YAML)',
+      description: 'file with a service text (YAML) or a route table (.json)',
     }),
     against: option({
       type: optional(string),
@@ -47,7 +51,12 @@
   },
   handler: async ({file, isJson, ...comparison}) => {
     const source = await readFile(file, 'utf8');
-    const report = checkTextFile(source, await readOtherVersion(comparison));
+    const isTable = file.endsWith(ROUTE_TABLE_SUFFIX);
+    if (isTable && comparison.isAgainstCurrent) {
+      throw createUsageError('the administration API has no route table');
+    }
+    const checkFile = isTable ? checkTableFile : checkTextFile;
+    const report = checkFile(source, await readOtherVersion(comparison));
     const format = isJson ? formatAsJson : formatAsText;
     process.stdout.write(format(file, report));
     if (report.findings.length === 0) return;
