--- a/cli/sardinestile/src/commands/config_commands.ts
+++ b/cli/sardinestile/src/commands/config_commands.ts
@@ -102,8 +102,10 @@
 async function readValidText(file: string): Promise<string> {
   const text = await readFile(file, 'utf8');
   const {serviceText, findings} = checkServiceText(text);
+  // The output of a command that continues is the response of the API.
+  const output = serviceText ? process.stderr : process.stdout;
   for (const finding of findings) {
-    process.stderr.write(`${formatCheckFinding(finding, file)}\n`);
+    output.write(`${formatCheckFinding(finding, file)}\n`);
   }
   if (serviceText) return text;
   throw new SardinestileError({
