--- a/daemons/gateway/src/calls/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -40,6 +40,12 @@
  */
 const RETURN_DELAY_PER_RANK_MS = 100;
 
+/**
+ * Shortest delay of the return of callers whose upstreams take no request, in milliseconds.
+ * Below a millisecond the header would tell them to return at once.
+ */
+const MIN_RETURN_DELAY_MS = 10;
+
 /**
  * Delay of the return of callers whose service has all its zones out of service, in
  * milliseconds; operators end that by hand, and gateways learn it within this time.
@@ -221,7 +227,9 @@
   if (!pause || call.mayHaveRun || call.response.headersSent) return false;
   const {code, reason} = PAUSE_REFUSALS[pause.cause];
   refuse(context, call, code, {
-    retryAfterMs: pause.waitMs + call.urgency * RETURN_DELAY_PER_RANK_MS,
+    retryAfterMs:
+      Math.max(MIN_RETURN_DELAY_MS, pause.waitMs) +
+      call.urgency * RETURN_DELAY_PER_RANK_MS,
     reason: `no upstream of ${call.service} takes a request for ${Math.round(pause.waitMs)} ms: ${reason}`,
   });
   return true;
