--- a/daemons/gateway/src/calls/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -1,11 +1,5 @@
-import {decideAdmission, type AdmissionRefusal} from '@sardinestile/admission';
-import {
-  findServicePause,
-  placeRequest,
-  type Placement,
-  type ServicePause,
-} from '@sardinestile/fleet';
-import {isFingerprint, type QuarantineVerdict} from '@sardinestile/quarantine';
+import {decideAdmission} from '@sardinestile/admission';
+import {placeRequest, type Placement} from '@sardinestile/fleet';
 import type {RouteKind} from '@sardinestile/route_table';
 import {recordDecision} from './call_records.js';
 import {MIN_FAILURE_STATUS, type BufferedResponse, type Call} from './call.js';
@@ -19,7 +13,12 @@
 import {endInterrupted, finishCall} from './finish_call.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
-import {refuse, type GatewayRefusal} from './refuse.js';
+import {
+  refuseHarmful,
+  refuseIfOutOfService,
+  refuseIfPaused,
+  refuseOverload,
+} from './refuse_unplaced.js';
 import {runAttempt} from './run_attempt.js';
 
 /**
@@ -34,24 +33,6 @@
  */
 const RESPONSE_TIMEOUT_EXPECTED_FACTOR = 3;
 
-/**
- * Delay of the return of refused callers for each rank of urgency, in
- * milliseconds, so that those of lower tiers find the slots taken that are left.
- */
-const RETURN_DELAY_PER_RANK_MS = 100;
-
-/**
- * Shortest delay of the return of callers whose upstreams take no request, in milliseconds.
- * Below a millisecond the header would tell them to return at once.
- */
-const MIN_RETURN_DELAY_MS = 10;
-
-/**
- * Delay of the return of callers whose service has all its zones out of service, in
- * milliseconds; operators end that by hand, and gateways learn it within this time.
- */
-const OUT_OF_SERVICE_RETRY_AFTER_MS = 5_000;
-
 /** Whether a call may be retried after an attempt that may have run, by kind of route. */
 const CAN_RETRY: Readonly<Record<RouteKind, (call: Call) => boolean>> = {
   idempotent: () => true,
@@ -205,86 +186,6 @@
   return streamVersion !== undefined;
 }
 
-/** Refusal and reason by the cause of a pause. */
-const PAUSE_REFUSALS: Readonly<
-  Record<ServicePause['cause'], {code: GatewayRefusal; reason: string}>
-> = {
-  quiet: {code: 'upstreamsQuiet', reason: 'all asked for quiet'},
-  limited: {code: 'upstreamsLimited', reason: 'their limits are reached'},
-};
-
-/**
- * Refuses a call that has not run if all upstreams of its service asked for time
- * without requests or have reached their limits. The most urgent callers may return
- * first, the others a little later.
- */
-function refuseIfPaused(
-  context: GatewayContext,
-  call: Call,
-  nowMs: number,
-): boolean {
-  const pause = findServicePause(context.fleet, call.service, nowMs);
-  if (!pause || call.mayHaveRun || call.response.headersSent) return false;
-  const {code, reason} = PAUSE_REFUSALS[pause.cause];
-  refuse(context, call, code, {
-    retryAfterMs:
-      Math.max(MIN_RETURN_DELAY_MS, pause.waitMs) +
-      call.urgency * RETURN_DELAY_PER_RANK_MS,
-    reason: `no upstream of ${call.service} takes a request for ${Math.round(pause.waitMs)} ms: ${reason}`,
-  });
-  return true;
-}
-
-/**
- * Refuses a call that has not run if the zones of all upstreams of its service are out
- * of service. Returns whether it did.
- */
-function refuseIfOutOfService(context: GatewayContext, call: Call): boolean {
-  const {service, urgency, mayHaveRun, response} = call;
-  const isOut = context.fleet.membership.isServiceOutOfService(service);
-  if (!isOut || mayHaveRun || response.headersSent) return false;
-  refuse(context, call, 'upstreamsOutOfService', {
-    retryAfterMs:
-      OUT_OF_SERVICE_RETRY_AFTER_MS + urgency * RETURN_DELAY_PER_RANK_MS,
-    reason: `the zones of all upstreams of ${service} are out of service`,
-  });
-  return true;
-}
-
-/** Refuses a call, which has not run, because it or a part of its prompt crashes upstreams. */
-function refuseHarmful(
-  context: GatewayContext,
-  call: Call,
-  {part, retryAfterMs}: QuarantineVerdict,
-): void {
-  const isWholeRequest = isFingerprint(part.partId);
-  const what = isWholeRequest ? 'requests like this,' : 'the prompt part';
-  refuse(context, call, isWholeRequest ? 'harmfulRequest' : 'harmfulPrompt', {
-    retryAfterMs,
-    reason: `${part.crashes} upstreams crashed under ${what} ${part.partId}`,
-  });
-}
-
-function refuseOverload(
-  context: GatewayContext,
-  call: Call,
-  {expectedWaitMs, expectedFirstEventMs, upstream}: Placement,
-  {retryAfterMs, allowedWaitMs}: AdmissionRefusal,
-  share: CallShare | undefined,
-): void {
-  const beyondShare =
-    share && share.coveredPart < 1
-      ? `; the organisation's demand is ${share.excess.toFixed(1)} times its share`
-      : '';
-  refuse(context, call, 'overloaded', {
-    retryAfterMs,
-    reason:
-      `${upstream.id} is expected to start after ${Math.round(expectedWaitMs)} ms ` +
-      `and to respond after ${Math.round(expectedFirstEventMs)} ms; ` +
-      `the longest allowed wait is ${allowedWaitMs} ms${beyondShare}`,
-  });
-}
-
 function prepare(
   context: GatewayContext,
   call: Call,
--- a/daemons/gateway/test/fleet_reporter_test.ts
+++ b/daemons/gateway/test/fleet_reporter_test.ts
@@ -43,6 +43,7 @@
     },
     clock: createSystemClock(),
     streamOrigins: () => createStreamOrigins(),
+    onUsage: () => undefined,
     onEvidence: () => {
       throw new Error('unexpected evidence');
     },
--- a/daemons/gateway/test/groups_over_link_test.ts
+++ b/daemons/gateway/test/groups_over_link_test.ts
@@ -84,6 +84,7 @@
     clock,
     streamOrigins: () => createStreamOrigins(),
     onEvidence: () => undefined,
+    onUsage: () => undefined,
   });
   link.joinFleet('fleet');
   return {fleet, reporter, link};
--- a/testing/hosting/src/index.ts
+++ b/testing/hosting/src/index.ts
@@ -4,3 +4,4 @@
 export * from './raw_request.js';
 export * from './stepped_clock.js';
 export * from './slow_caller.js';
+export * from './stream_events.js';
