--- a/daemons/gateway/src/calls/caller_output.ts
+++ b/daemons/gateway/src/calls/caller_output.ts
@@ -6,7 +6,10 @@
 export interface StreamDelays {
   /** Longest time between the arrivals of two events, across attempts; undefined below two. */
   longestPauseMs: number | undefined;
-  /** Longest time from the arrival of an event until the caller's connection took it. */
+  /**
+   * Longest time for which the caller's connection was behind: from the arrival of the first
+   * event that it did not take until it had taken all.
+   */
   longestWaitMs: number | undefined;
 }
 
@@ -24,42 +27,39 @@
   delays(nowMs: number): StreamDelays;
 }
 
-/** Creates the output of a response to which nothing was written. */
+/**
+ * Creates the output of a response to which nothing was written. Bytes are counted only
+ * while the caller's connection is behind: a callback for each write would cost half as
+ * much processor time as the event itself, and up to the limit of the connection's buffer
+ * they are few.
+ */
 export function createCallerOutput(
   response: ServerResponse,
   account: MemoryAccount,
   clock: Clock,
 ): CallerOutput {
-  /** Sizes and times of arrival of the writes that were not taken, oldest first. */
-  const sizes: number[] = [];
-  const arrivalsMs: number[] = [];
-  let unreadBytes = 0;
+  /** Arrival of the oldest write that the connection did not take at once; undefined if it took all. */
+  let behindSinceMs: number | undefined;
   let lastEventAtMs: number | undefined;
   let longestPauseMs: number | undefined;
   let longestWaitMs: number | undefined;
   let notifyTaken: (() => void) | undefined;
 
-  const recordWait = (waitMs: number) => {
-    if (longestWaitMs === undefined || waitMs > longestWaitMs) {
-      longestWaitMs = waitMs;
-    }
+  const recordWait = (nowMs: number) => {
+    const waitMs = behindSinceMs === undefined ? 0 : nowMs - behindSinceMs;
+    longestWaitMs = Math.max(longestWaitMs ?? 0, waitMs);
   };
-  // One function for all writes: Node.js then handles those of a turn together.
-  const onTaken = (error?: Error | null) => {
-    const bytes = sizes.shift() ?? 0;
-    const arrivedAtMs = arrivalsMs.shift() ?? 0;
-    unreadBytes -= bytes;
-    account.set('unreadResponse', unreadBytes);
-    if (error) return;
-    recordWait(clock.monotonicMs() - arrivedAtMs);
-    if (unreadBytes > 0 || !notifyTaken) return;
+  const onDrain = () => {
+    recordWait(clock.monotonicMs());
+    behindSinceMs = undefined;
+    account.set('unreadResponse', 0);
     const notify = notifyTaken;
     notifyTaken = undefined;
-    notify();
+    notify?.();
   };
   return {
     get unreadBytes() {
-      return unreadBytes;
+      return response.writableLength;
     },
     recordEvent(nowMs) {
       if (lastEventAtMs !== undefined) {
@@ -68,17 +68,23 @@
       lastEventAtMs = nowMs;
     },
     write(bytes, arrivedAtMs) {
-      sizes.push(bytes.length);
-      arrivalsMs.push(arrivedAtMs);
-      unreadBytes += bytes.length;
-      response.write(bytes, onTaken);
-      account.set('unreadResponse', unreadBytes);
+      longestWaitMs ??= 0;
+      if (response.write(bytes) && behindSinceMs === undefined) return;
+      if (behindSinceMs === undefined) {
+        behindSinceMs = arrivedAtMs;
+        response.once('drain', onDrain);
+      }
+      account.set('unreadResponse', response.writableLength);
     },
     onceTaken(callback) {
       notifyTaken = callback;
+      if (behindSinceMs !== undefined) return;
+      // Reading stopped for the sake of other connections, while this one is not behind.
+      behindSinceMs = clock.monotonicMs();
+      setImmediate(onDrain);
     },
     delays(nowMs) {
-      if (arrivalsMs.length > 0) recordWait(nowMs - arrivalsMs[0]);
+      if (behindSinceMs !== undefined) recordWait(nowMs);
       return {longestPauseMs, longestWaitMs};
     },
   };
