--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -286,7 +286,9 @@
   server.keepAliveTimeout = 30000;
   const born = Date.now();
   const port = await listen(server, '127.0.0.1', options.port ?? 0);
-  const register = (fields = {}) =>
+  let registration = {};
+  const register = (fields = {}) => {
+    registration = {...registration, ...fields};
     platform.put('servers', id, {
       service,
       address: `127.0.0.1:${port}`,
@@ -297,8 +299,9 @@
       cold_left_ms: 0,
       seq: seq++,
       born,
-      ...fields,
+      ...registration,
     });
+  };
   const timer = setInterval(() => register(), HEARTBEAT_MS);
   register();
   const engine = {
