--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,10 +1,12 @@
-// Two machines are added while the settings of all machines change three times, each time
-// with a SIGHUP. Exits with 1 if the processes of two machines end by themselves three
-// times each.
+// The settings of gateways change, which get a SIGHUP, while an engine reports that it is
+// draining and the configuration changes. Exits with 1 if a request reaches that engine
+// later than `drain_ms` after the store has accepted its report.
 import {
+  BOUNDS,
   createConfiguration,
   isTroubled,
   nowMs,
+  openClient,
   openRecord,
   runCase,
   sleep,
@@ -13,17 +15,15 @@
   startPlatform,
 } from '../harness.mjs';
 
-const GATEWAYS = 4;
-const ADDED = 2;
-const CHANGES = 3;
-/** Time from the start of the new processes to the first change, and between changes. */
-const FIRST_CHANGE_MS = 150;
-const CHANGE_GAP_MS = 350;
-/** Delay after which the platform restarts a process that has ended. */
-const RESTART_DELAY_MS = 200;
-/** Machines, and ends of their processes, that make the day a fault. */
-const ALLOWED_MACHINES = 2;
-const ALLOWED_ENDS = 3;
+const GATEWAYS = 7;
+const ENGINES = 3;
+const ROUNDS = 16;
+/** Time between two changes of the configuration, and of the settings of two parts. */
+const CONFIG_GAP_MS = 340;
+/** Time without requests after the report of the engine. */
+const QUIET_MS = BOUNDS.drain_ms + 300;
+const REQUESTS_PER_GATEWAY = 6;
+const WORK_MS = 15;
 
 const record = openRecord(import.meta.url);
 
@@ -31,72 +31,98 @@
   const platform = await startPlatform();
   later(() => platform.close());
   platform.put('op', 'config', createConfiguration());
-  const engine = await startEngine(platform, {
-    id: 'i-1',
-    respond({response, headers}) {
-      response.writeHead(200, {...headers, 'Content-Length': 4});
-      response.end('done');
-    },
-  });
-  later(() => engine.close());
   const gateways = [];
+  let started = 0;
+  const addEngine = async () => {
+    const engine = await startEngine(platform, {
+      id: `i-${++started}`,
+      respond({response, headers}) {
+        if (engine.isLeaving) headers['Server-Leaving'] = '1';
+        setTimeout(() => {
+          response.writeHead(200, {...headers, 'Content-Length': 4});
+          response.end('done');
+        }, WORK_MS);
+      },
+    });
+    later(() => engine.close());
+    return engine;
+  };
+  const engines = [];
+  for (let i = 0; i < ENGINES; i++) engines.push(await addEngine());
   for (let index = 1; index <= GATEWAYS; index++) {
-    gateways.push(await startGateway(platform, {index, directory}));
+    let storeReads = 0;
+    const storeAddress = await platform.listenStore(({pathname}) => {
+      if (pathname === '/api/rows-feed') storeReads++;
+    });
+    const options = {index, directory, storeAddress};
+    const gateway = await startGateway(platform, options);
+    later(() => gateway.end());
+    gateways.push(gateway);
+    gateway.countStoreReads = async () => {
+      const before = storeReads;
+      await sleep(2000);
+      return storeReads - before;
+    };
   }
-  later(() => Promise.all(gateways.map(gateway => gateway.end())));
   await Promise.all(gateways.map(gateway => gateway.waitReady()));
-  await sleep(4000);
+  // The gateways have found each other and chosen who reads the store.
+  await sleep(5000);
+  const reads = await Promise.all(
+    gateways.map(gateway => gateway.countStoreReads()),
+  );
+  const followers = gateways.filter((_, i) => reads[i] === 0);
+  record(`${followers.length} gateways follow others instead of the store`);
 
-  let isOver = false;
-  const ends = new Map();
-  const superviseAll = async () => {
-    while (!isOver) {
-      for (const gateway of gateways) {
-        const known = ends.get(gateway) ?? 0;
-        if (gateway.exits.length <= known) continue;
-        const {code, signal, atMs} = gateway.exits.at(-1);
-        record(
-          `${gateway.name} ended at ${atMs} ms, code ${code}, signal ${signal}`,
-        );
-        ends.set(gateway, gateway.exits.length);
-        setTimeout(() => {
-          if (isOver) return;
-          record(`${gateway.name} is started again`);
-          gateway.start();
-        }, RESTART_DELAY_MS);
-      }
-      await sleep(5);
-    }
-  };
-  const supervision = superviseAll();
-  for (let i = 1; i <= ADDED; i++) {
-    const index = GATEWAYS + i;
-    gateways.push(await startGateway(platform, {index, directory}));
-    record(`${gateways.at(-1).name} is added`);
-  }
-  await sleep(FIRST_CHANGE_MS);
-  for (let change = 1; change <= CHANGES; change++) {
-    if (isTroubled) {
-      record(`the settings change, SIGHUP to ${gateways.length} machines`);
-      for (const gateway of gateways) {
-        gateway.writeSettings(false, `edition = ${change}`);
+  let late = 0;
+  let version = 1;
+  for (let round = 1; round <= ROUNDS; round++) {
+    const leaving = engines.shift();
+    leaving.isLeaving = true;
+    leaving.register({state: 'draining'});
+    const reportedAtMs = nowMs();
+    record(`round ${round}: the store has accepted that ${leaving.id} drains`);
+    for (const part of [followers.slice(0, 3), followers.slice(3)]) {
+      for (const gateway of part) {
+        if (!isTroubled) continue;
+        gateway.writeSettings(false, `edition = ${round}`);
         gateway.signal('SIGHUP');
       }
+      platform.put('op', 'config', createConfiguration({}, ++version));
+      await sleep(CONFIG_GAP_MS);
+    }
+    await sleep(reportedAtMs + QUIET_MS - nowMs());
+    const sent = new Map();
+    await Promise.all(
+      followers.flatMap(gateway =>
+        Array.from({length: REQUESTS_PER_GATEWAY}, async (_, i) => {
+          const id = `${round}-${gateway.name}-${i}`;
+          const client = openClient(gateway);
+          sent.set(id, nowMs());
+          const {status} = await client.send({path: '/look/door', id});
+          if (status !== 200) record(`${id}: status ${status}`);
+          client.close();
+        }),
+      ),
+    );
+    const wrong = leaving.runs.filter(({requestId}) => sent.has(requestId));
+    for (const {requestId, atMs} of wrong) {
+      record(
+        `${requestId} sent ${sent.get(requestId) - reportedAtMs} ms after the ` +
+          `report reached ${leaving.id} ${atMs - reportedAtMs} ms after it`,
+      );
     }
-    await sleep(CHANGE_GAP_MS);
-  }
-  await sleep(3000);
-  const ready = await Promise.all(gateways.map(gateway => gateway.isReady()));
-  isOver = true;
-  await supervision;
-  const counts = gateways.map(({name, exits}) => [name, exits.length]);
-  for (const [i, [name, count]] of counts.entries()) {
     record(
-      `${name}: ${count} ends, ${ready[i] ? 'ready' : 'not ready'} at last`,
+      `round ${round}: ${sent.size} requests, ${wrong.length} at ${leaving.id}`,
     );
+    late += wrong.length;
+    leaving.close();
+    platform.remove('servers', leaving.id);
+    engines.push(await addEngine());
+    await sleep(1500);
   }
-  record(`end of the run at ${nowMs()} ms`);
-  console.log(Object.fromEntries(counts));
-  const fallen = counts.filter(([, count]) => count >= ALLOWED_ENDS).length;
-  return fallen >= ALLOWED_MACHINES;
+  console.log(
+    `late ${late}`,
+    gateways.flatMap(({exits}) => exits),
+  );
+  return late > 0;
 });
--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -302,18 +302,22 @@
       ...registration,
     });
   };
-  const timer = setInterval(() => register(), HEARTBEAT_MS);
-  register();
+  let timer;
+  const beat = () => {
+    register();
+    timer = setTimeout(beat, HEARTBEAT_MS);
+  };
+  beat();
   const engine = {
     id,
     port,
     runs,
     register,
     version,
-    stopHeartbeat: () => clearInterval(timer),
+    stopHeartbeat: () => clearTimeout(timer),
     /** Ends at once with all connections, like a killed process. */
     close() {
-      clearInterval(timer);
+      clearTimeout(timer);
       server.close();
       server.closeAllConnections();
     },
