--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -89,6 +89,21 @@
   return ports;
 }
 
+/** Returns a free port of which the next one is free, too. */
+async function findFreePair(host) {
+  for (;;) {
+    const [low] = await findFreePorts(host, 1);
+    const server = createTcpServer();
+    const isFree = await listen(server, host, low + 1).then(
+      () => true,
+      () => false,
+    );
+    if (!isFree) continue;
+    await new Promise(resolve => server.close(resolve));
+    return low;
+  }
+}
+
 function sendJson(response, status, body, headers = {}) {
   const text = JSON.stringify(body);
   response.writeHead(status, {
@@ -371,7 +386,8 @@
   const {index, directory} = options;
   const name = `front-cymru-a-${index}`;
   const host = `127.0.7${index}.1`;
-  const [front, ready, low] = await findFreePorts(host, 3);
+  const [front, ready] = await findFreePorts(host, 2);
+  const low = await findFreePair(host);
   const path = join(directory, `${name}.toml`);
   const log = createWriteStream(join(directory, `${name}.log`), {flags: 'a'});
   const bounds = Object.entries({...BOUNDS, ...options.bounds});
