feat(gateway): log why a stopping process ended each connection of a caller

Callers saw connections that ended without an answer around SIGTERM; the log said nothing about them: not when, not why, not which request was on them. Cause: nobody followed connections. node:http destroys them by itself, and the last lines of a process were lost, as they are written in the background and process.exit() does not wait. Change: @sardinestile/connections follows the connections of a server; the gateway logs the end of each one after SIGTERM, a request that is read when its connection takes no response any more, and each signal, and writes the last lines before it exits. No decision is changed.

--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -27,6 +27,9 @@
 /** The metrics port is the peer port plus this offset. */
 const METRICS_PORT_OFFSET = 1;
 
+/** Time limit for writing the last lines of the log, in milliseconds. */
+const LAST_LINES_TIMEOUT_MS = 100;
+
 /** Returns the path of the settings file from the environment. */
 function readSettingsPath(): string {
   const path = process.env[SETTINGS_PATH_VARIABLE];
@@ -113,13 +116,27 @@
       gateway.reload(newSettings);
     },
   });
-  process.on('SIGHUP', () => watcher.checkNow());
+  const logSignal = (signal: string, effect: string) =>
+    logger.info('signal_received', {
+      signal,
+      sinceStartMs: Math.round(process.uptime() * 1_000),
+      effect,
+    });
+  process.on('SIGHUP', () => {
+    logSignal('SIGHUP', 'reload');
+    watcher.checkNow();
+  });
   await new Promise<void>(resolve => {
-    process.once('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
+    const stop = (signal: string) => {
+      logSignal(signal, 'stop');
+      resolve();
+    };
+    process.once('SIGTERM', stop);
+    process.once('SIGINT', stop);
   });
   watcher.stop();
   await gateway.stop();
   await dutyCalls?.close();
   await store.close();
+  await logger.flush(LAST_LINES_TIMEOUT_MS);
 }
--- /dev/null
+++ b/core/connections/src/connection_end.ts
@@ -0,0 +1,29 @@
+import type {IncomingMessage} from 'node:http';
+
+/** Why a connection ended. */
+export type ConnectionEndReason =
+  /** Its last response was sent and announced the close. */
+  | 'answered'
+  /** It carried no request while the server drained. */
+  | 'idle'
+  /** The server stopped waiting for it. */
+  | 'drainLimit'
+  /** The peer closed or reset it, or a time limit of the server passed. */
+  | 'other';
+
+/** What a connection held when it ended. */
+export interface ConnectionEnd {
+  reason: ConnectionEndReason;
+  /** Address of the peer, as host:port. */
+  peer: string;
+  /** Requests that were read and whose responses were not sent whole. */
+  openRequests: readonly IncomingMessage[];
+  /** Whether a response had begun and was not sent whole. */
+  isResponseCut: boolean;
+  /** Bytes of responses that the operating system had not taken. */
+  unsentBytes: number;
+  /** Bytes of a request that had not arrived whole. */
+  partialRequestBytes: number;
+  /** Time since the last request or response on it, in milliseconds. */
+  idleMs: number;
+}
--- /dev/null
+++ b/core/connections/src/index.ts
@@ -0,0 +1,2 @@
+export * from './connection_end.js';
+export * from './connection_tracker.js';
--- a/core/logger/src/line_writer.ts
+++ b/core/logger/src/line_writer.ts
@@ -3,12 +3,17 @@
 /** Limit of the bytes queued for a slow reader; further lines are dropped. */
 const MAX_QUEUED_BYTES = 1_048_576;
 
+/** Interval at which `flush` checks whether all lines were written, in milliseconds. */
+const FLUSH_CHECK_MS = 5;
+
 /** Writes lines without blocking the event loop. */
 export interface LineWriter {
   /** Queues a line, which includes its newline; drops it if the queue is full. */
   write(line: string): void;
   /** Returns the number of dropped lines since the last call. */
   takeDropped(): number;
+  /** Resolves when all lines were written, or after a time limit in milliseconds. */
+  flush(limitMs: number): Promise<void>;
   /** Bytes that are not written yet. */
   readonly queuedBytes: number;
 }
@@ -71,6 +76,12 @@
       droppedLines = 0;
       return count;
     },
+    async flush(limitMs) {
+      const endMs = performance.now() + limitMs;
+      while (queuedBytes > 0 && performance.now() < endMs) {
+        await new Promise(resolve => setTimeout(resolve, FLUSH_CHECK_MS));
+      }
+    },
     get queuedBytes() {
       return queuedBytes;
     },
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -24,6 +24,29 @@
   };
   process_stopping: {instance: string; openRequests: number};
   process_stopped: {instance: string};
+  /** `sinceStartMs` is the time since the process started. */
+  signal_received: {signal: string; sinceStartMs: number; effect: string};
+  /** A connection of a caller ended after the process was told to stop. */
+  caller_connection_ended: {
+    /** Address of the caller, as host:port. */
+    caller: string;
+    reason: string;
+    /** Time since the process was told to stop. */
+    sinceStopMs: number;
+    /** Requests that were read and whose responses were not sent whole. */
+    openRequests: number;
+    /** Ids of these requests. */
+    requestIds?: string;
+    /** Whether a response had begun and was not sent whole. */
+    isResponseCut: boolean;
+    /** Bytes of responses that the operating system had not taken. */
+    unsentBytes: number;
+    /** Bytes of a request that had not arrived whole. */
+    partialRequestBytes: number;
+    idleMs: number;
+  };
+  /** The request was read when its connection could take no response any more. */
+  call_unanswerable: {requestId?: string; sinceStopMs?: number};
   request_finished: RequestFields & {
     requestClass: string;
     status: number;
--- a/core/logger/src/rate_limited_logger.ts
+++ b/core/logger/src/rate_limited_logger.ts
@@ -22,13 +22,19 @@
   rateLimit?: LogRateLimiterOptions;
 }
 
+/** A logger whose lines are written in the background. */
+export interface RateLimitedLogger extends Logger {
+  /** Resolves when all lines were written, or after a time limit in milliseconds. */
+  flush(limitMs: number): Promise<void>;
+}
+
 /**
  * Creates a logger to standard output that never blocks and limits the rate of
  * lines for each event. It logs once a second how many lines it left out.
  */
 export function createRateLimitedLogger(
   options: RateLimitedLoggerOptions,
-): Logger {
+): RateLimitedLogger {
   const writer = options.writer ?? createLineWriter();
   const limiter = createLogRateLimiter(
     options.rateLimit ?? {
@@ -57,5 +63,9 @@
     info: rateLimited('info'),
     warn: rateLimited('warn'),
     error: rateLimited('error'),
+    async flush(limitMs) {
+      report();
+      await writer.flush(limitMs);
+    },
   };
 }
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -4,6 +4,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import {trackConnections, type ConnectionEnd} from '@sardinestile/connections';
 import type {CallerLimits} from '@sardinestile/route_table';
 import {breakOff} from './response_framing.js';
 
@@ -43,6 +44,16 @@
   port: number;
   maxHeaderBytes: number;
   handler: RequestHandler;
+  /** Called when a connection has closed; `sinceStopMs` is undefined before the drain. */
+  onConnectionEnded: (
+    end: ConnectionEnd,
+    sinceStopMs: number | undefined,
+  ) => void;
+  /** Called for a request that was read although its connection takes no response. */
+  onUnanswerable: (
+    request: IncomingMessage,
+    sinceStopMs: number | undefined,
+  ) => void;
 }
 
 /** HTTP server for callers. */
@@ -69,6 +80,8 @@
   let drainingSinceMs = Infinity;
   const openResponses = new Set<ServerResponse>();
   let lastRequestAtMs = performance.now();
+  const sinceStopMs = () =>
+    isDraining ? Math.round(performance.now() - drainingSinceMs) : undefined;
   const server = createServer(
     {
       maxHeaderSize: options.maxHeaderBytes,
@@ -84,10 +97,16 @@
         openResponses.delete(response);
         lastRequestAtMs = performance.now();
         // A response that started before the drain announced keep-alive.
-        if (isDraining) closeAfterResponse(response);
+        if (!isDraining || !response.socket) return;
+        tracker.noteReason(response.socket, 'answered');
+        closeAfterResponse(response);
       });
     },
   );
+  const tracker = trackConnections(server, {
+    onEnded: end => options.onConnectionEnded(end, sinceStopMs()),
+    onUnanswerable: request => options.onUnanswerable(request, sinceStopMs()),
+  });
   server.maxRequestsPerSocket = 0;
   await listen(server, options);
   return {
@@ -105,6 +124,7 @@
       server.close();
       openResponses.forEach(breakOff);
       server.closeAllConnections();
+      tracker.noteDestroyed('drainLimit');
     },
     drain(limitMs) {
       isDraining = true;
@@ -115,7 +135,10 @@
           const nowMs = performance.now();
           const hasStoppedAccepting =
             nowMs - drainingSinceMs > ACCEPT_WHILE_DRAINING_MS;
-          if (hasStoppedAccepting) server.closeIdleConnections();
+          if (hasStoppedAccepting) {
+            server.closeIdleConnections();
+            tracker.noteDestroyed('idle');
+          }
           const isQuiet =
             hasStoppedAccepting &&
             openResponses.size === 0 &&
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import {createPeerClient, startPeerServer} from '@sardinestile/peer';
 import {createCacheRecovery} from './upstreams/cache_recovery.js';
 import {startCallerListener} from './calls/caller_listener.js';
+import {recordConnectionEnd} from './calls/record_connection_end.js';
 import {
   createConfigView,
   REWRITE_TIME_MS,
@@ -477,6 +478,12 @@
         logger.error('call_failed', {reason: error.stack ?? error.message});
         breakOff(response);
       }),
+    onConnectionEnded: (end, sinceStopMs) =>
+      recordConnectionEnd(context, end, sinceStopMs),
+    onUnanswerable({headers}, sinceStopMs) {
+      const {requestId} = options.headerCodec.readRequest(headers);
+      logger.warn('call_unanswerable', {requestId, sinceStopMs});
+    },
   });
   config.subscribe(({limits}) => listener.applyLimits(limits));
 
