fix(gateway): let one owner end callers' connections, once all on them is delivered

Cause: four places ended connections, each by a condition of its own. A connection whose response had announced keep-alive was half-closed after that response and went on to take requests; idle connections were destroyed by node:http, which counts a response as over when end() was called; a response that announces the close destroyed the connection, and bytes that were still arriving reset it. The class: a connection ends by what one part of it does, not by whether everything taken on it was answered and delivered. Change: @sardinestile/connections owns the connections of a server. It lets the newest response announce the end, takes no request after that, waits for the peer to read, and ends idle connections without reading on, so that a request which crosses the end can be sent again. The listener only says when. The drain ends when nothing is open and every peer has closed or had a second to read. Evidence: caller_listener_test and two tests of stopping_gateway_test failed before and pass; the test of the refusal was corrected, as on the code before it met a listener that had already stopped: it now holds the gateway open by a stream, lets the caller go on sending, and fails there with a reset.

--- a/core/connections/src/connection_end.ts
+++ b/core/connections/src/connection_end.ts
@@ -4,7 +4,7 @@
 export type ConnectionEndReason =
   /** Its last response was sent and announced the close. */
   | 'answered'
-  /** It carried no request while the server drained. */
+  /** It carried no request when idle connections were ended. */
   | 'idle'
   /** The server stopped waiting for it. */
   | 'drainLimit'
@@ -16,7 +16,7 @@
   reason: ConnectionEndReason;
   /** Address of the peer, as host:port. */
   peer: string;
-  /** Requests that were read and whose responses were not sent whole. */
+  /** Requests that were taken and whose responses were not sent whole. */
   openRequests: readonly IncomingMessage[];
   /** Whether a response had begun and was not sent whole. */
   isResponseCut: boolean;
--- a/core/connections/src/index.ts
+++ b/core/connections/src/index.ts
@@ -1,2 +1,2 @@
 export * from './connection_end.js';
-export * from './connection_tracker.js';
+export * from './server_connections.js';
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import {trackConnections, type ConnectionEnd} from '@sardinestile/connections';
+import {manageConnections, type ConnectionEnd} from '@sardinestile/connections';
 import type {CallerLimits} from '@sardinestile/route_table';
 import {breakOff} from './response_framing.js';
 
@@ -24,8 +24,8 @@
 const DRAIN_QUIET_MS = 1_200;
 
 /**
- * Time for which a draining listener serves new requests, in milliseconds; load
- * balancers need two seconds to notice.
+ * Time after the signal for which a draining listener serves new requests, in
+ * milliseconds; load balancers need two seconds to notice.
  */
 const ACCEPT_WHILE_DRAINING_MS = 3_000;
 
@@ -49,7 +49,7 @@
     end: ConnectionEnd,
     sinceStopMs: number | undefined,
   ) => void;
-  /** Called for a request that was read although its connection takes no response. */
+  /** Called for a request that is not served, as its connection had announced its end. */
   onUnanswerable: (
     request: IncomingMessage,
     sinceStopMs: number | undefined,
@@ -63,11 +63,12 @@
   /** Whether new requests must be refused, as they could not be finished before the stop. */
   readonly isRefusingRequests: boolean;
   /**
-   * Closes each connection after its next response while new requests are
-   * still served, later closes idle connections. Resolves when no request is
-   * open and none has arrived lately, or when the limit has passed.
+   * Closes each connection after its next response while new requests are still served,
+   * later idle connections. Resolves when all responses were delivered and no request has
+   * arrived lately, or when the limit has passed. `signalledAtMs` is the earliest time by
+   * performance.now() at which the signal may have been sent.
    */
-  drain(limitMs: number): Promise<void>;
+  drain(limitMs: number, signalledAtMs: number): Promise<void>;
   /** Closes every connection at once. */
   close(): void;
 }
@@ -76,34 +77,21 @@
 export async function startCallerListener(
   options: CallerListenerOptions,
 ): Promise<CallerListener> {
-  let isDraining = false;
-  let drainingSinceMs = Infinity;
-  const openResponses = new Set<ServerResponse>();
-  let lastRequestAtMs = performance.now();
+  let drainingSinceMs: number | undefined;
   const sinceStopMs = () =>
-    isDraining ? Math.round(performance.now() - drainingSinceMs) : undefined;
-  const server = createServer(
-    {
-      maxHeaderSize: options.maxHeaderBytes,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-      noDelay: true,
-    },
-    (request, response) => {
-      openResponses.add(response);
-      lastRequestAtMs = performance.now();
-      if (isDraining) response.shouldKeepAlive = false;
-      void options.handler(request, response).finally(() => {
-        openResponses.delete(response);
-        lastRequestAtMs = performance.now();
-        // A response that started before the drain announced keep-alive.
-        if (!isDraining || !response.socket) return;
-        tracker.noteReason(response.socket, 'answered');
-        closeAfterResponse(response);
-      });
-    },
-  );
-  const tracker = trackConnections(server, {
+    drainingSinceMs === undefined
+      ? undefined
+      : Math.round(performance.now() - drainingSinceMs);
+  const isRefusingRequests = () =>
+    (sinceStopMs() ?? 0) > ACCEPT_WHILE_DRAINING_MS;
+  const server = createServer({
+    maxHeaderSize: options.maxHeaderBytes,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    noDelay: true,
+  });
+  const connections = manageConnections(server, {
+    handler: (request, response) => void options.handler(request, response),
     onEnded: end => options.onConnectionEnded(end, sinceStopMs()),
     onUnanswerable: request => options.onUnanswerable(request, sinceStopMs()),
   });
@@ -115,51 +103,42 @@
       server.keepAliveTimeout = idleTimeoutMs + IDLE_TIMEOUT_SLACK_MS;
     },
     get openRequests() {
-      return openResponses.size;
+      return connections.openResponses().length;
     },
     get isRefusingRequests() {
-      return performance.now() - drainingSinceMs > ACCEPT_WHILE_DRAINING_MS;
+      return isRefusingRequests();
     },
     close() {
+      connections.openResponses().forEach(breakOff);
+      connections.destroyAll();
       server.close();
-      openResponses.forEach(breakOff);
-      server.closeAllConnections();
-      tracker.noteDestroyed('drainLimit');
     },
-    drain(limitMs) {
-      isDraining = true;
-      drainingSinceMs = performance.now();
-      const drainEndAtMs = drainingSinceMs + limitMs;
+    drain(limitMs, signalledAtMs) {
+      drainingSinceMs = signalledAtMs;
+      const drainEndAtMs = signalledAtMs + limitMs;
+      connections.disableKeepAlive();
       return new Promise(resolve => {
-        const timer = setInterval(() => {
+        const check = () => {
+          if (isRefusingRequests()) connections.endIdle();
           const nowMs = performance.now();
-          const hasStoppedAccepting =
-            nowMs - drainingSinceMs > ACCEPT_WHILE_DRAINING_MS;
-          if (hasStoppedAccepting) {
-            server.closeIdleConnections();
-            tracker.noteDestroyed('idle');
-          }
           const isQuiet =
-            hasStoppedAccepting &&
-            openResponses.size === 0 &&
-            nowMs - lastRequestAtMs > DRAIN_QUIET_MS;
+            isRefusingRequests() &&
+            connections.isSettled &&
+            nowMs - connections.lastUsedAtMs > DRAIN_QUIET_MS;
           if (!isQuiet && nowMs < drainEndAtMs) return;
           clearInterval(timer);
           resolve();
-        }, DRAIN_CHECK_INTERVAL_MS);
+        };
+        // Immediates run after the event loop has read what has arrived.
+        const timer = setInterval(
+          () => setImmediate(check),
+          DRAIN_CHECK_INTERVAL_MS,
+        );
       });
     },
   };
 }
 
-/** Closes the connection of a response after it was sent completely. */
-function closeAfterResponse(response: ServerResponse): void {
-  const {socket} = response;
-  if (!socket) return;
-  if (response.writableFinished) socket.end();
-  else response.once('finish', () => socket.end());
-}
-
 function listen(
   server: Server,
   {host, port}: CallerListenerOptions,
--- a/daemons/gateway/src/calls/refuse.ts
+++ b/daemons/gateway/src/calls/refuse.ts
@@ -103,13 +103,13 @@
     configVersion: context.routes()?.table.version,
   });
   if (response.destroyed || response.headersSent) return;
+  // The unread rest of a body must not be parsed as the next request.
+  if (!request.complete) response.shouldKeepAlive = false;
   const body = `${JSON.stringify({error: {code, message}})}\n`;
   response.writeHead(status, {
     ...context.headerCodec.refusalHeaders(requestId, retryAfterMs),
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(body),
-    // The unread rest of a body must not be parsed as the next request.
-    ...(request.complete ? {} : {Connection: 'close'}),
   });
   response.end(body);
 }
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -543,7 +543,10 @@
       logger.info('process_stopping', {instance, openRequests});
       void usage?.flush();
       void registry.deregister();
-      await listener.drain(options.stopGraceMs - STOP_MARGIN_MS);
+      await listener.drain(
+        options.stopGraceMs - STOP_MARGIN_MS,
+        performance.now(),
+      );
       await Promise.race([close(), sleep(LAST_WRITE_TIMEOUT_MS)]);
     },
     close,
--- a/daemons/gateway/test/caller_listener_test.ts
+++ b/daemons/gateway/test/caller_listener_test.ts
@@ -33,7 +33,7 @@
       socket.write(REQUEST);
       await new Promise(resolve => socket.once('readable', resolve));
       socket.pause();
-      const drained = listener.drain(7_500);
+      const drained = listener.drain(7_500, performance.now());
       // Idle connections are closed from three seconds after the start of the drain on.
       await new Promise(resolve => setTimeout(resolve, 3_500));
       socket.resume();
--- a/testing/hosting/src/kept_connection.ts
+++ b/testing/hosting/src/kept_connection.ts
@@ -31,7 +31,12 @@
 /** Opens a connection to an address of the form host:port. */
 export function openKeptConnection(address: string): KeptConnection {
   const [host, port] = address.split(':');
-  const socket: Socket = connect({host, port: Number(port), noDelay: true});
+  const socket: Socket = connect({
+    host,
+    port: Number(port),
+    noDelay: true,
+    allowHalfOpen: true,
+  });
   let received = Buffer.alloc(0);
   let isClosed = false;
   let wasReset = false;
@@ -41,7 +46,7 @@
     notify?.();
   });
   socket.on('error', (error: NodeJS.ErrnoException) => {
-    wasReset = error.code === 'ECONNRESET';
+    wasReset ||= error.code === 'ECONNRESET' || error.code === 'EPIPE';
   });
   const onEnd = () => {
     isClosed = true;
--- a/testing/hosting/test/stopping_gateway_test.ts
+++ b/testing/hosting/test/stopping_gateway_test.ts
@@ -97,7 +97,12 @@
   itOrKnownRed(
     'read the refusal of a request whose body they are still sending',
     async () => {
-      await startWith({kind: 'answer'});
+      await startWith({kind: 'stream', events: 60, gapMs: 80});
+      const open = openKeptConnection(gateway.address).send({
+        path: ROUTE_PATHS.resumable,
+        headers: createKeyedHeaders('open'),
+      });
+      await waitForRun('open');
       const stopped = gateway.handle.stop();
       await delay(3_200);
       const connection = openKeptConnection(gateway.address);
@@ -110,6 +115,7 @@
       expect({status, isComplete}).toEqual({status: 503, isComplete: true});
       await delay(250);
       expect(connection.wasReset).toEqual(false);
+      expect((await open).isComplete).toEqual(true);
       await stopped;
     },
   );
