fix(gateway): refuse requests that a stopping gateway could only cut

Callers saw long streams that were sent more than three seconds after SIGTERM, begun, and cut 7.5 s after it. Cause: whether a request is still accepted was asked when its headers had been read, and the time counted from when the process noticed the signal. A body in pieces arrives later than its headers; a busy process on a small share of a core notices the signal late. Ruled out: an accept window by the expected length of a stream, as most of the streams that it would refuse end in time.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -22,7 +22,12 @@
     opsAddress: string;
     peerAddress?: string;
   };
-  process_stopping: {instance: string; openRequests: number};
+  process_stopping: {
+    instance: string;
+    openRequests: number;
+    /** Time for which the signal may have waited until the process noticed it. */
+    signalDelayMs?: number;
+  };
   process_stopped: {instance: string};
   /** `sinceStartMs` is the time since the process started. */
   signal_received: {signal: string; sinceStartMs: number; effect: string};
--- a/daemons/gateway/src/calls/serve_call.ts
+++ b/daemons/gateway/src/calls/serve_call.ts
@@ -9,7 +9,7 @@
 import {recordAdmission, recordCallEnd} from './call_records.js';
 import type {GatewayContext} from '../gateway_context.js';
 import {readBody} from './read_body.js';
-import {refuse} from './refuse.js';
+import {refuse, type RefusedRequest} from './refuse.js';
 import {runCall} from './run_call.js';
 
 /** Deadline of a request whose headers name none, in milliseconds. */
@@ -40,9 +40,7 @@
     return;
   }
   if (context.isRefusingRequests()) {
-    refuse(context, exchange, 'shuttingDown', {
-      retryAfterMs: OTHER_INSTANCE_RETRY_AFTER_MS,
-    });
+    refuseAsLeaving(context, exchange);
     return;
   }
   const callAccount = openCallAccount(context, request, response);
@@ -54,6 +52,11 @@
     recordAbandoned(context, requestId);
     return;
   }
+  // The body may have arrived long after the headers.
+  if (context.isRefusingRequests()) {
+    refuseAsLeaving(context, exchange);
+    return;
+  }
   if (body.kind === 'tooLarge') {
     refuse(context, exchange, 'bodyTooLarge');
     return;
@@ -138,6 +141,15 @@
   }
 }
 
+function refuseAsLeaving(
+  context: GatewayContext,
+  exchange: RefusedRequest,
+): void {
+  refuse(context, exchange, 'shuttingDown', {
+    retryAfterMs: OTHER_INSTANCE_RETRY_AFTER_MS,
+  });
+}
+
 /** Logs and counts a request whose caller left before it was sent to an upstream. */
 function recordAbandoned(
   {metrics, logger}: GatewayContext,
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -34,6 +34,7 @@
 import {createGatewayCount} from './shared/gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
 import {refreshGauges} from './gauges.js';
+import {createLoopDelay} from './loop_delay.js';
 import type {DeploymentLimits, GatewayOptions} from './gateway_options.js';
 import {createPeerCalls} from './shared/peer_calls.js';
 import {
@@ -451,7 +452,11 @@
       .flatMap(({name}) => fleet.upstreamsOf(name));
     void cacheRecovery.recover(engines, groupPeers);
   };
+  const loopDelay = createLoopDelay(HOUSEKEEPING_INTERVAL_MS, () =>
+    performance.now(),
+  );
   const housekeeping = setInterval(() => {
+    loopDelay.check();
     recoverCaches();
     if (!hasAskedPeers && link.livePeers().length > 0) {
       hasAskedPeers = true;
@@ -540,12 +545,17 @@
     async stop() {
       isStopping = true;
       const {openRequests} = listener;
-      logger.info('process_stopping', {instance, openRequests});
+      const signalDelayMs = loopDelay.delayMs();
+      logger.info('process_stopping', {
+        instance,
+        openRequests,
+        signalDelayMs: Math.round(signalDelayMs),
+      });
       void usage?.flush();
       void registry.deregister();
       await listener.drain(
         options.stopGraceMs - STOP_MARGIN_MS,
-        performance.now(),
+        performance.now() - signalDelayMs,
       );
       await Promise.race([close(), sleep(LAST_WRITE_TIMEOUT_MS)]);
     },
