fix(gateway): answer calls that are still open when a stopping gateway must end

Callers whose request no upstream had answered at the end of the grace period got a closed connection. Cause: the end of the drain destroyed all connections, although such a call still could be answered: given up on is a final answer. Change: at the end of the drain each open call is interrupted. Without a response it is refused, with 502 (unansweredAtStop) if it was sent to an upstream and with 503 if not; connections end once these answers were sent, at most 150 ms later. The last writes have 200 ms instead of 300.

--- a/daemons/gateway/src/calls/call.ts
+++ b/daemons/gateway/src/calls/call.ts
@@ -54,7 +54,8 @@
 }
 
 /** Why a running attempt is interrupted. */
-export type InterruptReason = 'callerLeft' | 'timeout' | 'memoryShort';
+export type InterruptReason =
+  'callerLeft' | 'timeout' | 'memoryShort' | 'shutdown';
 
 /** Outcome of one attempt. */
 export type AttemptOutcome =
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -33,6 +33,9 @@
 /** Interval at which a draining listener checks whether it can stop, in milliseconds. */
 const DRAIN_CHECK_INTERVAL_MS = 100;
 
+/** Interval at which `whenSent` checks whether all responses were sent, in milliseconds. */
+const SENT_CHECK_MS = 10;
+
 /** Serves one request; resolves when the response was given. */
 export type RequestHandler = (
   request: IncomingMessage,
@@ -70,6 +73,8 @@
    * performance.now() at which the signal was sent.
    */
   drain(limitMs: number, signalledAtMs: number): Promise<void>;
+  /** Resolves when all responses were sent, or when the limit has passed. */
+  whenSent(limitMs: number): Promise<void>;
   /** Closes every connection at once. */
   close(): void;
 }
@@ -109,6 +114,13 @@
     get isRefusingRequests() {
       return isRefusingRequests();
     },
+    async whenSent(limitMs) {
+      const endMs = performance.now() + limitMs;
+      while (connections.openResponses().length > 0) {
+        if (performance.now() >= endMs) return;
+        await new Promise(resolve => setTimeout(resolve, SENT_CHECK_MS));
+      }
+    },
     close() {
       connections.openResponses().forEach(breakOff);
       connections.destroyAll();
--- a/daemons/gateway/src/calls/finish_call.ts
+++ b/daemons/gateway/src/calls/finish_call.ts
@@ -32,7 +32,7 @@
   refuse(context, call, code, {reason, retryAfterMs});
 }
 
-/** Ends a call whose caller disconnected or whose deadline passed. */
+/** Ends a call that was interrupted while an upstream may have run it. */
 export function endInterrupted(
   context: GatewayContext,
   call: Call,
@@ -44,7 +44,9 @@
     breakOff(call.response);
     return;
   }
-  refuse(context, call, 'timedOut');
+  if (reason !== 'shutdown') refuse(context, call, 'timedOut');
+  else if (call.attempts > 0) refuse(context, call, 'unansweredAtStop');
+  else refuse(context, call, 'shuttingDown');
 }
 
 function sendBufferedResponse(
--- a/daemons/gateway/src/calls/refuse.ts
+++ b/daemons/gateway/src/calls/refuse.ts
@@ -58,6 +58,10 @@
     message: 'the upstream failed; the request may have run',
   },
   shuttingDown: {status: 503, message: 'this instance is leaving'},
+  unansweredAtStop: {
+    status: 502,
+    message: 'this instance stopped before the upstream answered',
+  },
   timedOut: {status: 504, message: 'the request was not answered in time'},
   timedOutUnsent: {
     status: 503,
--- a/daemons/gateway/src/calls/serve_call.ts
+++ b/daemons/gateway/src/calls/serve_call.ts
@@ -176,7 +176,9 @@
     call.hasCallerDisconnected = true;
     interrupt('callerLeft');
   };
+  const onShutdown = () => interrupt('shutdown');
   call.response.once('close', onClose);
+  context.shutdownSignal.addEventListener('abort', onShutdown);
   const leftMs =
     Math.min(call.routeDeadlineAtMs, call.callerDeadlineAtMs) -
     context.clock.monotonicMs();
@@ -189,5 +191,6 @@
     context.fairShares.recordEnd(call, context.clock.monotonicMs());
     clearTimeout(timer);
     call.response.off('close', onClose);
+    context.shutdownSignal.removeEventListener('abort', onShutdown);
   }
 }
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {createReturnSchedule} from '@sardinestile/admission';
 import {
   assignGroup,
@@ -82,8 +83,11 @@
  */
 const STOP_MARGIN_MS = 500;
 
+/** Time limit for sending the last answers to callers, in milliseconds. */
+const LAST_ANSWERS_TIMEOUT_MS = 150;
+
 /** Time limit for the last writes of a stopping gateway, in milliseconds. */
-const LAST_WRITE_TIMEOUT_MS = 300;
+const LAST_WRITE_TIMEOUT_MS = 200;
 
 /**
  * Time after which upstreams of a zone that is out of service must receive no request,
@@ -337,6 +341,9 @@
     });
   let deployment: DeploymentLimits = options;
   const maxKeyAgeMs = () => deployment.keyWithdrawalLimitMs - KEY_AGE_MARGIN_MS;
+  const shutdown = new AbortController();
+  // Each open call listens to it.
+  setMaxListeners(0, shutdown.signal);
   const context: GatewayContext = {
     clock,
     headerCodec: options.headerCodec,
@@ -376,6 +383,7 @@
     logger,
     metrics,
     isRefusingRequests: () => listener.isRefusingRequests,
+    shutdownSignal: shutdown.signal,
     routes: () => config.routes(),
   };
   const memoryWatch = createMemoryWatch(context.memoryBudget, logger, metrics);
@@ -557,6 +565,8 @@
         options.stopGraceMs - STOP_MARGIN_MS,
         performance.now() - signalDelayMs,
       );
+      shutdown.abort();
+      await listener.whenSent(LAST_ANSWERS_TIMEOUT_MS);
       await Promise.race([close(), sleep(LAST_WRITE_TIMEOUT_MS)]);
     },
     close,
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -77,6 +77,8 @@
   metrics: MetricsRegistry;
   /** Whether new requests must be refused, as they could not be finished before the stop. */
   isRefusingRequests: () => boolean;
+  /** Aborted when calls that are still open have to end, just before the process stops. */
+  shutdownSignal: AbortSignal;
   /** The current configuration; undefined until the first one is loaded. */
   routes: () => RouteIndex | undefined;
 }
--- a/testing/hosting/test/stopping_gateway_test.ts
+++ b/testing/hosting/test/stopping_gateway_test.ts
@@ -119,4 +119,20 @@
       await stopped;
     },
   );
+
+  itOrKnownRed(
+    'get an answer to a request that no upstream has answered when the grace period ends',
+    async () => {
+      await startWith({kind: 'silent'});
+      const stopped = gateway.handle.stop();
+      await delay(2_800);
+      const connection = openKeptConnection(gateway.address);
+      const {status, isComplete} = await connection.send({
+        path: ROUTE_PATHS.once,
+        headers: createKeyedHeaders('unanswered'),
+      });
+      expect({status, isComplete}).toEqual({status: 502, isComplete: true});
+      await stopped;
+    },
+  );
 });
