build: replace the bundle in one step

Two test files that build the bundle at the same time, or a gateway that starts during a build, could read half a file: esbuild writes it in place. Change: the bundle is written under another name in target/ and renamed.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,10 +1,15 @@
 // Bundles the processes that run on the platform into target/.
+import {renameSync} from 'node:fs';
 import {build} from 'esbuild';
 
+const BUNDLE_PATH = 'target/sardinestile.mjs';
+
+// Renamed when it is complete, so that a process that starts meanwhile never reads half a file.
+const unfinishedPath = `${BUNDLE_PATH}.${process.pid}`;
+
 await build({
-  entryPoints: {sardinestile: 'cli/sardinestile/src/platform_main.ts'},
-  outdir: 'target',
-  outExtension: {'.js': '.mjs'},
+  entryPoints: ['cli/sardinestile/src/platform_main.ts'],
+  outfile: unfinishedPath,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -18,3 +23,4 @@
     js: "import {createRequire as __createRequire} from 'node:module'; const require = __createRequire(import.meta.url);",
   },
 });
+renameSync(unfinishedPath, BUNDLE_PATH);
