fix(cli): signals while a process starts do not end it

A change of the settings file during the start was never applied. Cause: the handlers were installed after startGateway had resolved, and the watch of the settings took the file as it was then for what the gateway had read before. Change: process_signals.ts owns the signals of gateways, entries and agents. It is the first module that the bundle of the gateway loads. While the process starts, SIGHUP is remembered, and SIGTERM and SIGINT stop it once it has started, or before the start is begun. Processes without a settings file stop in order at SIGHUP, which ended them at once. Each signal is logged, also those before there is a logger. The watch begins from the text that the gateway has read. A second SIGTERM still ends the process at once.

--- a/cli/sardinestile/src/commands/daemon_commands.ts
+++ b/cli/sardinestile/src/commands/daemon_commands.ts
@@ -1,8 +1,11 @@
 import {readFile} from 'node:fs/promises';
 import {fileURLToPath} from 'node:url';
-import {createLogger} from '@sardinestile/logger';
+import {createLogger, type Logger, type LogLevel} from '@sardinestile/logger';
 import {command, number, option, string} from 'cmd-ts';
-import {runUntilSignal} from '../run_until_signal.js';
+import {
+  createProcessSignals,
+  type StoppableProcess,
+} from '../process_signals.js';
 import {agentSettings, entrySettings, logLevelSetting} from '../settings.js';
 import {startAgentDaemon, startEntryDaemon} from '../start_daemon.js';
 
@@ -17,7 +20,8 @@
   description:
     'Run an entry: authenticate callers, place requests and stream answers.',
   args: entrySettings,
-  handler: async settings => runUntilSignal(await startEntryDaemon(settings)),
+  handler: ({logLevel, ...settings}) =>
+    runDaemon(logLevel, logger => startEntryDaemon(settings, logger)),
 });
 
 /** The command `sardinestile agent`. */
@@ -26,7 +30,8 @@
   description:
     'Run the agent of one upstream: admit, schedule and run requests.',
   args: agentSettings,
-  handler: async settings => runUntilSignal(await startAgentDaemon(settings)),
+  handler: ({logLevel, ...settings}) =>
+    runDaemon(logLevel, logger => startAgentDaemon(settings, logger)),
 });
 
 /** The command `sardinestile dev`. */
@@ -58,23 +63,35 @@
     }),
     logLevel: logLevelSetting,
   },
-  handler: async ({text, port, opsPort, logLevel}) => {
-    const {startDevSystem} = await import('@sardinestile/dev');
-    const secret = 'sk-dev';
-    const system = await startDevSystem({
-      text: await readFile(text, 'utf8'),
-      port,
-      opsPort,
-      adminKey: 'dev-admin',
-      secret,
-      logger: createLogger({level: logLevel}),
-    });
-    const [model] = system.models;
-    process.stdout.write(formatExampleRequest(system.port, secret, model));
-    await runUntilSignal(system);
-  },
+  handler: ({text, port, opsPort, logLevel}) =>
+    runDaemon(logLevel, async logger => {
+      const {startDevSystem} = await import('@sardinestile/dev');
+      const secret = 'sk-dev';
+      const system = await startDevSystem({
+        text: await readFile(text, 'utf8'),
+        port,
+        opsPort,
+        adminKey: 'dev-admin',
+        secret,
+        logger,
+      });
+      const [model] = system.models;
+      process.stdout.write(formatExampleRequest(system.port, secret, model));
+      return system;
+    }),
 });
 
+/** Runs a process without a settings file until a signal stops it. */
+function runDaemon(
+  level: LogLevel,
+  start: (logger: Logger) => Promise<StoppableProcess>,
+): Promise<void> {
+  const logger = createLogger({level});
+  return createProcessSignals({hangUp: 'stop'}).run(logger, () =>
+    start(logger),
+  );
+}
+
 function formatExampleRequest(
   port: number,
   secret: string,
--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -11,13 +11,18 @@
   parseSettings,
   platformHeaderCodec,
   SETTINGS_PATH_VARIABLE,
+  type PlatformSettings,
 } from '@sardinestile/adapter_platform';
 import {SardinestileError} from '@sardinestile/errors';
 import {startGateway} from '@sardinestile/gateway';
-import {createRateLimitedLogger} from '@sardinestile/logger';
+import {createRateLimitedLogger, type Logger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
 import {createSystemClock} from '@sardinestile/types';
-import {readGatewayEnvironment} from './gateway_environment.js';
+import {
+  readGatewayEnvironment,
+  type GatewayEnvironment,
+} from './gateway_environment.js';
+import type {ProcessSignals, StoppableProcess} from './process_signals.js';
 import {watchSettings} from './watch_settings.js';
 
 /** Table and partition of the store that hold the rows of this system. */
@@ -41,12 +46,34 @@
   });
 }
 
-/** Runs a gateway on the hosting platform until SIGTERM or SIGINT, then stops it. */
-export async function runPlatformGateway(): Promise<void> {
+/** Runs a gateway on the hosting platform until a signal stops it. */
+export async function runPlatformGateway(
+  signals: ProcessSignals,
+): Promise<void> {
   const path = readSettingsPath();
-  const settings = parseSettings(readFileSync(path, 'utf8'), path);
+  const text = readFileSync(path, 'utf8');
+  const settings = parseSettings(text, path);
   const environment = readGatewayEnvironment(process.env);
   const logger = createRateLimitedLogger({level: environment.logLevel});
+  await signals.run(logger, () =>
+    startPlatformGateway({path, text, settings, environment, logger}),
+  );
+  await logger.flush(LAST_LINES_TIMEOUT_MS);
+}
+
+interface PlatformGatewayOptions {
+  /** Path and content of the settings file. */
+  path: string;
+  text: string;
+  settings: PlatformSettings;
+  environment: GatewayEnvironment;
+  logger: Logger;
+}
+
+async function startPlatformGateway(
+  options: PlatformGatewayOptions,
+): Promise<StoppableProcess> {
+  const {path, text, settings, environment, logger} = options;
   const {callerAddress} = settings;
   if (!callerAddress) {
     throw new SardinestileError({
@@ -110,33 +137,20 @@
   });
   const watcher = watchSettings({
     path,
+    initialText: text,
     logger,
     onChanged(newSettings) {
       store.redirect(newSettings.store.address);
       gateway.reload(newSettings);
     },
   });
-  const logSignal = (signal: string, effect: string) =>
-    logger.info('signal_received', {
-      signal,
-      sinceStartMs: Math.round(process.uptime() * 1_000),
-      effect,
-    });
-  process.on('SIGHUP', () => {
-    logSignal('SIGHUP', 'reload');
-    watcher.checkNow();
-  });
-  await new Promise<void>(resolve => {
-    const stop = (signal: string) => {
-      logSignal(signal, 'stop');
-      resolve();
-    };
-    process.once('SIGTERM', stop);
-    process.once('SIGINT', stop);
-  });
-  watcher.stop();
-  await gateway.stop();
-  await dutyCalls?.close();
-  await store.close();
-  await logger.flush(LAST_LINES_TIMEOUT_MS);
+  return {
+    reload: () => watcher.checkNow(),
+    async stop() {
+      watcher.stop();
+      await gateway.stop();
+      await dutyCalls?.close();
+      await store.close();
+    },
+  };
 }
--- a/cli/sardinestile/src/platform_main.ts
+++ b/cli/sardinestile/src/platform_main.ts
@@ -1,3 +1,5 @@
+// Imported first, as a signal must not end the process while the other modules load.
+import {gatewaySignals} from './gateway_signals.js';
 import {SardinestileError} from '@sardinestile/errors';
 import {createLogger} from '@sardinestile/logger';
 import {EXIT_CODE_BY_ERROR, EXIT_CODES} from './exit_code.js';
@@ -5,7 +7,7 @@
 
 // Entry point of the bundle that runs a gateway on the hosting platform.
 try {
-  await runPlatformGateway();
+  await runPlatformGateway(gatewaySignals);
   process.exit(EXIT_CODES.ok);
 } catch (error) {
   const logger = createLogger({level: 'info'});
--- /dev/null
+++ b/cli/sardinestile/src/process_signals.ts
@@ -0,0 +1,110 @@
+import type {LogEvents, Logger} from '@sardinestile/logger';
+
+/** A running process. */
+export interface StoppableProcess {
+  /** Lets open requests finish before it resolves. */
+  stop(): Promise<void>;
+  /** Reads the settings again. */
+  reload?(): void;
+}
+
+/** Signals that a process handles; all others have their default action. */
+const HANDLED_SIGNALS = ['SIGHUP', 'SIGTERM', 'SIGINT'] as const;
+
+type HandledSignal = (typeof HANDLED_SIGNALS)[number];
+
+/** A process is `stopping` from the first request to stop, also if it is still starting. */
+type Phase = 'starting' | 'running' | 'stopping';
+
+type SignalEffect =
+  'reload' | 'reloadOnceStarted' | 'stop' | 'stopOnceStarted' | 'exit';
+
+const EFFECTS: Readonly<
+  Record<Phase, Readonly<Record<HandledSignal, SignalEffect>>>
+> = {
+  starting: {
+    SIGHUP: 'reloadOnceStarted',
+    SIGTERM: 'stopOnceStarted',
+    SIGINT: 'stopOnceStarted',
+  },
+  running: {SIGHUP: 'reload', SIGTERM: 'stop', SIGINT: 'stop'},
+  stopping: {SIGHUP: 'reload', SIGTERM: 'exit', SIGINT: 'exit'},
+};
+
+/** Exit code by convention of a process that SIGINT ended. */
+const INTERRUPTED_EXIT_CODE = 130;
+
+/** Options for createProcessSignals. */
+export interface ProcessSignalsOptions {
+  /** Effect of SIGHUP; `stop` suits processes that have no settings file. */
+  hangUp: 'reload' | 'stop';
+  /** Source of the signals; this process by default. */
+  host?: Pick<NodeJS.Process, 'on' | 'exit' | 'uptime'>;
+}
+
+/** The signals of a process. */
+export interface ProcessSignals {
+  /**
+   * Starts a process, and stops it when a signal asks for that. Resolves after the stop,
+   * or without a start if the signal came before.
+   */
+  run(logger: Logger, start: () => Promise<StoppableProcess>): Promise<void>;
+}
+
+/**
+ * Handles the signals of this process from now on. The first SIGTERM or SIGINT stops
+ * it, the second ends it at once.
+ */
+export function createProcessSignals(
+  options: ProcessSignalsOptions,
+): ProcessSignals {
+  const {hangUp, host = process} = options;
+  let phase: Phase = 'starting';
+  let mustReload = false;
+  let running: StoppableProcess | undefined;
+  let logger: Logger | undefined;
+  const unloggedSignals: Array<LogEvents['signal_received']> = [];
+  let requestStop: () => void;
+  const stopRequested = new Promise<void>(resolve => (requestStop = resolve));
+  const stop = () => {
+    phase = 'stopping';
+    requestStop();
+  };
+  const handlers: Readonly<Record<SignalEffect, () => void>> = {
+    reload: () => running?.reload?.(),
+    reloadOnceStarted: () => (mustReload = true),
+    stop,
+    stopOnceStarted: stop,
+    exit: () => host.exit(INTERRUPTED_EXIT_CODE),
+  };
+  const chooseEffect = (signal: HandledSignal): SignalEffect => {
+    if (signal === 'SIGHUP' && hangUp === 'stop') return EFFECTS[phase].SIGTERM;
+    return EFFECTS[phase][signal];
+  };
+  for (const signal of HANDLED_SIGNALS) {
+    host.on(signal, () => {
+      const effect = chooseEffect(signal);
+      const sinceStartMs = Math.round(host.uptime() * 1_000);
+      const fields = {signal, sinceStartMs, effect};
+      if (logger) logger.info('signal_received', fields);
+      else unloggedSignals.push(fields);
+      handlers[effect]();
+    });
+  }
+  return {
+    async run(processLogger, start) {
+      logger = processLogger;
+      for (const fields of unloggedSignals) {
+        logger.info('signal_received', fields);
+      }
+      if (phase === 'stopping') return;
+      running = await start();
+      if (phase === 'starting') {
+        phase = 'running';
+        if (mustReload) running.reload?.();
+      }
+      await stopRequested;
+      await running.stop();
+    },
+  };
+}
--- a/cli/sardinestile/src/start_daemon.ts
+++ b/cli/sardinestile/src/start_daemon.ts
@@ -6,12 +6,8 @@
 import {startAgent} from '@sardinestile/agent';
 import {createPlatformClients} from '@sardinestile/clients';
 import {startEntry} from '@sardinestile/entry';
-import {createLogger, type LogLevel} from '@sardinestile/logger';
-
-/** A running process. `stop` lets open requests finish before it resolves. */
-export interface StoppableProcess {
-  stop(): Promise<void>;
-}
+import type {Logger} from '@sardinestile/logger';
+import type {StoppableProcess} from './process_signals.js';
 
 /** Kinds of upstream. */
 export type UpstreamKind = 'engine' | 'plain';
@@ -31,7 +27,6 @@
   port: number;
   opsPort: number;
   adminKey: string;
-  logLevel: LogLevel;
 }
 
 /** Settings of an entry; described in `entrySettings`. */
@@ -51,12 +46,12 @@
   upstreamUrl: string;
 }
 
-/** Starts an entry with its logger and its clients of the platform services. */
+/** Starts an entry with its clients of the platform services. */
 export async function startEntryDaemon(
   settings: EntrySettings,
+  logger: Logger,
 ): Promise<StoppableProcess> {
   const platform = createPlatformClients({baseUrl: settings.platformUrl});
-  const logger = createLogger({level: settings.logLevel});
   const entry = await startEntry({...settings, platform, logger});
   return {
     stop: async () => {
@@ -66,13 +61,13 @@
   };
 }
 
-/** Starts an agent with its logger and the adapter of its upstream. */
+/** Starts an agent with the adapter of its upstream. */
 export async function startAgentDaemon(
   settings: AgentSettings,
+  logger: Logger,
 ): Promise<StoppableProcess> {
   const upstream = UPSTREAM_FACTORIES[settings.upstreamKind](
     settings.upstreamUrl,
   );
-  const logger = createLogger({level: settings.logLevel});
   return startAgent({...settings, upstream, logger});
 }
--- a/cli/sardinestile/src/watch_settings.ts
+++ b/cli/sardinestile/src/watch_settings.ts
@@ -11,6 +11,8 @@
 /** Options for watchSettings. */
 export interface WatchSettingsOptions {
   path: string;
+  /** Content that is in force; the file may have changed since it was read. */
+  initialText: string;
   logger: Logger;
   /** Called with the new settings after the file changed to valid content. */
   onChanged: (settings: PlatformSettings) => void;
@@ -26,12 +28,12 @@
 
 /**
  * Watches a settings file and reports valid changes. If the new content is
- * invalid, logs why and keeps the last valid settings. Throws if the file is
- * invalid at the start.
+ * invalid, logs why and keeps the last valid settings. Throws if the initial
+ * content is invalid.
  */
 export function watchSettings(options: WatchSettingsOptions): SettingsWatcher {
   const {path, logger} = options;
-  let text = readFileSync(path, 'utf8');
+  let text = options.initialText;
   let settings = parseSettings(text, path);
   const checkNow = () => {
     try {
--- /dev/null
+++ b/cli/sardinestile/test/process_signals_test.ts
@@ -0,0 +1,149 @@
+import {EventEmitter} from 'node:events';
+import {describe, it} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {createLogger} from '@sardinestile/logger';
+import {expect} from 'earl';
+import {
+  createProcessSignals,
+  type ProcessSignalsOptions,
+} from '../src/process_signals.js';
+
+/** A process whose start and stop end when the test says so. */
+function createTestProcess(hangUp: ProcessSignalsOptions['hangUp']) {
+  const host = Object.assign(new EventEmitter(), {
+    uptime: () => 1.5,
+    exit: () => undefined,
+  }) as unknown as EventEmitter & NonNullable<ProcessSignalsOptions['host']>;
+  const signals = createProcessSignals({hangUp, host});
+  const lines: string[] = [];
+  const calls: string[] = [];
+  const logger = createLogger({
+    level: 'info',
+    write: line => lines.push(line),
+  });
+  let finishStart: () => void = () => undefined;
+  let finishStop: () => void = () => undefined;
+  const daemon = {
+    reload: () => void calls.push('reload'),
+    stop() {
+      calls.push('stop');
+      return new Promise<void>(resolve => (finishStop = resolve));
+    },
+  };
+  let hasEnded = false;
+  return {
+    calls,
+    get hasEnded() {
+      return hasEnded;
+    },
+    lines,
+    /** Begins the start of the process. */
+    start() {
+      const ended = signals.run(logger, async () => {
+        calls.push('start');
+        await new Promise<void>(resolve => (finishStart = resolve));
+        return daemon;
+      });
+      return ended.then(() => void (hasEnded = true));
+    },
+    async send(signal: 'SIGHUP' | 'SIGTERM' | 'SIGINT') {
+      host.emit(signal, signal);
+      await nextTurn();
+    },
+    async finishStart() {
+      finishStart();
+      await nextTurn();
+    },
+    async finishStop() {
+      finishStop();
+      await nextTurn();
+    },
+  };
+}
+
+async function startTestProcess(hangUp: ProcessSignalsOptions['hangUp']) {
+  const testProcess = createTestProcess(hangUp);
+  void testProcess.start();
+  await testProcess.finishStart();
+  return testProcess;
+}
+
+describe('createProcessSignals', () => {
+  describe('a running process', () => {
+    it('reloads its settings at each SIGHUP', async () => {
+      const running = await startTestProcess('reload');
+      await running.send('SIGHUP');
+      await running.send('SIGHUP');
+      expect(running.calls).toEqual(['start', 'reload', 'reload']);
+    });
+
+    it('stops in order at SIGHUP if it has no settings to reload', async () => {
+      const running = await startTestProcess('stop');
+      await running.send('SIGHUP');
+      expect(running.calls).toEqual(['start', 'stop']);
+    });
+
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      it(`stops at ${signal}, and has ended when the stop is complete`, async () => {
+        const running = await startTestProcess('reload');
+        await running.send(signal);
+        expect(running.calls).toEqual(['start', 'stop']);
+        expect(running.hasEnded).toEqual(false);
+        await running.finishStop();
+        expect(running.hasEnded).toEqual(true);
+      });
+    }
+  });
+
+  describe('a process that is still starting', () => {
+    it('reloads its settings once it has started if SIGHUP came before', async () => {
+      const starting = createTestProcess('reload');
+      void starting.start();
+      await starting.send('SIGHUP');
+      expect(starting.calls).toEqual(['start']);
+      await starting.finishStart();
+      expect(starting.calls).toEqual(['start', 'reload']);
+    });
+
+    it('stops once it has started if SIGTERM came before', async () => {
+      const starting = createTestProcess('reload');
+      void starting.start();
+      await starting.send('SIGHUP');
+      await starting.send('SIGTERM');
+      expect(starting.calls).toEqual(['start']);
+      await starting.finishStart();
+      expect(starting.calls).toEqual(['start', 'stop']);
+    });
+
+    it('does not start if SIGTERM came while its modules were loading', async () => {
+      const loading = createTestProcess('reload');
+      await loading.send('SIGTERM');
+      await loading.start();
+      expect(loading.calls).toEqual([]);
+    });
+
+    it('logs the signals that came before it had a logger', async () => {
+      const loading = createTestProcess('reload');
+      await loading.send('SIGHUP');
+      expect(loading.lines).toEqual([]);
+      void loading.start();
+      expect(loading.lines.length).toEqual(1);
+      expect(loading.lines[0]).toInclude(
+        'event=signal_received signal=SIGHUP sinceStartMs=1500 effect=reloadOnceStarted',
+      );
+    });
+
+    it('rejects if the start fails', async () => {
+      const host = Object.assign(new EventEmitter(), {
+        uptime: () => 0,
+        exit: () => undefined,
+      }) as unknown as ProcessSignalsOptions['host'];
+      const logger = createLogger({level: 'silent'});
+      const failed = createProcessSignals({hangUp: 'reload', host}).run(
+        logger,
+        () => Promise.reject(new Error('address in use')),
+      );
+      await expect(failed).toBeRejectedWith('address in use');
+    });
+  });
+});
--- a/cli/sardinestile/test/watch_settings_test.ts
+++ b/cli/sardinestile/test/watch_settings_test.ts
@@ -54,6 +54,7 @@
     const logLines: string[] = [];
     watcher = watchSettings({
       path,
+      initialText: SETTINGS,
       logger: createLogger({level: 'info', write: line => logLines.push(line)}),
       onChanged: settings => reportedSettings.push(settings),
     });
@@ -80,6 +81,25 @@
     expect(logLines.join('')).toInclude('changed=keyWithdrawalLimitMs');
   });
 
+  it('reports a change that was made before the watch began', () => {
+    const path = join(mkdtempSync(join(tmpdir(), 'settings-')), 'local.toml');
+    writeFileSync(
+      path,
+      SETTINGS.replace('revoke_ms = 5000', 'revoke_ms = 700'),
+    );
+    const reportedSettings: PlatformSettings[] = [];
+    watcher = watchSettings({
+      path,
+      initialText: SETTINGS,
+      logger: createLogger({level: 'silent'}),
+      onChanged: settings => reportedSettings.push(settings),
+    });
+    watcher.checkNow();
+    expect(
+      reportedSettings.map(settings => settings.keyWithdrawalLimitMs),
+    ).toEqual([700]);
+  });
+
   it('reports a change without a call of checkNow', async () => {
     const {path, reportedSettings} = start();
     writeFileSync(path, SETTINGS.replace('127.0.0.1:1"', '127.0.0.1:2"'));
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -39,15 +39,24 @@
   environment?: Readonly<Record<string, string>>;
 }
 
+/** How a process ended: by itself, or by a signal that it did not handle. */
+export interface ProcessExit {
+  code: number | null;
+  signal: NodeJS.Signals | null;
+}
+
 /** A gateway process that is restarted when it exits. */
 export interface GatewayProcess {
   readonly name: string;
   readonly address: string;
+  readonly readinessAddress: string;
   readonly logPath: string;
   /** Id of the current process. */
   readonly pid: number;
   /** Whether it received SIGTERM and has not been restarted yet. */
   readonly isStopping: boolean;
+  /** How each process before the current one ended. */
+  readonly exits: readonly ProcessExit[];
   signal(signal: NodeJS.Signals): void;
   /** Rewrites the settings file with a new value of a field that the gateway does not know. */
   rewriteSettings(): void;
@@ -72,6 +81,8 @@
   let isEnding = false;
   let isStopping = false;
   let edits = 0;
+  let restartTimer: NodeJS.Timeout | undefined;
+  const exits: ProcessExit[] = [];
 
   const writeSettings = () =>
     writeFileSync(settingsPath, renderSettings(name, host, options, edits));
@@ -91,8 +102,9 @@
     );
     child.stdout!.pipe(log, {end: false});
     child.stderr!.pipe(log, {end: false});
-    child.once('exit', () => {
-      if (!isEnding) setTimeout(start, RESTART_DELAY_MS);
+    child.once('exit', (code, signal) => {
+      exits.push({code, signal});
+      if (!isEnding) restartTimer = setTimeout(start, RESTART_DELAY_MS);
     });
   };
   writeSettings();
@@ -100,6 +112,7 @@
   return {
     name,
     address: `${host}:${CALLER_PORT}`,
+    readinessAddress: `${host}:${READY_PORT}`,
     logPath,
     get pid() {
       return child.pid!;
@@ -107,6 +120,7 @@
     get isStopping() {
       return isStopping;
     },
+    exits,
     signal(signal) {
       if (signal === 'SIGTERM') isStopping = true;
       child.kill(signal);
@@ -117,6 +131,7 @@
     },
     async stop() {
       isEnding = true;
+      clearTimeout(restartTimer);
       const exited = new Promise(resolve => child.once('exit', resolve));
       if (child.exitCode !== null || child.signalCode !== null) return;
       child.kill('SIGKILL');
