fix(cli): a second SIGTERM does not end a process that finishes its requests

Callers lost every open stream of a gateway, entry or agent that got SIGTERM again while it drained, as planned stops that overlap send it. Cause: the handlers held once, and the second signal had its default action. Change: a process that stops ignores further SIGTERMs and logs them. SIGINT is ignored after SIGTERM, too, but the second SIGINT ends the process at once, with exit code 130, which is what users expect of Ctrl-C in a terminal. A process that has stopped and does not end by itself ends at the next SIGTERM.

--- a/cli/sardinestile/src/process_signals.ts
+++ b/cli/sardinestile/src/process_signals.ts
@@ -14,10 +14,10 @@
 type HandledSignal = (typeof HANDLED_SIGNALS)[number];
 
 /** A process is `stopping` from the first request to stop, also if it is still starting. */
-type Phase = 'starting' | 'running' | 'stopping';
+type Phase = 'starting' | 'running' | 'stopping' | 'stopped';
 
 type SignalEffect =
-  'reload' | 'reloadOnceStarted' | 'stop' | 'stopOnceStarted' | 'exit';
+  'reload' | 'reloadOnceStarted' | 'stop' | 'stopOnceStarted' | 'exit' | 'none';
 
 const EFFECTS: Readonly<
   Record<Phase, Readonly<Record<HandledSignal, SignalEffect>>>
@@ -28,7 +28,9 @@
     SIGINT: 'stopOnceStarted',
   },
   running: {SIGHUP: 'reload', SIGTERM: 'stop', SIGINT: 'stop'},
-  stopping: {SIGHUP: 'reload', SIGTERM: 'exit', SIGINT: 'exit'},
+  // Open requests are being finished, and nothing must end them early.
+  stopping: {SIGHUP: 'reload', SIGTERM: 'none', SIGINT: 'none'},
+  stopped: {SIGHUP: 'none', SIGTERM: 'exit', SIGINT: 'exit'},
 };
 
 /** Exit code by convention of a process that SIGINT ended. */
@@ -53,13 +55,15 @@
 
 /**
  * Handles the signals of this process from now on. The first SIGTERM or SIGINT stops
- * it, the second ends it at once.
+ * it; further ones have no effect while open requests finish. Only the second SIGINT
+ * ends it at once, as users expect of Ctrl-C in a terminal.
  */
 export function createProcessSignals(
   options: ProcessSignalsOptions,
 ): ProcessSignals {
   const {hangUp, host = process} = options;
   let phase: Phase = 'starting';
+  let interrupts = 0;
   let mustReload = false;
   let running: StoppableProcess | undefined;
   let logger: Logger | undefined;
@@ -75,9 +79,12 @@
     reloadOnceStarted: () => (mustReload = true),
     stop,
     stopOnceStarted: stop,
-    exit: () => host.exit(INTERRUPTED_EXIT_CODE),
+    exit: () =>
+      phase === 'stopped' ? host.exit() : host.exit(INTERRUPTED_EXIT_CODE),
+    none: () => undefined,
   };
   const chooseEffect = (signal: HandledSignal): SignalEffect => {
+    if (signal === 'SIGINT' && ++interrupts > 1) return 'exit';
     if (signal === 'SIGHUP' && hangUp === 'stop') return EFFECTS[phase].SIGTERM;
     return EFFECTS[phase][signal];
   };
@@ -97,14 +104,18 @@
       for (const fields of unloggedSignals) {
         logger.info('signal_received', fields);
       }
-      if (phase === 'stopping') return;
-      running = await start();
-      if (phase === 'starting') {
-        phase = 'running';
-        if (mustReload) running.reload?.();
+      try {
+        if (phase === 'stopping') return;
+        running = await start();
+        if (phase === 'starting') {
+          phase = 'running';
+          if (mustReload) running.reload?.();
+        }
+        await stopRequested;
+        await running.stop();
+      } finally {
+        phase = 'stopped';
       }
-      await stopRequested;
-      await running.stop();
     },
   };
 }
--- a/cli/sardinestile/test/process_signals_test.ts
+++ b/cli/sardinestile/test/process_signals_test.ts
@@ -10,10 +10,11 @@
 
 /** A process whose start and stop end when the test says so. */
 function createTestProcess(hangUp: ProcessSignalsOptions['hangUp']) {
+  const exitCodes: unknown[] = [];
   const host = Object.assign(new EventEmitter(), {
     uptime: () => 1.5,
-    exit: () => undefined,
-  }) as unknown as EventEmitter & NonNullable<ProcessSignalsOptions['host']>;
+    exit: (code?: unknown) => void exitCodes.push(code),
+  }) as EventEmitter & NonNullable<ProcessSignalsOptions['host']>;
   const signals = createProcessSignals({hangUp, host});
   const lines: string[] = [];
   const calls: string[] = [];
@@ -33,9 +34,11 @@
   let hasEnded = false;
   return {
     calls,
+    exitCodes,
     get hasEnded() {
       return hasEnded;
     },
+    effects: () => lines.map(line => /effect=(\w+)/.exec(line)?.[1]),
     lines,
     /** Begins the start of the process. */
     start() {
@@ -95,6 +98,36 @@
     }
   });
 
+  describe('a process that finishes its open requests', () => {
+    it('goes on when SIGTERM comes again, and SIGINT', async () => {
+      const stopping = await startTestProcess('reload');
+      for (const signal of ['SIGTERM', 'SIGTERM', 'SIGINT'] as const) {
+        await stopping.send(signal);
+      }
+      expect(stopping.calls).toEqual(['start', 'stop']);
+      expect(stopping.exitCodes).toEqual([]);
+      expect(stopping.hasEnded).toEqual(false);
+      expect(stopping.effects()).toEqual(['stop', 'none', 'none']);
+    });
+
+    it('goes on at SIGHUP if it has no settings to reload', async () => {
+      const stopping = await startTestProcess('stop');
+      for (const signal of ['SIGTERM', 'SIGHUP', 'SIGHUP'] as const) {
+        await stopping.send(signal);
+      }
+      expect(stopping.calls).toEqual(['start', 'stop']);
+      expect(stopping.exitCodes).toEqual([]);
+      expect(stopping.effects()).toEqual(['stop', 'none', 'none']);
+    });
+
+    it('ends at once at the second SIGINT', async () => {
+      const stopping = await startTestProcess('reload');
+      await stopping.send('SIGINT');
+      await stopping.send('SIGINT');
+      expect(stopping.exitCodes).toEqual([130]);
+    });
+  });
+
   describe('a process that is still starting', () => {
     it('reloads its settings once it has started if SIGHUP came before', async () => {
       const starting = createTestProcess('reload');
@@ -105,11 +138,12 @@
       expect(starting.calls).toEqual(['start', 'reload']);
     });
 
-    it('stops once it has started if SIGTERM came before', async () => {
+    it('stops once it has started if SIGTERM came before, once or more', async () => {
       const starting = createTestProcess('reload');
       void starting.start();
       await starting.send('SIGHUP');
       await starting.send('SIGTERM');
+      await starting.send('SIGTERM');
       expect(starting.calls).toEqual(['start']);
       await starting.finishStart();
       expect(starting.calls).toEqual(['start', 'stop']);
@@ -146,4 +180,12 @@
       await expect(failed).toBeRejectedWith('address in use');
     });
   });
+
+  it('lets SIGTERM end a process that has stopped and lingers', async () => {
+    const stopped = await startTestProcess('reload');
+    await stopped.send('SIGTERM');
+    await stopped.finishStop();
+    await stopped.send('SIGTERM');
+    expect(stopped.exitCodes).toEqual([undefined]);
+  });
 });
--- a/testing/soak/test/signals_test.ts
+++ b/testing/soak/test/signals_test.ts
@@ -7,7 +7,11 @@
 import {startStoreListener} from '@sardinestile/hosting_stand_ins';
 import {
   createGatewayCluster,
+  createKeyedHeaders,
+  eventIds,
   HOST,
+  numbersBelow,
+  ROUTE_PATHS,
   sendRawRequest,
   waitUntil,
   type GatewayCluster,
@@ -23,6 +27,9 @@
   import.meta.url,
 ).href;
 
+const EVENTS = 40;
+const EVENT_GAP_MS = 50;
+
 const TIMEOUT_MS = 30_000;
 
 const ORDERLY_EXIT = {code: 0, signal: null};
@@ -38,6 +45,13 @@
   before(async () => {
     execFileSync(process.execPath, ['deploy/bundle.mjs'], {cwd: ROOT});
     cluster = await createGatewayCluster(2);
+    for (const upstream of cluster.upstreams) {
+      upstream.chooseBehaviour = () => ({
+        kind: 'stream',
+        events: EVENTS,
+        gapMs: EVENT_GAP_MS,
+      });
+    }
     store = await startStoreListener(cluster.store);
     reserved = await reserveNetwork(process.pid);
   });
@@ -83,6 +97,38 @@
     );
   const waitForExit = () =>
     waitUntil('the exit', () => gateway.exits.length > 0, TIMEOUT_MS);
+  const startStream = async (requestId: string) => {
+    const response = sendRawRequest({
+      address: gateway.address,
+      host: HOST,
+      path: ROUTE_PATHS.stream,
+      headers: createKeyedHeaders(requestId),
+      timeoutMs: TIMEOUT_MS,
+    });
+    await waitUntil('the stream to start', () =>
+      cluster.upstreams.some(({received}) =>
+        received.some(request => request.requestId === requestId),
+      ),
+    );
+    return response;
+  };
+
+  describe('while it drains', () => {
+    it('finishes a stream when SIGTERM comes twice', async () => {
+      start();
+      await waitUntilReady();
+      const stream = startStream('s1');
+      await waitForLine('requestId=s1');
+      gateway.signal('SIGTERM');
+      await waitForLine('event=process_stopping');
+      gateway.signal('SIGTERM');
+      const response = await stream;
+      expect(eventIds(response)).toEqual(numbersBelow(EVENTS));
+      expect(response.isComplete).toEqual(true);
+      await waitForExit();
+      expect(gateway.exits[0]).toEqual(ORDERLY_EXIT);
+    });
+  });
 
   describe('while it starts', () => {
     it('survives a SIGHUP', async () => {
