fix(peer): answer open calls of peers before a stopping gateway ends their connections

What peers could see: a reset connection for a long poll and for counts that were being stored for them. The second is of consequence: the peer cannot tell whether the counts were stored, and has another gateway store them again. Cause: PeerServer.close() called closeAllConnections() whatever was open. Change: close() ends long polls with 503 (a peer takes it as the reset before), refuses new requests with the same, and waits up to 200 ms for the others; the gateway does this beside its last report of usage, within the time that it has for its last writes. Evidence: peer_server_test; three of its four cases failed before ("socket hang up"), the fourth guards the limit. shutdown_test and usage_test of testing/hosting pass.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -511,10 +511,9 @@
     fairShares.stop();
     listener.close();
     scaling?.stop();
-    await usage?.stop();
+    await Promise.all([usage?.stop(), peerServer.close()]);
     registry.stop();
     link.close();
-    peerServer.close();
     await peerClient.close();
     config.stop();
     upstreams.stop();
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -3,6 +3,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {LogPosition} from '@sardinestile/shared_feed';
 import {
   CACHED_PARTS_PATH,
@@ -26,6 +27,9 @@
 /** Limit of a request body. */
 const MAX_MESSAGE_BYTES = 1_048_576;
 
+/** Time within which a closing server answers its open requests, in milliseconds. */
+const CLOSE_LIMIT_MS = 200;
+
 /** Options for startPeerServer. */
 export interface PeerServerOptions {
   host: string;
@@ -65,7 +69,12 @@
 
 /** A running peer server. */
 export interface PeerServer {
-  close(): void;
+  /**
+   * Ends long polls with status 503, refuses new requests with the same, and
+   * closes all connections once the other requests are answered or a short
+   * limit has passed.
+   */
+  close(): Promise<void>;
 }
 
 /** Starts the HTTP server for other gateways; rejects if the address is in use. */
@@ -113,7 +122,16 @@
       return {};
     },
   };
+  const openResponses = new Set<ServerResponse>();
+  let isClosing = false;
   const server = createServer((request, response) => {
+    openResponses.add(response);
+    response.once('close', () => openResponses.delete(response));
+    if (isClosing) {
+      // A connection that closes with an unread body loses the response.
+      request.resume().once('end', () => refuseAtClose(response));
+      return;
+    }
     const url = new URL(request.url ?? '/', 'http://peer');
     const handler = handlers[`${request.method} ${url.pathname}`];
     const isSameFleet =
@@ -133,13 +151,27 @@
     server.listen({host: options.host, port: options.port}, () => resolve());
   });
   return {
-    close() {
+    async close() {
+      isClosing = true;
+      for (const response of openResponses) {
+        response.shouldKeepAlive = false;
+        if (response.req.method === 'GET') refuseAtClose(response);
+      }
+      const closed = [...openResponses].map(
+        response => new Promise(resolve => response.once('close', resolve)),
+      );
+      await Promise.race([Promise.all(closed), sleep(CLOSE_LIMIT_MS)]);
       server.close();
       server.closeAllConnections();
     },
   };
 }
 
+function refuseAtClose(response: ServerResponse): void {
+  response.shouldKeepAlive = false;
+  sendJson(response, 503, {reason: 'this gateway stops'});
+}
+
 /** Reads the requester's position in the change log; undefined if it has none yet. */
 function readPosition(query: URLSearchParams): LogPosition | undefined {
   const version = query.get('version');
@@ -163,11 +195,13 @@
   return JSON.parse(Buffer.concat(chunks).toString('utf8'));
 }
 
+/** Sends a response unless one was sent already. */
 function sendJson(
   response: ServerResponse,
   status: number,
   body: object,
 ): void {
+  if (response.headersSent) return;
   const text = JSON.stringify(body);
   response.writeHead(status, {
     'Content-Type': 'application/json',
