fix(agent): end sessions only after entries have read the responses on them

What callers could see: a request fails (plain services) or runs a second time at another engine, although the agent had run it to its end. Cause: a stopping agent waited 100 ms after its last attempt, cancelled its gRPC streams and destroyed the connections. Chunks and results that were queued behind flow control, 64 KiB a session, or held by the system were lost with them. Change: Session.end() ends the stream after all that is queued, and the server closes a connection once its calls have ended and the peer has closed it too. Both wait one session timeout at most for a peer that is silent. The 100 ms stay, as the time in which reservations that cross the drain are refused. An entry closes its server for peers in the same way.

--- a/daemons/agent/src/agent.ts
+++ b/daemons/agent/src/agent.ts
@@ -164,9 +164,9 @@
       sessions.forEach(session => session.sendHeartbeat());
       await drained;
       monitor.stop();
-      await flushSessions();
-      sessions.forEach(session => session.close('stopped'));
-      server.close();
+      await delay(REFUSAL_TIME_MS);
+      await Promise.all([...sessions].map(session => session.end('stopped')));
+      await server.close();
       ops.destroy();
       await upstream.close();
       logger.info('process_stopped', {instance});
@@ -180,9 +180,12 @@
   ) => void;
 };
 
-/** Time in which queued messages are sent before the sessions are closed. */
-const SESSION_FLUSH_MS = 100;
+/**
+ * Time for which a drained agent still refuses reservations, in milliseconds;
+ * entries send some before they learn of the drain.
+ */
+const REFUSAL_TIME_MS = 100;
 
-function flushSessions(): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, SESSION_FLUSH_MS));
+function delay(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
 }
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -127,7 +127,7 @@
       duties.stop();
       follower.stop();
       pool.close();
-      peerServer.close();
+      await peerServer.close();
       opsServer.destroy();
       logger.info('process_stopped', {instance});
     },
--- a/daemons/entry/test/config_follower_test.ts
+++ b/daemons/entry/test/config_follower_test.ts
@@ -81,6 +81,6 @@
     expect(follower.areKeysFresh).toEqual(true);
     expect(replica.hasKey('k')).toEqual(true);
     follower.stop();
-    server.close();
+    await server.close();
   });
 });
--- a/protocol/session/src/session.ts
+++ b/protocol/session/src/session.ts
@@ -43,6 +43,12 @@
    * `onClose`.
    */
   close(reason: string): void;
+  /**
+   * Sends the queued messages and ends the stream; later messages of the peer
+   * are ignored. Resolves when the connection has taken everything, or when the
+   * peer is silent for the session timeout.
+   */
+  end(reason: string): Promise<void>;
   readonly isOpen: boolean;
 }
 
@@ -60,6 +66,8 @@
   on(event: 'data', listener: (frame: unknown) => void): unknown;
   on(event: 'error', listener: (error: Error) => void): unknown;
   on(event: 'end' | 'close', listener: () => void): unknown;
+  /** Ends the writing side after everything that was written. */
+  endStream(): void;
   /** Ends the stream and releases its connection. */
   destroyStream(): void;
 }
@@ -88,6 +96,9 @@
   const intervalMs = options.heartbeatIntervalMs ?? HEARTBEAT_INTERVAL_MS;
   let outbox: Out[] = [];
   let isOpen = true;
+  let isClosed = false;
+  let endReason: string | undefined;
+  let resolveEnded: () => void = () => undefined;
   let sequence = 0;
   let receivedAtMs = performance.now();
 
@@ -108,12 +119,22 @@
     send({case: 'heartbeat', value} as Out);
   };
   const close = (reason: string) => {
-    if (!isOpen) return;
+    if (isClosed) return;
     flush();
     isOpen = false;
+    isClosed = true;
     clearInterval(timer);
     stream.destroyStream();
     handlers.onClose(reason);
+    resolveEnded();
+  };
+  const end = (reason: string): Promise<void> => {
+    if (!isOpen) return Promise.resolve();
+    flush();
+    isOpen = false;
+    endReason = reason;
+    stream.endStream();
+    return new Promise(resolve => (resolveEnded = resolve));
   };
   const timer = setInterval(() => {
     if (performance.now() - receivedAtMs > timeoutMs) return close('timed out');
@@ -127,13 +148,14 @@
     }
   });
   stream.on('error', error => close(error.message));
-  stream.on('end', () => close('stream ended by peer'));
-  stream.on('close', () => close('stream closed'));
+  stream.on('end', () => close(endReason ?? 'stream ended by peer'));
+  stream.on('close', () => close(endReason ?? 'stream closed'));
 
   return {
     send,
     sendHeartbeat,
     close,
+    end,
     get isOpen() {
       return isOpen;
     },
--- a/protocol/session/src/session_client.ts
+++ b/protocol/session/src/session_client.ts
@@ -63,6 +63,7 @@
   return {
     write: frame => call.write(frame as EntryFrame),
     on: (event: string, listener: never) => call.on(event, listener),
+    endStream: () => void call.end(),
     destroyStream: () => {
       call.end();
       setImmediate(() => {
--- a/protocol/session/src/session_server.ts
+++ b/protocol/session/src/session_server.ts
@@ -14,6 +14,7 @@
 } from './gen/sardinestile/v1/session_pb.js';
 import {
   createSession,
+  SESSION_TIMEOUT_MS,
   type AgentBody,
   type FrameStream,
   type Session,
@@ -44,8 +45,12 @@
 /** A running gRPC server. */
 export interface SessionServer {
   port: number;
-  /** Stops the server at once and cancels its open calls. */
-  close(): void;
+  /**
+   * Accepts no more calls and closes each connection once its calls have ended
+   * and the peer has read everything. Connections that are still open after the
+   * session timeout are destroyed, with the calls on them.
+   */
+  close(): Promise<void>;
 }
 
 /** Starts the gRPC server for configuration pulls and, with `accept`, for sessions. */
@@ -69,7 +74,20 @@
     });
   }
   const port = await bind(server, `${options.host}:${options.port}`);
-  return {port, close: () => server.forceShutdown()};
+  const limitMs = options.timeoutMs ?? SESSION_TIMEOUT_MS;
+  return {port, close: () => closeServer(server, limitMs)};
+}
+
+function closeServer(server: Server, limitMs: number): Promise<void> {
+  return new Promise(resolve => {
+    const end = () => {
+      clearTimeout(timer);
+      server.forceShutdown();
+      resolve();
+    };
+    const timer = setTimeout(end, limitMs);
+    server.tryShutdown(end);
+  });
 }
 
 function acceptSession(
@@ -95,6 +113,7 @@
   return {
     write: frame => call.write(frame as AgentFrame),
     on: (event: string, listener: never) => call.on(event, listener),
+    endStream: () => void call.end(),
     destroyStream: () => {
       call.end();
       setImmediate(() => call.destroy());
--- a/protocol/session/test/session_test.ts
+++ b/protocol/session/test/session_test.ts
@@ -68,9 +68,9 @@
     });
     relay = await startRelay(server.port);
   });
-  after(() => {
+  after(async () => {
     relay.close();
-    server.close();
+    await server.close();
   });
 
   function open(): {session: Session<EntryBody>; closed: Promise<string>} {
