test(soak): find requests that gateways lose around planned stops

Callers saw connections end without a whole answer around SIGTERM, for requests that an upstream had run; no soak reported one. Cause: the soak could not see it. Every call used a new connection, no check asked for a whole answer, a call that timed out was dropped, stops were one fault of 17 and never overlapped with reloads or other stops, streams lasted below a second, and no caller sent its body in pieces or read slowly. Change: callers that keep their connections open (--callers for each gateway), some with think time, chunked bodies, slow reads or streams of up to 3.4 s; planned work as a series of faults of its own beside the others: stops in turn, a second SIGTERM in the drain, SIGHUPs around SIGTERM, signals to starting processes, configuration changes; a check for lost requests, which counts planned work as no excuse. The other checks are as before: planned stops stay disturbances for them. Upstreams draw from a generator of their own, and so does each series of faults.

--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -21,6 +21,10 @@
   wasProcessed: boolean;
   /** Whether the connection was closed before the response was complete. */
   wasAborted: boolean;
+  /** Kind of the response; undefined until it was chosen. */
+  behaviour?: UpstreamBehaviour['kind'];
+  /** Time by performance.now() at which the response or its connection ended. */
+  endedAtMs?: number;
 }
 
 /** How an upstream responds to a request. */
@@ -163,6 +167,7 @@
       received.push(entry);
       response.on('close', () => {
         entry.wasAborted = !response.writableFinished;
+        entry.endedAtMs = performance.now();
       });
       respondWithBehaviour(upstream, entry, request, response);
     });
@@ -421,6 +426,7 @@
   response: ServerResponse,
 ): void {
   const behaviour = upstream.chooseBehaviour(entry);
+  entry.behaviour = behaviour.kind;
   entry.wasProcessed =
     behaviour.kind !== 'refuse' && behaviour.kind !== 'misdirect';
   const baseHeaders = {
--- a/testing/soak/src/faults.ts
+++ b/testing/soak/src/faults.ts
@@ -3,8 +3,9 @@
   UpstreamStandIn,
 } from '@sardinestile/hosting_stand_ins';
 import type {GatewayCluster} from '@sardinestile/hosting_tests';
-import {SOAK_BOUNDS, type GatewayProcess} from './gateway_process.js';
-import {pickRandom, type SoakContext} from './soak_context.js';
+import type {GatewayProcess} from './gateway_process.js';
+import {disturb, pickRandom, RESTART_MS, type Fault} from './soak_context.js';
+import {STOP_FAULTS} from './stop_faults.js';
 import type {ProxyMode} from './tcp_proxy.js';
 import {
   createUsualBehaviour,
@@ -12,16 +13,12 @@
   prepareUpstream,
 } from './usual_upstream.js';
 
-/** Time until a gateway that was ended is ready again, in milliseconds. */
-const RESTART_MS = 1_500;
-
 /** Time from the start of an upstream to the end of the one that it replaces, in milliseconds. */
 const ROLL_MS = 2_500;
 
-type Fault = (soak: SoakContext) => string;
-
 /** Faults by name. Each one injects the fault and returns a description for the log. */
 export const FAULTS: Readonly<Record<string, Fault>> = {
+  ...STOP_FAULTS,
   kill(soak) {
     const gateway = pickRandom(soak.exposedGateways, soak.random);
     disturb(soak, RESTART_MS, gateway);
@@ -32,11 +29,6 @@
     soak.gateways.forEach(gateway => gateway.signal('SIGKILL'));
     return 'SIGKILL to all';
   },
-  stop(soak) {
-    const gateway = pickRandom(soak.exposedGateways, soak.random);
-    disturb(soak, SOAK_BOUNDS.grace_s * 1_000 + RESTART_MS, gateway);
-    return sendSignal(gateway, 'SIGTERM');
-  },
   freeze(soak) {
     const gateway = pickRandom(soak.exposedGateways, soak.random);
     const durationMs = 500 + soak.random() * 4_000;
@@ -58,11 +50,6 @@
     const names = stepped.map(({name}) => name).join(', ');
     return `clock step of ${names || 'no gateway'}`;
   },
-  settings({exposedGateways, random}) {
-    const gateway = pickRandom(exposedGateways, random);
-    gateway.rewriteSettings();
-    return sendSignal(gateway, 'SIGHUP');
-  },
   store(soak) {
     const {gateways, random, runLater} = soak;
     const modes: ProxyMode[] = [
@@ -102,7 +89,7 @@
     return `requests with the body "${body}"`;
   },
   roll(soak) {
-    const {cluster, random, runLater} = soak;
+    const {cluster, random, upstreamRandom, runLater} = soak;
     const old = pickRunningUpstream(cluster, random);
     if (!old) return 'no upstream runs';
     // Some rolls go on, others begin with another version beside the last ones.
@@ -111,7 +98,7 @@
     const id = `u${cluster.upstreams.length + 1}`;
     void cluster
       .addUpstream(id, 'pool', version)
-      .then(next => prepareUpstream(cluster, next, random));
+      .then(next => prepareUpstream(cluster, next, upstreamRandom));
     old.leftAtMs = performance.now();
     cluster.register(old, {state: 'draining'});
     runLater(ROLL_MS, () => cluster.store.remove('servers', old.id));
@@ -136,7 +123,7 @@
     });
     return `${upstream.id} states a limit of ${requestsPerS} a second`;
   },
-  upstream({cluster, random, runLater}) {
+  upstream({cluster, random, upstreamRandom, runLater}) {
     const upstream = pickRunningUpstream(cluster, random);
     if (!upstream) return 'no upstream runs';
     const behaviours: UpstreamBehaviour[] = [
@@ -151,9 +138,9 @@
     const behaviour = pickRandom(behaviours, random);
     const previous = upstream.chooseBehaviour;
     upstream.chooseBehaviour = request =>
-      random() < 0.5 ? behaviour : previous(request);
+      upstreamRandom() < 0.5 ? behaviour : previous(request);
     runLater(500 + random() * 2_000, () => {
-      upstream.chooseBehaviour = createUsualBehaviour(random);
+      upstream.chooseBehaviour = createUsualBehaviour(upstreamRandom);
     });
     return `${upstream.id}: ${behaviour.kind}`;
   },
@@ -195,17 +182,6 @@
   return running.length > 0 ? pickRandom(running, random) : undefined;
 }
 
-/** Records that a fault affects a gateway, or all of them, from now on. */
-function disturb(
-  {disturbances}: SoakContext,
-  durationMs: number,
-  gateway?: GatewayProcess,
-): void {
-  const fromMs = performance.now();
-  const untilMs = fromMs + durationMs;
-  disturbances.push({gateway: gateway?.name, fromMs, untilMs});
-}
-
 function sendSignal(gateway: GatewayProcess, name: NodeJS.Signals): string {
   gateway.signal(name);
   return `${name} to ${gateway.name}`;
--- a/testing/soak/src/fleet_bounds.ts
+++ b/testing/soak/src/fleet_bounds.ts
@@ -2,14 +2,9 @@
   ReceivedRequest,
   UpstreamStandIn,
 } from '@sardinestile/hosting_stand_ins';
+import {CONTACT_MS, wasDisturbed, type Disturbance} from './disturbances.js';
 import type {SoakCall} from './guarantees.js';
 
-/**
- * Time without a disturbance after which a gateway counts as in contact, and after
- * which it acts on what the fleet learned, in milliseconds.
- */
-const CONTACT_MS = 3_000;
-
 /** Crashes under one part, or one request, after which it must stay away. */
 const CRASHES_OF_PART = 5;
 const CRASHES_OF_REQUEST = 3;
@@ -34,14 +29,6 @@
 /** Time after a response with a limit from which the requests of its gateway count, in milliseconds. */
 const LIMIT_TOLD_MS = 500;
 
-/** Time in which a fault affected a gateway. Times are by performance.now(). */
-export interface Disturbance {
-  /** Name of the gateway; absent if the fault affected all. */
-  gateway?: string;
-  fromMs: number;
-  untilMs: number;
-}
-
 /** Time in which an upstream stated a limit. */
 export interface StatedLimit {
   upstreamId: string;
@@ -65,17 +52,14 @@
 /** Checks the bounds for all gateways together. Returns one text for each violation. */
 export function checkFleetBounds(observed: FleetObservations): string[] {
   const callsById = new Map(observed.calls.map(call => [call.id, call]));
-  const isInContact = ({requestId, receivedAtMs}: ReceivedRequest) => {
-    const gateway = callsById.get(requestId)?.gateway;
-    return !observed.disturbances.some(
-      disturbance =>
-        (disturbance.gateway ?? gateway) === gateway &&
-        disturbance.fromMs <= receivedAtMs &&
-        disturbance.untilMs > receivedAtMs - CONTACT_MS,
-    );
-  };
   const gatewayOf = ({requestId}: ReceivedRequest) =>
     callsById.get(requestId)?.gateway;
+  const isInContact = (request: ReceivedRequest) =>
+    !wasDisturbed(
+      observed.disturbances,
+      gatewayOf(request),
+      request.receivedAtMs,
+    );
   return [
     ...observed.harmfulParts.flatMap(part =>
       checkHarmful(observed.upstreams, isInContact, {
@@ -123,12 +107,7 @@
   disturbances,
 }: FleetObservations): string[] {
   const isInContact = ({gateway, sentAtMs}: SoakCall) =>
-    !disturbances.some(
-      disturbance =>
-        (disturbance.gateway ?? gateway) === gateway &&
-        disturbance.fromMs <= sentAtMs &&
-        disturbance.untilMs > sentAtMs - CONTACT_MS,
-    );
+    !wasDisturbed(disturbances, gateway, sentAtMs);
   const runsVersion = (version: string, atMs: number) =>
     upstreams.filter(
       ({softwareVersion, crashedAtMs = Infinity, startedAtMs, leftAtMs}) =>
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -49,6 +49,8 @@
   /** Whether it received SIGTERM and has not been restarted yet. */
   readonly isStopping: boolean;
   signal(signal: NodeJS.Signals): void;
+  /** Calls back once, when the process has been started again. */
+  onNextStart(callback: () => void): void;
   /** Rewrites the settings file with a new value of a field that the gateway does not know. */
   rewriteSettings(): void;
   /** Kills the process without a restart. */
@@ -72,6 +74,7 @@
   let isEnding = false;
   let isStopping = false;
   let edits = 0;
+  let startCallbacks: Array<() => void> = [];
 
   const writeSettings = () =>
     writeFileSync(settingsPath, renderSettings(name, host, options, edits));
@@ -94,6 +97,9 @@
     child.once('exit', () => {
       if (!isEnding) setTimeout(start, RESTART_DELAY_MS);
     });
+    const callbacks = startCallbacks;
+    startCallbacks = [];
+    callbacks.forEach(callback => callback());
   };
   writeSettings();
   start();
@@ -111,6 +117,7 @@
       if (signal === 'SIGTERM') isStopping = true;
       child.kill(signal);
     },
+    onNextStart: callback => void startCallbacks.push(callback),
     rewriteSettings() {
       edits++;
       writeSettings();
--- a/testing/soak/src/guarantees.ts
+++ b/testing/soak/src/guarantees.ts
@@ -23,9 +23,15 @@
   body?: string;
   /** Broken call whose stream this one takes up. */
   resumes?: SoakCall;
+  /** Number of events of its stream; `EVENTS_PER_STREAM` if absent. */
+  events?: number;
+  /** Time by performance.now() at which its last byte was sent; missing if none was. */
+  sentWholeAtMs?: number;
   /** Missing while the request runs, and after it timed out. */
   response?: RawResponse;
-  /** Time at which the response ended, by performance.now(). */
+  /** Whether its caller closed the connection after waiting in vain. */
+  hasTimedOut?: boolean;
+  /** Time by performance.now() at which the response ended or the call timed out. */
   endedAtMs?: number;
 }
 
@@ -105,7 +111,8 @@
     : 0;
   const isInOrder = ids.every((id, i) => id === earlier + i);
   if (!isInOrder) failures.push(`got the events ${ids.join(',')}`);
-  if (response.isComplete && earlier + ids.length !== EVENTS_PER_STREAM) {
+  const expected = call.events ?? EVENTS_PER_STREAM;
+  if (response.isComplete && earlier + ids.length !== expected) {
     failures.push(`ended as complete after ${ids.length} events`);
   }
   return failures;
@@ -118,7 +125,7 @@
   );
 }
 
-/** Number of events in each complete stream. */
+/** Number of events in a complete stream, unless its call states another one. */
 export const EVENTS_PER_STREAM = 12;
 
 function checkReports({accepted}: DutyStandIn): string[] {
--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -9,10 +9,14 @@
     upstreams: {type: 'string', default: '5'},
     seconds: {type: 'string', default: '15'},
     rate: {type: 'string', default: '60'},
+    callers: {type: 'string', default: '8'},
     quiet: {type: 'boolean', default: false},
   },
 });
 
+/** Failures of a seed that are printed. */
+const MAX_TEXTS = 20;
+
 let failed = 0;
 for (let i = 0; i < Number(values.seeds); i++) {
   const seed = Number(values.seed) + i;
@@ -22,17 +26,21 @@
     upstreams: Number(values.upstreams),
     durationMs: Number(values.seconds) * 1_000,
     callsPerSecond: Number(values.rate),
+    keptCallers: Number(values.callers),
     logFault: line => {
       if (!values.quiet) process.stdout.write(`${line}\n`);
     },
   });
   const {calls, served, failures, directory} = result;
-  const verdict = failures.length === 0 ? 'passed' : `FAILED: ${failures[0]}`;
+  const verdict = failures.length === 0 ? 'passed' : 'FAILED';
   process.stdout.write(
     `seed ${seed}: ${calls} calls, ${served} served, ${verdict}\n`,
   );
   if (failures.length === 0) continue;
   failed++;
-  process.stdout.write(`${failures.length} failure(s); logs in ${directory}\n`);
+  const texts = failures.slice(0, MAX_TEXTS).map(text => `  ${text}\n`);
+  process.stdout.write(
+    `${failures.length} failure(s); logs in ${directory}\n${texts.join('')}`,
+  );
 }
 process.exit(failed === 0 ? 0 : 1);
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -12,6 +12,8 @@
   type GatewayProcess,
 } from './gateway_process.js';
 import {checkGuarantees, type SoakCall} from './guarantees.js';
+import {runKeptCallers} from './kept_callers.js';
+import {checkLostRequests} from './lost_requests.js';
 import {reserveNetwork} from './reserve_network.js';
 import {sendCalls} from './send_calls.js';
 import {
@@ -20,15 +22,19 @@
   type SoakContext,
   type SoakOptions,
 } from './soak_context.js';
+import {STOP_FAULTS} from './stop_faults.js';
 import {startTcpProxy, type TcpProxy} from './tcp_proxy.js';
 import {prepareUpstream} from './usual_upstream.js';
 
 /**
- * Range of the delay between faults, in milliseconds. It is shorter than the
- * duration of most faults, so that faults overlap.
+ * Kinds of faults that are injected side by side, with the range of the delay between
+ * two of them in milliseconds. It is shorter than the duration of most faults, so that
+ * faults overlap.
  */
-const MIN_DELAY_MS = 100;
-const MAX_DELAY_MS = 900;
+const FAULT_SERIES = [
+  {faults: FAULTS, minDelayMs: 100, maxDelayMs: 900},
+  {faults: STOP_FAULTS, minDelayMs: 500, maxDelayMs: 2_500},
+];
 
 /**
  * Gateways that single faults spare in every other soak, so that some are in contact
@@ -54,6 +60,7 @@
 /** Runs gateway processes under random faults and checks the guarantees to callers. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const {next: random} = createSeededRandom(options.seed);
+  const {next: upstreamRandom} = createSeededRandom(options.seed + 3_000_017);
   const directory = mkdtempSync(join(tmpdir(), `soak-${options.seed}-`));
   const cluster = await createGatewayCluster(options.upstreams);
   const keys = ['key-one', 'key-spare'];
@@ -61,7 +68,7 @@
     config.tenants[0].api_keys = [...keys];
   });
   for (const upstream of cluster.upstreams) {
-    prepareUpstream(cluster, upstream, random);
+    prepareUpstream(cluster, upstream, upstreamRandom);
   }
   const store = await startStoreListener(cluster.store);
   const {network, release} = await reserveNetwork(options.seed);
@@ -90,9 +97,11 @@
     ),
     storeProxies,
     random,
+    upstreamRandom,
     revokedKeys,
     keys,
     disturbances: [],
+    plannedSignals: [],
     harmfulParts: [],
     sentHarmfulParts: new Set(),
     harmfulBodies: [],
@@ -107,15 +116,25 @@
   const calls: SoakCall[] = [];
   const startMs = performance.now();
   const endMs = startMs + options.durationMs;
-  const traffic = sendCalls(soak, options, calls, endMs);
-  while (performance.now() < endMs) {
-    await delay(MIN_DELAY_MS + random() * (MAX_DELAY_MS - MIN_DELAY_MS));
-    const name = pickRandom(Object.keys(FAULTS), random);
-    const atMs = Math.round(performance.now() - startMs);
-    const line = `${atMs} ms ${name}: ${FAULTS[name](soak)}`;
-    faultLines.push(line);
-    options.logFault(line);
-  }
+  const traffic = Promise.all([
+    sendCalls(soak, options, calls, endMs),
+    runKeptCallers(soak, options, calls, endMs),
+  ]);
+  const injectFaults = async (
+    {faults, minDelayMs, maxDelayMs}: (typeof FAULT_SERIES)[number],
+    index: number,
+  ) => {
+    const {next} = createSeededRandom(options.seed * 101 + index);
+    while (performance.now() < endMs) {
+      await delay(minDelayMs + next() * (maxDelayMs - minDelayMs));
+      const name = pickRandom(Object.keys(faults), next);
+      const atMs = Math.round(performance.now() - startMs);
+      const line = `${atMs} ms ${name}: ${faults[name](soak)}`;
+      faultLines.push(line);
+      options.logFault(line);
+    }
+  };
+  await Promise.all(FAULT_SERIES.map(injectFaults));
   await traffic;
   timers.forEach(clearTimeout);
   gateways.forEach(gateway => gateway.signal('SIGCONT'));
@@ -129,6 +148,7 @@
       revokedKeys,
       SOAK_BOUNDS.revoke_ms,
     ),
+    ...checkLostRequests({...soak, calls, upstreams: cluster.upstreams}),
     ...checkFleetBounds({...soak, calls, upstreams: cluster.upstreams}),
   ];
   for (const upstream of cluster.upstreams) upstream.onCrash = () => undefined;
--- a/testing/soak/src/send_calls.ts
+++ b/testing/soak/src/send_calls.ts
@@ -1,6 +1,6 @@
-import {HOST, ROUTE_PATHS, sendRawRequest} from '@sardinestile/hosting_tests';
 import {createSeededRandom} from '@sardinestile/types';
-import {eventIdsOf, type SoakCall, type SoakRequestKind} from './guarantees.js';
+import {createCall, isStream, sendSingleCall} from './calls.js';
+import {eventIdsOf, type SoakCall} from './guarantees.js';
 import {
   delay,
   pickRandom,
@@ -8,13 +8,6 @@
   type SoakOptions,
 } from './soak_context.js';
 
-const KINDS: readonly SoakRequestKind[] = [
-  'once',
-  'idempotent',
-  'resumable',
-  'stream',
-];
-
 /** Share of the calls that have a harmful part or body while callers send one. */
 const HARMFUL_SHARE = 0.2;
 
@@ -30,27 +23,16 @@
   // number of calls.
   const {next: random} = createSeededRandom(seed + 1_000_003);
   while (performance.now() < endMs) {
-    const kind = pickRandom(KINDS, random);
     const gateway = pickRandom(soak.gateways, random);
-    // Includes revoked keys, to check that they are rejected.
-    const known = [...soak.revokedKeys.keys(), ...soak.keys];
-    const call: SoakCall = {
-      id: `c${calls.length}`,
-      kind,
-      key: random() < 0.8 ? soak.keys[0] : pickRandom(known, random),
-      gateway: gateway.name,
-      sentAtMs: performance.now(),
-      promptPart: choosePromptPart(kind, soak.sentHarmfulParts, random),
-    };
-    call.body = chooseBody(call, soak.sentHarmfulBodies, random);
-    calls.push(call);
+    const call = createCall(soak, calls, gateway, random);
+    makeHarmful(call, soak, random);
     const other = pickRandom(soak.gateways, random);
     open.push(
-      sendCall(call, gateway.address).then(async () => {
+      sendSingleCall(call, gateway.address).then(async () => {
         const next = createResume(call, other.name);
         if (!next) return;
         calls.push(next);
-        await sendCall(next, other.address);
+        await sendSingleCall(next, other.address);
       }),
     );
     await delay(1_000 / callsPerSecond);
@@ -58,41 +40,17 @@
   await Promise.all(open);
 }
 
-async function sendCall(call: SoakCall, address: string): Promise<void> {
-  try {
-    call.response = await sendRawRequest({
-      address,
-      host: HOST,
-      method: call.body === undefined ? 'GET' : 'POST',
-      path: ROUTE_PATHS[call.kind],
-      headers: {
-        'Request-Id': call.id,
-        'Deadline-Ms': '6000',
-        Authorization: `Bearer ${call.key}`,
-        ...promptHeaders(call),
-        ...resumeHeaders(call),
-      },
-      body: call.body,
-      timeoutMs: 8_000,
-    });
-    call.endedAtMs = performance.now();
-  } catch {
-    // The request timed out, so there is no response to check.
-    call.response = undefined;
-  }
-}
-
-/** Body of a call; lookups share an empty one, and callers send harmful ones again and again. */
-function chooseBody(
-  {id, kind}: SoakCall,
-  harmfulBodies: ReadonlySet<string>,
+/** Gives a call a harmful part or body now and then; callers send harmful bodies again and again. */
+function makeHarmful(
+  call: SoakCall,
+  {sentHarmfulParts, sentHarmfulBodies}: SoakContext,
   random: () => number,
-): string | undefined {
-  const isPlain = kind === 'once' || kind === 'idempotent';
-  if (isPlain && harmfulBodies.size > 0 && random() < HARMFUL_SHARE) {
-    return pickRandom([...harmfulBodies], random);
-  }
-  return kind === 'idempotent' ? undefined : id;
+): void {
+  const harmful = isStream(call) ? sentHarmfulParts : sentHarmfulBodies;
+  if (harmful.size === 0 || random() >= HARMFUL_SHARE) return;
+  const chosen = pickRandom([...harmful], random);
+  if (isStream(call)) call.promptPart = chosen;
+  else call.body = chosen;
 }
 
 /** Returns the call that takes up a broken stream; undefined if there is nothing to take up. */
@@ -106,36 +64,9 @@
     ...call,
     id: `${id}r`,
     gateway,
-    sentAtMs: performance.now(),
     resumes: call,
     response: undefined,
-  };
-}
-
-function resumeHeaders({resumes}: SoakCall): Record<string, string> {
-  if (!resumes?.response) return {};
-  const lastEventId = eventIdsOf(resumes.response).at(-1);
-  return {Resumes: resumes.id, 'Last-Event-Id': String(lastEventId)};
-}
-
-/** Part of a stream's prompt that other requests share; a harmful one now and then. */
-function choosePromptPart(
-  kind: SoakRequestKind,
-  harmfulParts: ReadonlySet<string>,
-  random: () => number,
-): string | undefined {
-  if (kind !== 'stream' && kind !== 'resumable') return undefined;
-  const isHarmful = harmfulParts.size > 0 && random() < HARMFUL_SHARE;
-  return isHarmful
-    ? pickRandom([...harmfulParts], random)
-    : `5a${Math.floor(random() * 8)}`;
-}
-
-function promptHeaders({id, promptPart}: SoakCall): Record<string, string> {
-  if (promptPart === undefined) return {};
-  return {
-    Model: 'm',
-    'Token-Counts': '170,40',
-    'Prompt-Prefix': `aa:100,${promptPart}:50,${id}ff:20`,
+    endedAtMs: undefined,
+    sentWholeAtMs: undefined,
   };
 }
--- a/testing/soak/src/soak_context.ts
+++ b/testing/soak/src/soak_context.ts
@@ -1,6 +1,8 @@
 import type {GatewayCluster} from '@sardinestile/hosting_tests';
-import type {Disturbance, StatedLimit} from './fleet_bounds.js';
+import type {Disturbance} from './disturbances.js';
+import type {StatedLimit} from './fleet_bounds.js';
 import type {GatewayProcess} from './gateway_process.js';
+import type {PlannedSignal} from './lost_requests.js';
 import type {TcpProxy} from './tcp_proxy.js';
 
 /** Options for runSoak. */
@@ -9,7 +11,10 @@
   gateways: number;
   upstreams: number;
   durationMs: number;
+  /** Rate of the calls on new connections. */
   callsPerSecond: number;
+  /** Callers for each gateway that keep their connections open. */
+  keptCallers: number;
   /** Receives a line for each injected fault. */
   logFault: (line: string) => void;
 }
@@ -22,9 +27,12 @@
   exposedGateways: GatewayProcess[];
   storeProxies: TcpProxy[];
   random: () => number;
+  /** Generator for upstreams, so that faults do not depend on the number of requests. */
+  upstreamRandom: () => number;
   revokedKeys: Map<string, number>;
   keys: string[];
   disturbances: Disturbance[];
+  plannedSignals: PlannedSignal[];
   /** Prompt parts that crash upstreams, and those of them that callers send now. */
   harmfulParts: string[];
   sentHarmfulParts: Set<string>;
@@ -37,6 +45,24 @@
   runLater: (delayMs: number, action: () => void) => void;
 }
 
+/** Time until a gateway that was ended is ready again, in milliseconds. */
+export const RESTART_MS = 1_500;
+
+/** Injects a fault and returns a description for the log. */
+export type Fault = (soak: SoakContext) => string;
+
+/** Records that a fault affects a gateway, or all of them, from now on. */
+export function disturb(
+  {disturbances}: SoakContext,
+  durationMs: number,
+  gateway?: GatewayProcess,
+  isPlanned = false,
+): void {
+  const fromMs = performance.now();
+  const untilMs = fromMs + durationMs;
+  disturbances.push({gateway: gateway?.name, fromMs, untilMs, isPlanned});
+}
+
 /** Returns a random item. */
 export function pickRandom<T>(items: readonly T[], random: () => number): T {
   return items[Math.floor(random() * items.length)];
--- /dev/null
+++ b/testing/soak/src/stop_faults.ts
@@ -0,0 +1,122 @@
+import {SOAK_BOUNDS, type GatewayProcess} from './gateway_process.js';
+import {
+  disturb,
+  pickRandom,
+  RESTART_MS,
+  type Fault,
+  type SoakContext,
+} from './soak_context.js';
+
+/** Largest number of gateways that are stopped in turn, and range of the time between them, in milliseconds. */
+const MAX_SERIES = 3;
+const MIN_SERIES_GAP_MS = 200;
+const MAX_SERIES_GAP_MS = 1_200;
+
+/** Time from the first SIGTERM up to which a second one comes, in milliseconds. */
+const MAX_SECOND_STOP_MS = 3_000;
+
+/** Time before and after SIGTERM in which SIGHUPs come, and their number. */
+const RELOAD_LEAD_MS = 300;
+const RELOAD_RANGE_MS = 5_000;
+const RELOADS = 4;
+
+/** Time after the start of a process within which a signal comes, in milliseconds. */
+const STARTING_MS = 700;
+
+/** Share of the series beside which the configuration changes. */
+const CONFIGURE_SHARE = 0.5;
+
+/** Planned work on gateways, by name: stops and reloads, also in series and while others go on. */
+export const STOP_FAULTS: Readonly<Record<string, Fault>> = {
+  stop(soak) {
+    const gateway = pickRandom(soak.exposedGateways, soak.random);
+    return signalAsPlanned(soak, gateway, 'SIGTERM');
+  },
+  stopSeries(soak) {
+    const {cluster, random, runLater} = soak;
+    const count = 1 + Math.ceil(random() * (MAX_SERIES - 1));
+    const first = Math.floor(random() * soak.exposedGateways.length);
+    const inTurn = [
+      ...soak.exposedGateways.slice(first),
+      ...soak.exposedGateways.slice(0, first),
+    ].slice(0, count);
+    let atMs = 0;
+    for (const gateway of inTurn) {
+      runLater(atMs, () => signalAsPlanned(soak, gateway, 'SIGTERM'));
+      atMs += between(MIN_SERIES_GAP_MS, MAX_SERIES_GAP_MS, random);
+    }
+    if (random() < CONFIGURE_SHARE) {
+      runLater(random() * atMs, () => void cluster.configure());
+    }
+    return `SIGTERM in turn to ${inTurn.map(({name}) => name).join(', ')}`;
+  },
+  stopTwice(soak) {
+    const gateway = pickRandom(soak.exposedGateways, soak.random);
+    const {pid} = gateway;
+    const gapMs = Math.round(soak.random() * MAX_SECOND_STOP_MS);
+    soak.runLater(gapMs, () => {
+      if (gateway.pid === pid) signalAsPlanned(soak, gateway, 'SIGTERM');
+    });
+    return `${signalAsPlanned(soak, gateway, 'SIGTERM')}, again after ${gapMs} ms`;
+  },
+  reloadWhileStopping(soak) {
+    const {cluster, random, runLater} = soak;
+    const gateway = pickRandom(soak.exposedGateways, random);
+    const reload = () => reloadSettings(soak, gateway);
+    reload();
+    runLater(random() * RELOAD_LEAD_MS, () =>
+      signalAsPlanned(soak, gateway, 'SIGTERM'),
+    );
+    for (let i = 0; i < RELOADS; i++) {
+      runLater(random() * RELOAD_RANGE_MS, reload);
+    }
+    runLater(random() * RELOAD_RANGE_MS, () => void cluster.configure());
+    return `SIGTERM to ${gateway.name} among ${RELOADS + 1} SIGHUPs`;
+  },
+  signalWhileStarting(soak) {
+    const {random, runLater} = soak;
+    const stopping = soak.exposedGateways.filter(g => g.isStopping);
+    const gateway = pickRandom(
+      stopping.length > 0 ? stopping : soak.exposedGateways,
+      random,
+    );
+    if (!gateway.isStopping) signalAsPlanned(soak, gateway, 'SIGTERM');
+    const signal = random() < 0.5 ? 'SIGHUP' : 'SIGTERM';
+    const delayMs = Math.round(random() * STARTING_MS);
+    gateway.onNextStart(() =>
+      runLater(delayMs, () => {
+        // The signal may end a process that has no handler for it yet.
+        disturb(soak, RESTART_MS, gateway, true);
+        signalAsPlanned(soak, gateway, signal);
+      }),
+    );
+    return `${signal} to ${gateway.name} ${delayMs} ms after its next start`;
+  },
+  settings(soak) {
+    return reloadSettings(soak, pickRandom(soak.exposedGateways, soak.random));
+  },
+};
+
+function reloadSettings(soak: SoakContext, gateway: GatewayProcess): string {
+  gateway.rewriteSettings();
+  return signalAsPlanned(soak, gateway, 'SIGHUP');
+}
+
+/** Sends a signal as planned work; a stop also counts as a disturbance. */
+function signalAsPlanned(
+  soak: SoakContext,
+  gateway: GatewayProcess,
+  signal: 'SIGTERM' | 'SIGHUP',
+): string {
+  const atMs = performance.now();
+  soak.plannedSignals.push({gateway: gateway.name, signal, atMs});
+  if (signal === 'SIGTERM') {
+    disturb(soak, SOAK_BOUNDS.grace_s * 1_000 + RESTART_MS, gateway, true);
+  }
+  gateway.signal(signal);
+  return `${signal} to ${gateway.name}`;
+}
+
+function between(min: number, max: number, random: () => number): number {
+  return min + random() * (max - min);
+}
--- a/testing/soak/src/usual_upstream.ts
+++ b/testing/soak/src/usual_upstream.ts
@@ -10,6 +10,12 @@
 const REGISTRATION_EXPIRY_MS = 1_500;
 const UPSTREAM_RESTART_MS = 800;
 
+/** Time between the events of long streams, in milliseconds. */
+const LONG_STREAM_GAP_MS = 40;
+
+/** Header in which a call states the number of events of a long stream. */
+export const STREAM_EVENTS_HEADER = 'stream-events';
+
 /** Start of the bodies of requests that crash upstreams. */
 export const HARMFUL_BODY_PREFIX = 'bad request';
 
@@ -45,8 +51,12 @@
     if (String(headers['prompt-prefix']).includes('bad')) {
       return {kind: 'crash', afterMs: 40 + random() * 120};
     }
-    return url === ROUTE_PATHS.stream || url === ROUTE_PATHS.resumable
+    if (url !== ROUTE_PATHS.stream && url !== ROUTE_PATHS.resumable) {
+      return {kind: 'answer', delayMs: random() * 80};
+    }
+    const events = headers[STREAM_EVENTS_HEADER];
+    return events === undefined
       ? {kind: 'stream', events: EVENTS_PER_STREAM, gapMs: 5 + random() * 60}
-      : {kind: 'answer', delayMs: random() * 80};
+      : {kind: 'stream', events: Number(events), gapMs: LONG_STREAM_GAP_MS};
   };
 }
