--- a/testing/hosting/src/kept_connection.ts
+++ b/testing/hosting/src/kept_connection.ts
@@ -20,6 +20,10 @@
   readonly isClosed: boolean;
   /** Whether the gateway has reset it. */
   readonly wasReset: boolean;
+  /** Resolves to whether the connection was established. */
+  readonly opened: Promise<boolean>;
+  /** Time by performance.now() at which the last request was sent whole; undefined before. */
+  readonly sentWholeAtMs: number | undefined;
   /** Sends a request; resolves when its response is complete or the connection has ended. */
   send(request: KeptRequest): Promise<RawResponse>;
   /** Stops reading until `resume` is called. */
@@ -40,7 +44,12 @@
   let received = Buffer.alloc(0);
   let isClosed = false;
   let wasReset = false;
+  let sentWholeAtMs: number | undefined;
   let notify: (() => void) | undefined;
+  const opened = new Promise<boolean>(resolve => {
+    socket.once('connect', () => resolve(true));
+    socket.once('close', () => resolve(false));
+  });
   socket.on('data', (chunk: Buffer) => {
     received = Buffer.concat([received, chunk]);
     notify?.();
@@ -64,14 +73,19 @@
         ? 'Transfer-Encoding: chunked'
         : `Content-Length: ${Buffer.byteLength(body)}`,
     ];
-    socket.write(`${lines.join('\r\n')}\r\n\r\n${body}`);
+    const onWritten = (error?: Error | null) => {
+      if (!error) sentWholeAtMs = performance.now();
+    };
+    const head = `${lines.join('\r\n')}\r\n\r\n`;
+    if (chunks) socket.write(head);
+    else socket.write(head + body, onWritten);
     for (const chunk of chunks ?? []) {
       await delay(request.pauseMs ?? 0);
       socket.write(`${chunk.length.toString(16)}\r\n${chunk}\r\n`);
     }
     if (chunks) {
       await delay(request.pauseMs ?? 0);
-      socket.write('0\r\n\r\n');
+      socket.write('0\r\n\r\n', onWritten);
     }
   };
   return {
@@ -81,8 +95,13 @@
     get wasReset() {
       return wasReset;
     },
+    opened,
+    get sentWholeAtMs() {
+      return sentWholeAtMs;
+    },
     send(request) {
       received = Buffer.alloc(0);
+      sentWholeAtMs = undefined;
       return new Promise(resolve => {
         notify = () => {
           const response = parseResponse(received);
