fix(cli): count the grace period from a signal that came during the start

Callers of a gateway that got SIGTERM while it started could have had a request taken up to the length of its start too late, and cut. Cause: a stop that was asked for during the start began its grace period when the start had ended; a process that loads its modules notices a signal late. Change: the signals tell the stop when they were noticed, and a signal during the start counts as sent with the start, so that the process refuses sooner. Evidence: process_signals_test, "counts its grace period from before the start if SIGTERM came while it started".

--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -146,9 +146,9 @@
   });
   return {
     reload: () => watcher.checkNow(),
-    async stop() {
+    async stop(signalledAtMs) {
       watcher.stop();
-      await gateway.stop();
+      await gateway.stop(signalledAtMs);
       await dutyCalls?.close();
       await store.close();
     },
--- a/cli/sardinestile/src/process_signals.ts
+++ b/cli/sardinestile/src/process_signals.ts
@@ -2,8 +2,11 @@
 
 /** A running process. */
 export interface StoppableProcess {
-  /** Lets open requests finish before it resolves. */
-  stop(): Promise<void>;
+  /**
+   * Lets open requests finish before it resolves. `signalledAtMs` is the time by
+   * performance.now() at which the signal was noticed, or 0 while the process started.
+   */
+  stop(signalledAtMs: number): Promise<void>;
   /** Reads the settings again. */
   reload?(): void;
 }
@@ -65,12 +68,15 @@
   let phase: Phase = 'starting';
   let interrupts = 0;
   let mustReload = false;
+  let signalledAtMs = 0;
   let running: StoppableProcess | undefined;
   let logger: Logger | undefined;
   const unloggedSignals: Array<LogEvents['signal_received']> = [];
   let requestStop: () => void;
   const stopRequested = new Promise<void>(resolve => (requestStop = resolve));
   const stop = () => {
+    // A process that is starting may notice a signal long after it was sent.
+    if (phase === 'running') signalledAtMs = performance.now();
     phase = 'stopping';
     requestStop();
   };
@@ -112,7 +118,7 @@
           if (mustReload) running.reload?.();
         }
         await stopRequested;
-        await running.stop();
+        await running.stop(signalledAtMs);
       } finally {
         phase = 'stopped';
       }
--- a/cli/sardinestile/test/process_signals_test.ts
+++ b/cli/sardinestile/test/process_signals_test.ts
@@ -18,6 +18,7 @@
   const signals = createProcessSignals({hangUp, host});
   const lines: string[] = [];
   const calls: string[] = [];
+  const stopTimes: number[] = [];
   const logger = createLogger({
     level: 'info',
     write: line => lines.push(line),
@@ -26,14 +27,16 @@
   let finishStop: () => void = () => undefined;
   const daemon = {
     reload: () => void calls.push('reload'),
-    stop() {
+    stop(signalledAtMs: number) {
       calls.push('stop');
+      stopTimes.push(signalledAtMs);
       return new Promise<void>(resolve => (finishStop = resolve));
     },
   };
   let hasEnded = false;
   return {
     calls,
+    stopTimes,
     exitCodes,
     get hasEnded() {
       return hasEnded;
@@ -149,6 +152,14 @@
       expect(starting.calls).toEqual(['start', 'stop']);
     });
 
+    it('counts its grace period from before the start if SIGTERM came while it started', async () => {
+      const starting = createTestProcess('reload');
+      void starting.start();
+      await starting.send('SIGTERM');
+      await starting.finishStart();
+      expect(starting.stopTimes).toEqual([0]);
+    });
+
     it('does not start if SIGTERM came while its modules were loading', async () => {
       const loading = createTestProcess('reload');
       await loading.send('SIGTERM');
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -112,8 +112,12 @@
 
 /** A running gateway. */
 export interface Gateway {
-  /** Drains the open requests, then closes; requests that outlast the grace period are aborted. */
-  stop(): Promise<void>;
+  /**
+   * Drains the open requests, then closes; requests that outlast the grace period are
+   * aborted. The period counts from `signalledAtMs`, a time by performance.now(), or from
+   * now if it is absent.
+   */
+  stop(signalledAtMs?: number): Promise<void>;
   /** Closes all connections at once. */
   close(): Promise<void>;
   /** Applies new limits and reads the configuration and the upstreams again. */
@@ -549,10 +553,13 @@
       config.reread();
       upstreams.reread();
     },
-    async stop() {
+    async stop(signalledAtMs = performance.now()) {
       isStopping = true;
       const {openRequests} = listener;
-      const signalDelayMs = loopDelay.delayMs();
+      const signalDelayMs = Math.max(
+        performance.now() - signalledAtMs,
+        loopDelay.delayMs(),
+      );
       logger.info('process_stopping', {
         instance,
         openRequests,
