fix(cli): SIGHUP does not reload settings while a process stops

A gateway that got SIGHUP while it drained reloaded its settings, though it does not notice a change without a signal then: it forgot the age of its list of upstreams and read configuration and upstreams anew, for requests that are placed already. Cause: the handler of SIGHUP outlived the watch of the settings. Evidence: signals_test.ts, "serves its open requests when SIGHUP comes after a change of the settings": the stream had its 40 events with the code before, too, and the test failed as the settings were reloaded, 3 of 3 runs; 3 of 3 passes after, beside the four other tests of the file. process_signals_test.ts: 14 passed; its case "reloads nothing" failed before.

--- a/cli/sardinestile/src/process_signals.ts
+++ b/cli/sardinestile/src/process_signals.ts
@@ -29,7 +29,7 @@
   },
   running: {SIGHUP: 'reload', SIGTERM: 'stop', SIGINT: 'stop'},
   // Open requests are being finished, and nothing must end them early.
-  stopping: {SIGHUP: 'reload', SIGTERM: 'none', SIGINT: 'none'},
+  stopping: {SIGHUP: 'none', SIGTERM: 'none', SIGINT: 'none'},
   stopped: {SIGHUP: 'none', SIGTERM: 'exit', SIGINT: 'exit'},
 };
 
--- a/cli/sardinestile/test/process_signals_test.ts
+++ b/cli/sardinestile/test/process_signals_test.ts
@@ -110,15 +110,17 @@
       expect(stopping.effects()).toEqual(['stop', 'none', 'none']);
     });
 
-    it('goes on at SIGHUP if it has no settings to reload', async () => {
-      const stopping = await startTestProcess('stop');
-      for (const signal of ['SIGTERM', 'SIGHUP', 'SIGHUP'] as const) {
-        await stopping.send(signal);
-      }
-      expect(stopping.calls).toEqual(['start', 'stop']);
-      expect(stopping.exitCodes).toEqual([]);
-      expect(stopping.effects()).toEqual(['stop', 'none', 'none']);
-    });
+    for (const hangUp of ['reload', 'stop'] as const) {
+      it(`goes on and reloads nothing at SIGHUP, hang-up: ${hangUp}`, async () => {
+        const stopping = await startTestProcess(hangUp);
+        for (const signal of ['SIGTERM', 'SIGHUP', 'SIGHUP'] as const) {
+          await stopping.send(signal);
+        }
+        expect(stopping.calls).toEqual(['start', 'stop']);
+        expect(stopping.exitCodes).toEqual([]);
+        expect(stopping.effects()).toEqual(['stop', 'none', 'none']);
+      });
+    }
 
     it('ends at once at the second SIGINT', async () => {
       const stopping = await startTestProcess('reload');
--- a/testing/soak/test/signals_test.ts
+++ b/testing/soak/test/signals_test.ts
@@ -128,6 +128,24 @@
       await waitForExit();
       expect(gateway.exits[0]).toEqual(ORDERLY_EXIT);
     });
+
+    it('serves its open requests when SIGHUP comes after a change of the settings', async () => {
+      start();
+      await waitUntilReady();
+      const stream = startStream('s2');
+      await waitForLine('requestId=s2');
+      gateway.signal('SIGTERM');
+      await waitForLine('event=process_stopping');
+      gateway.rewriteSettings();
+      gateway.signal('SIGHUP');
+      const response = await stream;
+      expect(eventIds(response)).toEqual(numbersBelow(EVENTS));
+      expect(response.isComplete).toEqual(true);
+      await waitForExit();
+      expect(gateway.exits[0]).toEqual(ORDERLY_EXIT);
+      const log = readFileSync(gateway.logPath, 'utf8');
+      expect(log.includes('event=settings_reloaded')).toEqual(false);
+    });
   });
 
   describe('while it starts', () => {
