fix(http): close connections of a draining server only once their responses are delivered

What callers of an entry could see: a response that is cut off although it was complete, and a request that crosses the close of its connection and is lost. Cause: drain() called closeIdleConnections() (server.close() does too), which destroys a connection whose response has ended and is not sent; a response that announced the close reset its connection when its client sent on; a request that was open when keep-alive was disabled still announced keep-alive, so that its client went on to send on a connection that drain() then closed. Change: the connections of the server belong to @sardinestile/connections; drain() stops listening without the HTTP server's own close(), which also stops checking the timeouts of requests, and takes a limit.

--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -1,5 +1,9 @@
 import {createServer, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {Server as NetServer, type AddressInfo} from 'node:net';
+import {
+  manageConnections,
+  type ServerConnections,
+} from '@sardinestile/connections';
 import type {H3} from 'h3';
 import {toNodeHandler} from 'h3/node';
 
@@ -15,8 +19,8 @@
 /** Time for which an idle connection is kept open. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
-/** Interval at which a draining server closes idle connections. */
-const CLOSE_IDLE_INTERVAL_MS = 100;
+/** Interval at which a draining server ends idle connections. */
+const END_IDLE_INTERVAL_MS = 100;
 
 /** Options for startHttpServer. */
 export interface HttpServerOptions {
@@ -32,8 +36,12 @@
   port: number;
   /** Closes each connection after its next response. */
   disableKeepAlive(): void;
-  /** Stops accepting connections; resolves when all open requests have ended. */
-  drain(): Promise<void>;
+  /**
+   * Stops accepting connections and closes each one once the responses on it
+   * were delivered; closes those that are left after the limit. Resolves when
+   * all are closed.
+   */
+  drain(limitMs?: number): Promise<void>;
   /** Closes every connection at once. */
   destroy(): void;
 }
@@ -43,30 +51,24 @@
   options: HttpServerOptions,
 ): Promise<HttpServer> {
   const handler = toNodeHandler(options.app);
-  let isKeepAliveDisabled = false;
-  const server = createServer(
-    {
-      headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      noDelay: true,
-    },
-    (request, response) => {
-      if (isKeepAliveDisabled) response.shouldKeepAlive = false;
-      void handler(request, response);
-    },
-  );
+  const server = createServer({
+    headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    noDelay: true,
+  });
+  const connections = manageConnections(server, {
+    handler: (request, response) => void handler(request, response),
+  });
   await listen(server, options);
   return {
     port: (server.address() as AddressInfo).port,
-    disableKeepAlive: () => {
-      isKeepAliveDisabled = true;
-    },
-    drain: () => drainServer(server),
+    disableKeepAlive: () => connections.disableKeepAlive(),
+    drain: limitMs => drainServer(server, connections, limitMs),
     destroy: () => {
+      connections.destroyAll();
       server.close();
-      server.closeAllConnections();
     },
   };
 }
@@ -78,14 +80,27 @@
   });
 }
 
-function drainServer(server: Server): Promise<void> {
+function drainServer(
+  server: Server,
+  connections: ServerConnections,
+  limitMs: number | undefined,
+): Promise<void> {
+  connections.disableKeepAlive();
+  const timer = setInterval(
+    // Immediates run after the event loop has read what has arrived.
+    () => setImmediate(() => connections.endIdle()),
+    END_IDLE_INTERVAL_MS,
+  );
+  const limitTimer =
+    limitMs === undefined
+      ? undefined
+      : setTimeout(() => connections.destroyAll(), limitMs);
   return new Promise(resolve => {
-    const timer = setInterval(
-      () => server.closeIdleConnections(),
-      CLOSE_IDLE_INTERVAL_MS,
-    );
-    server.close(() => {
+    // The method of the HTTP server also destroys connections whose response is
+    // not sent yet, and stops checking the timeouts of requests.
+    NetServer.prototype.close.call(server, () => {
       clearInterval(timer);
+      clearTimeout(limitTimer);
       resolve();
     });
   });
