fix(agent): exit when stopped instead of waiting for deadlines of ended requests

Cause: after each event the agent sets a timer for the scheduler's next wake-up. The scheduler drops the latest start of an attempt only when it is due, also if the attempt has ended, and nothing cleared the timer at the stop. It was the only thing that held the process: timers of 54 and 55 s in two traced stops. No connection was left open, and none of its entries played a part in it. Change: no timer while there are no attempts.

--- a/daemons/agent/src/admission_controller.ts
+++ b/daemons/agent/src/admission_controller.ts
@@ -117,6 +117,8 @@
   };
   const scheduleDeadline = () => {
     clearTimeout(deadlineTimer);
+    // The scheduler drops the deadlines of attempts that have ended only when due.
+    if (attempts.size === 0) return;
     const deadlineMs = scheduler.nextWakeUpMs();
     if (deadlineMs === undefined) return;
     const delayMs = Math.max(0, deadlineMs - performance.now());
--- a/daemons/agent/test/agent_stop_test.ts
+++ b/daemons/agent/test/agent_stop_test.ts
@@ -44,6 +44,16 @@
   };
 }
 
+/** Returns how many timers keep this process running. */
+function countTimers(): number {
+  return process.getActiveResourcesInfo().filter(name => name === 'Timeout')
+    .length;
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 describe('an agent that stops', () => {
   let agent: Agent;
   let relay: ReturnType<typeof createServer>;
@@ -53,8 +63,10 @@
   let received: ReceivedAgentBody[];
   let closed: Promise<string>;
   let started: Promise<void>;
+  let timersBefore: number;
 
   beforeEach(async () => {
+    timersBefore = countTimers();
     let markStarted!: () => void;
     started = new Promise(resolve => (markStarted = resolve));
     agent = await startAgent({
@@ -93,7 +105,7 @@
     replica.apply({version: CONFIG_VERSION, changes: [], snapshot});
     const value = encodeConfigUpdate(replica.createUpdateSince(0));
     session.send({case: 'configPush', value});
-    while (!hasConfig()) await new Promise(resolve => setTimeout(resolve, 1));
+    while (!hasConfig()) await delay(1);
   });
   afterEach(async () => {
     session.close('done');
@@ -148,6 +160,14 @@
     expect([count('chunk'), count('finished')]).toEqual([CHUNKS, 1]);
   });
 
+  it('leaves no timer of an ended request that keeps the process running', async () => {
+    sendRequest('r');
+    while (count('finished') === 0) await delay(1);
+    session.close('done');
+    await agent.stop();
+    expect(countTimers()).toEqual(timersBefore);
+  });
+
   it('does not wait for an entry that is silent', async () => {
     client.unpipe(target).pause();
     target.unpipe(client).pause();
