--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -58,6 +58,8 @@
   /** How each process before the current one ended. */
   readonly exits: readonly ProcessExit[];
   signal(signal: NodeJS.Signals): void;
+  /** Calls back once, when the process has been started again. */
+  onNextStart(callback: () => void): void;
   /** Rewrites the settings file with a new value of a field that the gateway does not know. */
   rewriteSettings(): void;
   /** Kills the process without a restart. */
@@ -83,6 +85,7 @@
   let edits = 0;
   let restartTimer: NodeJS.Timeout | undefined;
   const exits: ProcessExit[] = [];
+  let startCallbacks: Array<() => void> = [];
 
   const writeSettings = () =>
     writeFileSync(settingsPath, renderSettings(name, host, options, edits));
@@ -106,6 +109,9 @@
       exits.push({code, signal});
       if (!isEnding) restartTimer = setTimeout(start, RESTART_DELAY_MS);
     });
+    const callbacks = startCallbacks;
+    startCallbacks = [];
+    callbacks.forEach(callback => callback());
   };
   writeSettings();
   start();
@@ -125,6 +131,7 @@
       if (signal === 'SIGTERM') isStopping = true;
       child.kill(signal);
     },
+    onNextStart: callback => void startCallbacks.push(callback),
     rewriteSettings() {
       edits++;
       writeSettings();
