--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {createReturnSchedule} from '@sardinestile/admission';
 import {
   assignGroup,
@@ -82,8 +83,11 @@
  */
 const STOP_MARGIN_MS = 500;
 
+/** Time limit for sending the last answers to callers, in milliseconds. */
+const LAST_ANSWERS_TIMEOUT_MS = 150;
+
 /** Time limit for the last writes of a stopping gateway, in milliseconds. */
-const LAST_WRITE_TIMEOUT_MS = 300;
+const LAST_WRITE_TIMEOUT_MS = 200;
 
 /**
  * Time after which upstreams of a zone that is out of service must receive no request,
@@ -108,8 +112,12 @@
 
 /** A running gateway. */
 export interface Gateway {
-  /** Drains the open requests, then closes; requests that outlast the grace period are aborted. */
-  stop(): Promise<void>;
+  /**
+   * Drains the open requests, then closes; requests that outlast the grace period are
+   * aborted. The period counts from `signalledAtMs`, a time by performance.now(), or from
+   * now if it is absent.
+   */
+  stop(signalledAtMs?: number): Promise<void>;
   /** Closes all connections at once. */
   close(): Promise<void>;
   /** Applies new limits and reads the configuration and the upstreams again. */
@@ -337,6 +345,9 @@
     });
   let deployment: DeploymentLimits = options;
   const maxKeyAgeMs = () => deployment.keyWithdrawalLimitMs - KEY_AGE_MARGIN_MS;
+  const shutdown = new AbortController();
+  // Each open call listens to it.
+  setMaxListeners(0, shutdown.signal);
   const context: GatewayContext = {
     clock,
     headerCodec: options.headerCodec,
@@ -376,6 +387,7 @@
     logger,
     metrics,
     isRefusingRequests: () => listener.isRefusingRequests,
+    shutdownSignal: shutdown.signal,
     routes: () => config.routes(),
   };
   const memoryWatch = createMemoryWatch(context.memoryBudget, logger, metrics);
@@ -541,10 +553,13 @@
       config.reread();
       upstreams.reread();
     },
-    async stop() {
+    async stop(signalledAtMs = performance.now()) {
       isStopping = true;
       const {openRequests} = listener;
-      const signalDelayMs = loopDelay.delayMs();
+      const signalDelayMs = Math.max(
+        performance.now() - signalledAtMs,
+        loopDelay.delayMs(),
+      );
       logger.info('process_stopping', {
         instance,
         openRequests,
@@ -556,6 +571,8 @@
         options.stopGraceMs - STOP_MARGIN_MS,
         performance.now() - signalDelayMs,
       );
+      shutdown.abort();
+      await listener.whenSent(LAST_ANSWERS_TIMEOUT_MS);
       await Promise.race([close(), sleep(LAST_WRITE_TIMEOUT_MS)]);
     },
     close,
