fix(entry,agent): answer open requests of operators before a stop ends their connections

What operators could see: a reset connection for a change of the configuration that is stored all the same, so that they cannot tell whether it holds. Cause: stop() destroyed the server of operators whatever was open on it. Change: it drains that server, within two seconds.

--- a/admin/ops/src/ops_server.ts
+++ b/admin/ops/src/ops_server.ts
@@ -6,6 +6,9 @@
 /** Content type of the Prometheus text format. */
 const METRICS_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 
+/** Time limit for answering the open requests of operators at a stop, in milliseconds. */
+export const OPS_DRAIN_LIMIT_MS = 2_000;
+
 /** Options for startOpsServer. */
 export interface OpsServerOptions {
   host: string;
--- a/daemons/agent/src/agent.ts
+++ b/daemons/agent/src/agent.ts
@@ -1,4 +1,4 @@
-import {startOpsServer} from '@sardinestile/ops';
+import {OPS_DRAIN_LIMIT_MS, startOpsServer} from '@sardinestile/ops';
 import type {UpstreamAdapter} from '@sardinestile/adapters';
 import type {Logger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
@@ -166,8 +166,7 @@
       monitor.stop();
       await delay(REFUSAL_TIME_MS);
       await Promise.all([...sessions].map(session => session.end('stopped')));
-      await server.close();
-      ops.destroy();
+      await Promise.all([server.close(), ops.drain(OPS_DRAIN_LIMIT_MS)]);
       await upstream.close();
       logger.info('process_stopped', {instance});
     },
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -3,7 +3,7 @@
 import {startHttpServer, type HttpServer} from '@sardinestile/http';
 import type {Logger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
-import {startOpsServer} from '@sardinestile/ops';
+import {OPS_DRAIN_LIMIT_MS, startOpsServer} from '@sardinestile/ops';
 import {chooseSubset, createEntryRetryBudget} from '@sardinestile/placement';
 import type {
   Instance,
@@ -127,8 +127,10 @@
       duties.stop();
       follower.stop();
       pool.close();
-      await peerServer.close();
-      opsServer.destroy();
+      await Promise.all([
+        peerServer.close(),
+        opsServer.drain(OPS_DRAIN_LIMIT_MS),
+      ]);
       logger.info('process_stopped', {instance});
     },
   };
