fix(gateway): deliver metrics that are being scraped before a stop ends the connection

What operators could see: a last scrape of a stopping gateway that is cut off. Cause: server.close() destroys connections whose response has ended and is not sent. Change: the servers for readiness and metrics drain as the HTTP server of the entry does; drainServer is part of @sardinestile/connections for both. Their limit and that of the peer server are 150 ms, so that both end within the time for the last writes, which is 200 ms by now.

--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -1,9 +1,6 @@
 import {createServer, type Server} from 'node:http';
-import {Server as NetServer, type AddressInfo} from 'node:net';
-import {
-  manageConnections,
-  type ServerConnections,
-} from '@sardinestile/connections';
+import type {AddressInfo} from 'node:net';
+import {drainServer, manageConnections} from '@sardinestile/connections';
 import type {H3} from 'h3';
 import {toNodeHandler} from 'h3/node';
 
@@ -19,9 +16,6 @@
 /** Time for which an idle connection is kept open. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
-/** Interval at which a draining server ends idle connections. */
-const END_IDLE_INTERVAL_MS = 100;
-
 /** Options for startHttpServer. */
 export interface HttpServerOptions {
   app: H3;
@@ -79,29 +73,3 @@
     server.listen(options.port, options.host, () => resolve());
   });
 }
-
-function drainServer(
-  server: Server,
-  connections: ServerConnections,
-  limitMs: number | undefined,
-): Promise<void> {
-  connections.disableKeepAlive();
-  const timer = setInterval(
-    // Immediates run after the event loop has read what has arrived.
-    () => setImmediate(() => connections.endIdle()),
-    END_IDLE_INTERVAL_MS,
-  );
-  const limitTimer =
-    limitMs === undefined
-      ? undefined
-      : setTimeout(() => connections.destroyAll(), limitMs);
-  return new Promise(resolve => {
-    // The method of the HTTP server also destroys connections whose response is
-    // not sent yet, and stops checking the timeouts of requests.
-    NetServer.prototype.close.call(server, () => {
-      clearInterval(timer);
-      clearTimeout(limitTimer);
-      resolve();
-    });
-  });
-}
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -89,6 +89,12 @@
 /** Time limit for the last writes of a stopping gateway, in milliseconds. */
 const LAST_WRITE_TIMEOUT_MS = 200;
 
+/**
+ * Time limit for delivering metrics and readiness at a stop, in milliseconds;
+ * part of the time for the last writes.
+ */
+const TEXT_DRAIN_LIMIT_MS = 150;
+
 /**
  * Time after which upstreams of a zone that is out of service must receive no request,
  * unless the deployment states another one, in milliseconds.
@@ -528,7 +534,11 @@
     fairShares.stop();
     listener.close();
     scaling?.stop();
-    await Promise.all([usage?.stop(), peerServer.close()]);
+    await Promise.all([
+      usage?.stop(),
+      peerServer.close(),
+      ...textServers.map(server => server.close(TEXT_DRAIN_LIMIT_MS)),
+    ]);
     registry.stop();
     link.close();
     await peerClient.close();
@@ -536,7 +546,6 @@
     upstreams.stop();
     sharedUpstreams.close();
     context.connections.close();
-    textServers.forEach(server => server.close());
     logger.info('process_stopped', {instance});
   };
   logger.info('process_started', {
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -1,6 +1,13 @@
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import {createServer, type ServerResponse} from 'node:http';
+import {drainServer, manageConnections} from '@sardinestile/connections';
 import type {ListenAddress} from './gateway_options.js';
 
+/** A running HTTP server for readiness or metrics. */
+export interface TextServer {
+  /** Resolves when the open responses were delivered, or after the limit. */
+  close(limitMs: number): Promise<void>;
+}
+
 interface TextResponse {
   status: number;
   text: string;
@@ -19,9 +26,9 @@
 /** Starts the HTTP servers for readiness and metrics; rejects if an address is in use. */
 export async function startTextServers(
   options: TextServersOptions,
-): Promise<Server[]> {
+): Promise<TextServer[]> {
   const {readinessAddress, metricsAddress, isReady, renderMetrics} = options;
-  const servers: Server[] = [];
+  const servers: TextServer[] = [];
   if (readinessAddress) {
     servers.push(
       await startTextServer(readinessAddress, () =>
@@ -42,10 +49,10 @@
   return servers;
 }
 
-function startTextServer(
+async function startTextServer(
   {host, port}: ListenAddress,
   render: () => TextResponse | Promise<TextResponse>,
-): Promise<Server> {
+): Promise<TextServer> {
   const respond = async (response: ServerResponse) => {
     const {status, text} = await render();
     response.writeHead(status, {
@@ -54,12 +61,14 @@
     });
     response.end(text);
   };
-  const server = createServer(
-    (_request, response) =>
+  const server = createServer();
+  const connections = manageConnections(server, {
+    handler: (_request, response) =>
       void respond(response).catch((error: Error) => response.destroy(error)),
-  );
-  return new Promise((resolve, reject) => {
+  });
+  await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen({host, port}, () => resolve(server));
+    server.listen({host, port}, () => resolve());
   });
+  return {close: limitMs => drainServer(server, connections, limitMs)};
 }
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -28,7 +28,7 @@
 const MAX_MESSAGE_BYTES = 1_048_576;
 
 /** Time within which a closing server answers its open requests, in milliseconds. */
-const CLOSE_LIMIT_MS = 200;
+const CLOSE_LIMIT_MS = 150;
 
 /** Options for startPeerServer. */
 export interface PeerServerOptions {
