--- a/testing/soak/src/guarantees.ts
+++ b/testing/soak/src/guarantees.ts
@@ -27,6 +27,8 @@
   events?: number;
   /** Time by performance.now() at which its last byte was sent; missing if none was. */
   sentWholeAtMs?: number;
+  /** Time by performance.now() at which a slow caller began to read. */
+  readFromMs?: number;
   /** Missing while the request runs, and after it timed out. */
   response?: RawResponse;
   /** Whether its caller closed the connection after waiting in vain. */
--- a/testing/soak/src/kept_callers.ts
+++ b/testing/soak/src/kept_callers.ts
@@ -87,7 +87,8 @@
       random() < CHUNKED_SHARE
         ? {chunks: 3, pauseMs: random() * MAX_CHUNK_PAUSE_MS}
         : {};
-    const resumeTimer = random() < SLOW_SHARE && readLater(connection, random);
+    const resumeTimer =
+      random() < SLOW_SHARE && readLater(call, connection, random);
     await sendCall(call, connection, pace);
     if (resumeTimer) clearTimeout(resumeTimer);
     connection.resume();
@@ -104,12 +105,14 @@
 
 /** Stops reading for a while. */
 function readLater(
+  call: SoakCall,
   connection: KeptConnection,
   random: () => number,
 ): NodeJS.Timeout {
   connection.pause();
-  return setTimeout(
-    () => connection.resume(),
-    100 + random() * (MAX_READ_PAUSE_MS - 100),
-  );
+  const pauseMs = 100 + random() * (MAX_READ_PAUSE_MS - 100);
+  return setTimeout(() => {
+    call.readFromMs = performance.now();
+    connection.resume();
+  }, pauseMs);
 }
--- a/testing/soak/src/lost_requests.ts
+++ b/testing/soak/src/lost_requests.ts
@@ -126,7 +126,7 @@
 
 /** Whether a call that got no whole answer was not lost by its gateway. */
 function isAllowedEnd(
-  {sentAtMs, sentWholeAtMs, hasTimedOut}: SoakCall,
+  {sentAtMs, sentWholeAtMs, readFromMs = 0, hasTimedOut}: SoakCall,
   endedAtMs: number,
   runs: readonly Run[],
   signals: readonly PlannedSignal[],
@@ -134,7 +134,10 @@
   if (hasTimedOut) return sentWholeAtMs === undefined;
   if (endedAtMs - sentAtMs >= ROUTE_TIMEOUT_MS) return true;
   if (runs.length === 0) {
-    return endedAtMs - (sentWholeAtMs ?? endedAtMs) <= LOSS_SLACK_MS;
+    if (sentWholeAtMs === undefined) return true;
+    // A caller that does not read sees the end of its connection late.
+    const knownFromMs = Math.max(sentWholeAtMs, readFromMs);
+    return endedAtMs - knownFromMs <= LOSS_SLACK_MS;
   }
   return runs.some(
     ({upstream, request}) =>
--- a/testing/soak/test/lost_requests_test.ts
+++ b/testing/soak/test/lost_requests_test.ts
@@ -165,6 +165,13 @@
     {calls: [callWith({sentAtMs: 5_000, endedAtMs: SIGTERM_AT_MS + 10})]},
   ],
   ['crossed the close and was not run', notRun(150)],
+  [
+    'crossed the close, was not run and read its end late',
+    {
+      upstreams: [],
+      calls: [callWith({readFromMs: SIGTERM_AT_MS + 490})],
+    },
+  ],
   [
     'was not sent whole and not run',
     {upstreams: [], calls: [callWith({sentWholeAtMs: undefined})]},
