--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -28,12 +28,11 @@
 
 /**
  * Kinds of faults that are injected side by side, with the range of the delay between
- * two of them in milliseconds. It is shorter than the duration of most faults, so that
- * faults overlap.
+ * two of them in milliseconds. It is shorter than most faults last, so that they overlap.
  */
 const FAULT_SERIES = [
   {faults: FAULTS, minDelayMs: 100, maxDelayMs: 900},
-  {faults: STOP_FAULTS, minDelayMs: 500, maxDelayMs: 2_500},
+  {faults: STOP_FAULTS, minDelayMs: 1_000, maxDelayMs: 4_000},
 ];
 
 /**
--- a/testing/soak/src/stop_faults.ts
+++ b/testing/soak/src/stop_faults.ts
@@ -29,13 +29,12 @@
 /** Planned work on gateways, by name: stops and reloads, also in series and while others go on. */
 export const STOP_FAULTS: Readonly<Record<string, Fault>> = {
   stop(soak) {
-    const gateway = pickRandom(soak.exposedGateways, soak.random);
-    return signalAsPlanned(soak, gateway, 'SIGTERM');
+    return signalAsPlanned(soak, pickRunning(soak), 'SIGTERM');
   },
   stopSeries(soak) {
     const {cluster, random, runLater} = soak;
     const count = 1 + Math.ceil(random() * (MAX_SERIES - 1));
-    const first = Math.floor(random() * soak.exposedGateways.length);
+    const first = soak.exposedGateways.indexOf(pickRunning(soak));
     const inTurn = [
       ...soak.exposedGateways.slice(first),
       ...soak.exposedGateways.slice(0, first),
@@ -51,7 +50,7 @@
     return `SIGTERM in turn to ${inTurn.map(({name}) => name).join(', ')}`;
   },
   stopTwice(soak) {
-    const gateway = pickRandom(soak.exposedGateways, soak.random);
+    const gateway = pickRunning(soak);
     const {pid} = gateway;
     const gapMs = Math.round(soak.random() * MAX_SECOND_STOP_MS);
     soak.runLater(gapMs, () => {
@@ -61,7 +60,7 @@
   },
   reloadWhileStopping(soak) {
     const {cluster, random, runLater} = soak;
-    const gateway = pickRandom(soak.exposedGateways, random);
+    const gateway = pickRunning(soak);
     const reload = () => reloadSettings(soak, gateway);
     reload();
     runLater(random() * RELOAD_LEAD_MS, () =>
@@ -97,6 +96,12 @@
   },
 };
 
+/** Returns a random gateway that has not received SIGTERM; any if there is none. */
+function pickRunning({exposedGateways, random}: SoakContext): GatewayProcess {
+  const running = exposedGateways.filter(({isStopping}) => !isStopping);
+  return pickRandom(running.length > 0 ? running : exposedGateways, random);
+}
+
 function reloadSettings(soak: SoakContext, gateway: GatewayProcess): string {
   gateway.rewriteSettings();
   return signalAsPlanned(soak, gateway, 'SIGHUP');
