fix(gateway): name the end of the grace period as the reason of what it ends

Operators saw reason=other for connections whose streams were cut at the end of the grace period. Cause: these are broken off by their calls, just before the connections are destroyed with the reason. Change: the drain marks the connections that are left when it ends.

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -20,6 +20,8 @@
   announceEnd(): void;
   /** Ends it without reading on, unless something is open or arriving on it. */
   endIfIdle(): void;
+  /** States that what is open on it has to end now; its end counts as caused by that. */
+  markDrainLimit(): void;
   /** Ends it at once, with what is on it. */
   destroy(): void;
   /** Returns what it held when it closed. */
@@ -33,6 +35,7 @@
   /** Response that announces the end because of `announceEnd`. */
   let announcer: ServerResponse | undefined;
   let reason: ConnectionEndReason | undefined;
+  let isDrainLimitPassed = false;
   let unsentBytes = 0;
   let bytesReadAtLastUse = 0;
   let lastUsedAtMs = performance.now();
@@ -85,13 +88,16 @@
       socket.pause();
       end('idle');
     },
+    markDrainLimit() {
+      isDrainLimitPassed = true;
+    },
     destroy() {
-      reason ??= 'drainLimit';
+      isDrainLimitPassed = true;
       unsentBytes = socket.writableLength;
       socket.destroy();
     },
     describeEnd: () => ({
-      reason: reason ?? 'other',
+      reason: reason ?? (isDrainLimitPassed ? 'drainLimit' : 'other'),
       peer,
       openRequests: [...responses].map(({req}) => req),
       isResponseCut: [...responses].some(r => r.headersSent),
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -42,6 +42,8 @@
    * end is left unread, so that its sender can send it again elsewhere.
    */
   endIdle(): void;
+  /** States that all connections have to end now; `ConnectionEnd.reason` then says so. */
+  markDrainLimit(): void;
   /** Ends all connections at once, with what is on them. */
   destroyAll(): void;
 }
@@ -88,6 +90,8 @@
       all().forEach(connection => connection.announceEnd());
     },
     endIdle: () => all().forEach(connection => connection.endIfIdle()),
+    markDrainLimit: () =>
+      all().forEach(connection => connection.markDrainLimit()),
     destroyAll: () => all().forEach(connection => connection.destroy()),
   };
 }
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -139,6 +139,7 @@
             connections.isSettled &&
             nowMs - connections.lastUsedAtMs > DRAIN_QUIET_MS;
           if (!isQuiet && nowMs < drainEndAtMs) return;
+          connections.markDrainLimit();
           clearInterval(timer);
           resolve();
         };
