test(soak): signals reach a process while it starts or drains

The tests would also pass if the signal came to another phase, for instance if the module that sends it were not loaded. They wait for the line of the signal with its effect now.

--- a/testing/soak/test/signals_test.ts
+++ b/testing/soak/test/signals_test.ts
@@ -138,6 +138,7 @@
       await waitForLine('event=process_stopping');
       gateway.rewriteSettings();
       gateway.signal('SIGHUP');
+      await waitForLine('signal=SIGHUP');
       const response = await stream;
       expect(eventIds(response)).toEqual(numbersBelow(EVENTS));
       expect(response.isComplete).toEqual(true);
@@ -152,6 +153,7 @@
     it('survives a SIGHUP', async () => {
       startWithSignal('SIGHUP');
       await waitUntilReady();
+      await waitForLine('effect=reloadOnceStarted');
       expect(gateway.exits).toEqual([]);
     });
 
@@ -160,6 +162,7 @@
         startWithSignal(signal);
         await waitForExit();
         expect(gateway.exits[0]).toEqual(ORDERLY_EXIT);
+        await waitForLine('effect=stopOnceStarted');
         await waitForLine('event=process_stopped');
       });
     }
