fix(cli): a stopping gateway follows the store's address

Operators missed the usage of requests that ended after the store had moved while their gateway drained, if no peer could write it for the gateway. Callers lost nothing. Cause: the watch of the settings ended when the drain began, so that the last writes went to the old address. Change: the watch ends after the gateway has stopped, and reports only changes of the store's address meanwhile; limits are not applied and nothing else is read anew.

--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -135,20 +135,24 @@
     logger,
     metrics,
   });
+  let isStopping = false;
   const watcher = watchSettings({
     path,
     initialText: text,
     logger,
     onChanged(newSettings) {
       store.redirect(newSettings.store.address);
-      gateway.reload(newSettings);
+      if (!isStopping) gateway.reload(newSettings);
     },
   });
   return {
     reload: () => watcher.checkNow(),
     async stop() {
-      watcher.stop();
+      isStopping = true;
+      // The usage of the last requests is written when they have ended.
+      watcher.narrowTo('store');
       await gateway.stop();
+      watcher.stop();
       await dutyCalls?.close();
       await store.close();
     },
--- a/cli/sardinestile/src/watch_settings.ts
+++ b/cli/sardinestile/src/watch_settings.ts
@@ -22,6 +22,8 @@
 export interface SettingsWatcher {
   /** Checks the file for changes immediately, for example on SIGHUP. */
   checkNow(): void;
+  /** Reports only changes of this field from now on, for example while the process stops. */
+  narrowTo(field: keyof PlatformSettings): void;
   /** Ends the watch. */
   stop(): void;
 }
@@ -35,6 +37,7 @@
   const {path, logger} = options;
   let text = options.initialText;
   let settings = parseSettings(text, path);
+  let onlyField: keyof PlatformSettings | undefined;
   const checkNow = () => {
     try {
       const newText = readFileSync(path, 'utf8');
@@ -43,6 +46,7 @@
       const newSettings = parseSettings(newText, path);
       const changed = changedFields(settings, newSettings);
       settings = newSettings;
+      if (onlyField && !changed.includes(onlyField)) return;
       logger.info('settings_reloaded', {path, changed: changed.join(',')});
       options.onChanged(newSettings);
     } catch (error) {
@@ -51,13 +55,17 @@
     }
   };
   const timer = setInterval(checkNow, POLL_INTERVAL_MS);
-  return {checkNow, stop: () => clearInterval(timer)};
+  return {
+    checkNow,
+    narrowTo: field => (onlyField = field),
+    stop: () => clearInterval(timer),
+  };
 }
 
 function changedFields(
   before: PlatformSettings,
   after: PlatformSettings,
-): string[] {
+): Array<keyof PlatformSettings> {
   const names = Object.keys({...before, ...after}) as Array<
     keyof PlatformSettings
   >;
--- a/cli/sardinestile/test/watch_settings_test.ts
+++ b/cli/sardinestile/test/watch_settings_test.ts
@@ -107,6 +107,19 @@
     expect(reportedSettings[0].store.address.port).toEqual(2);
   });
 
+  it('reports only changes of the field that it is narrowed to', () => {
+    const {path, reportedSettings, logLines} = start();
+    watcher!.narrowTo('store');
+    const changed = SETTINGS.replace('revoke_ms = 5000', 'revoke_ms = 700');
+    writeFileSync(path, changed);
+    watcher!.checkNow();
+    expect(reportedSettings).toEqual([]);
+    expect(logLines).toEqual([]);
+    writeFileSync(path, changed.replace('127.0.0.1:1"', '127.0.0.1:2"'));
+    watcher!.checkNow();
+    expect(reportedSettings.map(({store}) => store.address.port)).toEqual([2]);
+  });
+
   it('reports no settings for an invalid file and logs the invalid value', () => {
     const {path, reportedSettings, logLines} = start();
     writeFileSync(path, SETTINGS.replace('drain_ms = 2000', 'drain_ms = "x"'));
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -60,6 +60,8 @@
   signal(signal: NodeJS.Signals): void;
   /** Rewrites the settings file with a new value of a field that the gateway does not know. */
   rewriteSettings(): void;
+  /** Rewrites the settings file with another port of the store. */
+  moveStore(port: number): void;
   /** Kills the process without a restart. */
   stop(): Promise<void>;
 }
@@ -81,11 +83,15 @@
   let isEnding = false;
   let isStopping = false;
   let edits = 0;
+  let {storePort} = options;
   let restartTimer: NodeJS.Timeout | undefined;
   const exits: ProcessExit[] = [];
 
   const writeSettings = () =>
-    writeFileSync(settingsPath, renderSettings(name, host, options, edits));
+    writeFileSync(
+      settingsPath,
+      renderSettings(name, host, {...options, storePort}, edits),
+    );
   const start = () => {
     isStopping = false;
     child = spawn(
@@ -129,6 +135,10 @@
       edits++;
       writeSettings();
     },
+    moveStore(port) {
+      storePort = port;
+      writeSettings();
+    },
     async stop() {
       isEnding = true;
       clearTimeout(restartTimer);
--- a/testing/soak/test/signals_test.ts
+++ b/testing/soak/test/signals_test.ts
@@ -29,6 +29,7 @@
 
 const EVENTS = 40;
 const EVENT_GAP_MS = 50;
+const ANSWER_DELAY_MS = 2_000;
 
 const TIMEOUT_MS = 30_000;
 
@@ -46,11 +47,10 @@
     execFileSync(process.execPath, ['deploy/bundle.mjs'], {cwd: ROOT});
     cluster = await createGatewayCluster(2);
     for (const upstream of cluster.upstreams) {
-      upstream.chooseBehaviour = () => ({
-        kind: 'stream',
-        events: EVENTS,
-        gapMs: EVENT_GAP_MS,
-      });
+      upstream.chooseBehaviour = ({url}) =>
+        url === ROUTE_PATHS.stream
+          ? {kind: 'stream', events: EVENTS, gapMs: EVENT_GAP_MS}
+          : {kind: 'answer', delayMs: ANSWER_DELAY_MS};
     }
     store = await startStoreListener(cluster.store);
     reserved = await reserveNetwork(process.pid);
@@ -97,15 +97,15 @@
     );
   const waitForExit = () =>
     waitUntil('the exit', () => gateway.exits.length > 0, TIMEOUT_MS);
-  const startStream = async (requestId: string) => {
+  const startCall = async (path: string, requestId: string) => {
     const response = sendRawRequest({
       address: gateway.address,
       host: HOST,
-      path: ROUTE_PATHS.stream,
+      path,
       headers: createKeyedHeaders(requestId),
       timeoutMs: TIMEOUT_MS,
     });
-    await waitUntil('the stream to start', () =>
+    await waitUntil('the call to reach an upstream', () =>
       cluster.upstreams.some(({received}) =>
         received.some(request => request.requestId === requestId),
       ),
@@ -117,7 +117,7 @@
     it('finishes a stream when SIGTERM comes twice', async () => {
       start();
       await waitUntilReady();
-      const stream = startStream('s1');
+      const stream = startCall(ROUTE_PATHS.stream, 's1');
       await waitForLine('requestId=s1');
       gateway.signal('SIGTERM');
       await waitForLine('event=process_stopping');
@@ -132,7 +132,7 @@
     it('serves its open requests when SIGHUP comes after a change of the settings', async () => {
       start();
       await waitUntilReady();
-      const stream = startStream('s2');
+      const stream = startCall(ROUTE_PATHS.stream, 's2');
       await waitForLine('requestId=s2');
       gateway.signal('SIGTERM');
       await waitForLine('event=process_stopping');
@@ -147,6 +147,27 @@
       const log = readFileSync(gateway.logPath, 'utf8');
       expect(log.includes('event=settings_reloaded')).toEqual(false);
     });
+
+    it('stores the usage of its last request when the store moves', async () => {
+      start();
+      await waitUntilReady();
+      const call = startCall(ROUTE_PATHS.once, 'o1');
+      await waitForLine('requestId=o1');
+      gateway.signal('SIGTERM');
+      await waitForLine('event=process_stopping');
+      const movedStore = await startStoreListener(cluster.store);
+      gateway.moveStore(movedStore.port);
+      store.mode = 'reset';
+      expect((await call).status).toEqual(200);
+      await waitForExit();
+      store.mode = 'up';
+      await movedStore.close();
+      const keys = cluster.store
+        .rows('sardinestile', 'system')
+        .map(({key}) => key)
+        .filter(key => key.includes(`/${gateway.name}-`));
+      expect(keys.length).toEqual(1);
+    });
   });
 
   describe('while it starts', () => {
