--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -62,6 +62,8 @@
   onNextStart(callback: () => void): void;
   /** Rewrites the settings file with a new value of a field that the gateway does not know. */
   rewriteSettings(): void;
+  /** Rewrites the settings file with another port of the store. */
+  moveStore(port: number): void;
   /** Kills the process without a restart. */
   stop(): Promise<void>;
 }
@@ -83,12 +85,16 @@
   let isEnding = false;
   let isStopping = false;
   let edits = 0;
+  let {storePort} = options;
   let restartTimer: NodeJS.Timeout | undefined;
   const exits: ProcessExit[] = [];
   let startCallbacks: Array<() => void> = [];
 
   const writeSettings = () =>
-    writeFileSync(settingsPath, renderSettings(name, host, options, edits));
+    writeFileSync(
+      settingsPath,
+      renderSettings(name, host, {...options, storePort}, edits),
+    );
   const start = () => {
     isStopping = false;
     child = spawn(
@@ -136,6 +142,10 @@
       edits++;
       writeSettings();
     },
+    moveStore(port) {
+      storePort = port;
+      writeSettings();
+    },
     async stop() {
       isEnding = true;
       clearTimeout(restartTimer);
