--- a/cli/sardinestile/test/process_signals_test.ts
+++ b/cli/sardinestile/test/process_signals_test.ts
@@ -18,6 +18,7 @@
   const signals = createProcessSignals({hangUp, host});
   const lines: string[] = [];
   const calls: string[] = [];
+  const stopTimes: number[] = [];
   const logger = createLogger({
     level: 'info',
     write: line => lines.push(line),
@@ -26,14 +27,16 @@
   let finishStop: () => void = () => undefined;
   const daemon = {
     reload: () => void calls.push('reload'),
-    stop() {
+    stop(signalledAtMs: number) {
       calls.push('stop');
+      stopTimes.push(signalledAtMs);
       return new Promise<void>(resolve => (finishStop = resolve));
     },
   };
   let hasEnded = false;
   return {
     calls,
+    stopTimes,
     exitCodes,
     get hasEnded() {
       return hasEnded;
@@ -110,15 +113,17 @@
       expect(stopping.effects()).toEqual(['stop', 'none', 'none']);
     });
 
-    it('goes on at SIGHUP if it has no settings to reload', async () => {
-      const stopping = await startTestProcess('stop');
-      for (const signal of ['SIGTERM', 'SIGHUP', 'SIGHUP'] as const) {
-        await stopping.send(signal);
-      }
-      expect(stopping.calls).toEqual(['start', 'stop']);
-      expect(stopping.exitCodes).toEqual([]);
-      expect(stopping.effects()).toEqual(['stop', 'none', 'none']);
-    });
+    for (const hangUp of ['reload', 'stop'] as const) {
+      it(`goes on and reloads nothing at SIGHUP, hang-up: ${hangUp}`, async () => {
+        const stopping = await startTestProcess(hangUp);
+        for (const signal of ['SIGTERM', 'SIGHUP', 'SIGHUP'] as const) {
+          await stopping.send(signal);
+        }
+        expect(stopping.calls).toEqual(['start', 'stop']);
+        expect(stopping.exitCodes).toEqual([]);
+        expect(stopping.effects()).toEqual(['stop', 'none', 'none']);
+      });
+    }
 
     it('ends at once at the second SIGINT', async () => {
       const stopping = await startTestProcess('reload');
@@ -149,6 +154,14 @@
       expect(starting.calls).toEqual(['start', 'stop']);
     });
 
+    it('counts its grace period from before the start if SIGTERM came while it started', async () => {
+      const starting = createTestProcess('reload');
+      void starting.start();
+      await starting.send('SIGTERM');
+      await starting.finishStart();
+      expect(starting.stopTimes).toEqual([0]);
+    });
+
     it('does not start if SIGTERM came while its modules were loading', async () => {
       const loading = createTestProcess('reload');
       await loading.send('SIGTERM');
--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -1,5 +1,6 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {drainServer, manageConnections} from '@sardinestile/connections';
 import type {H3} from 'h3';
 import {toNodeHandler} from 'h3/node';
 
@@ -15,9 +16,6 @@
 /** Time for which an idle connection is kept open. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
-/** Interval at which a draining server closes idle connections. */
-const CLOSE_IDLE_INTERVAL_MS = 100;
-
 /** Options for startHttpServer. */
 export interface HttpServerOptions {
   app: H3;
@@ -32,8 +30,12 @@
   port: number;
   /** Closes each connection after its next response. */
   disableKeepAlive(): void;
-  /** Stops accepting connections; resolves when all open requests have ended. */
-  drain(): Promise<void>;
+  /**
+   * Stops accepting connections and closes each one once the responses on it
+   * were delivered; closes those that are left after the limit. Resolves when
+   * all are closed.
+   */
+  drain(limitMs?: number): Promise<void>;
   /** Closes every connection at once. */
   destroy(): void;
 }
@@ -43,30 +45,24 @@
   options: HttpServerOptions,
 ): Promise<HttpServer> {
   const handler = toNodeHandler(options.app);
-  let isKeepAliveDisabled = false;
-  const server = createServer(
-    {
-      headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      noDelay: true,
-    },
-    (request, response) => {
-      if (isKeepAliveDisabled) response.shouldKeepAlive = false;
-      void handler(request, response);
-    },
-  );
+  const server = createServer({
+    headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    noDelay: true,
+  });
+  const connections = manageConnections(server, {
+    handler: (request, response) => void handler(request, response),
+  });
   await listen(server, options);
   return {
     port: (server.address() as AddressInfo).port,
-    disableKeepAlive: () => {
-      isKeepAliveDisabled = true;
-    },
-    drain: () => drainServer(server),
+    disableKeepAlive: () => connections.disableKeepAlive(),
+    drain: limitMs => drainServer(server, connections, limitMs),
     destroy: () => {
+      connections.destroyAll();
       server.close();
-      server.closeAllConnections();
     },
   };
 }
@@ -77,16 +73,3 @@
     server.listen(options.port, options.host, () => resolve());
   });
 }
-
-function drainServer(server: Server): Promise<void> {
-  return new Promise(resolve => {
-    const timer = setInterval(
-      () => server.closeIdleConnections(),
-      CLOSE_IDLE_INTERVAL_MS,
-    );
-    server.close(() => {
-      clearInterval(timer);
-      resolve();
-    });
-  });
-}
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -83,9 +83,9 @@
   let isEnding = false;
   let isStopping = false;
   let edits = 0;
-  let startCallbacks: Array<() => void> = [];
   let restartTimer: NodeJS.Timeout | undefined;
   const exits: ProcessExit[] = [];
+  let startCallbacks: Array<() => void> = [];
 
   const writeSettings = () =>
     writeFileSync(settingsPath, renderSettings(name, host, options, edits));
