test(soak): callers on links, some without streams

Change: every other caller with a kept connection uses a link of 3 ms, and every fourth one sends no streams.

--- a/testing/soak/src/calls.ts
+++ b/testing/soak/src/calls.ts
@@ -15,6 +15,9 @@
   'stream',
 ];
 
+/** Kinds whose response is not a stream. */
+export const UNARY_KINDS: readonly SoakRequestKind[] = ['once', 'idempotent'];
+
 /** Time that callers state for a request, and after which they close the connection, in milliseconds. */
 const DEADLINE_MS = 6_000;
 const CALL_TIMEOUT_MS = 8_000;
@@ -27,18 +30,19 @@
   pauseMs?: number;
 }
 
-/** Creates a request of a random kind and adds it to `calls`. */
+/** Creates a request of one of the kinds and adds it to `calls`. */
 export function createCall(
   soak: SoakContext,
   calls: SoakCall[],
   gateway: GatewayProcess,
   random: () => number,
+  kinds = KINDS,
 ): SoakCall {
   // Includes revoked keys, to check that they are rejected.
   const known = [...soak.revokedKeys.keys(), ...soak.keys];
   const call: SoakCall = {
     id: `c${calls.length}`,
-    kind: pickRandom(KINDS, random),
+    kind: pickRandom(kinds, random),
     key: random() < 0.8 ? soak.keys[0] : pickRandom(known, random),
     gateway: gateway.name,
     sentAtMs: performance.now(),
--- a/testing/soak/src/kept_callers.ts
+++ b/testing/soak/src/kept_callers.ts
@@ -1,21 +1,37 @@
 import {
   openKeptConnection,
+  startDelayedLink,
   type KeptConnection,
 } from '@sardinestile/hosting_tests';
 import {createSeededRandom} from '@sardinestile/types';
-import {createCall, isStream, sendCall, type CallPace} from './calls.js';
+import {
+  createCall,
+  isStream,
+  sendCall,
+  UNARY_KINDS,
+  type CallPace,
+} from './calls.js';
 import type {GatewayProcess} from './gateway_process.js';
-import type {SoakCall} from './guarantees.js';
+import type {SoakCall, SoakRequestKind} from './guarantees.js';
 import {delay, type SoakContext, type SoakOptions} from './soak_context.js';
 
 /** Wait before a new connection and after a refusal, in milliseconds. */
 const RECONNECT_DELAY_MS = 50;
 const REFUSAL_DELAY_MS = 50;
 
+/**
+ * Delay of the link of every other caller in each direction, in milliseconds. On it the
+ * close of a connection and the next request on it cross.
+ */
+const LINK_DELAY_MS = 3;
+
 /** One caller of so many waits between its requests, up to so many milliseconds. */
 const CALLERS_PER_THINKING = 3;
 const MAX_THINK_MS = 400;
 
+/** One caller of so many sends no streams, so that a response is due at most moments. */
+const CALLERS_PER_UNARY = 4;
+
 /** Shares of the calls whose body comes in chunks, that are read slowly, and of streams that are long. */
 const CHUNKED_SHARE = 0.3;
 const SLOW_SHARE = 0.1;
@@ -39,46 +55,71 @@
   calls: SoakCall[],
   endMs: number,
 ): Promise<void> {
-  const callers = soak.gateways.flatMap(gateway =>
-    Array.from({length: keptCallers}, (_, number) => ({gateway, number})),
+  const links = await Promise.all(
+    soak.gateways.map(({address}) => startDelayedLink(address, LINK_DELAY_MS)),
+  );
+  const callers = soak.gateways.flatMap((gateway, index) =>
+    Array.from({length: keptCallers}, (_, number) => ({
+      gateway,
+      number,
+      address: number % 2 === 0 ? gateway.address : links[index].address,
+    })),
   );
   await Promise.all(
-    callers.map(({gateway, number}, i) => {
+    callers.map(({gateway, number, address}, i) => {
       const {next: random} = createSeededRandom(seed * 10_007 + i);
       const isThinking = number % CALLERS_PER_THINKING === 0;
-      const caller = {soak, calls, gateway, random, isThinking};
+      const kinds = number % CALLERS_PER_UNARY === 1 ? UNARY_KINDS : undefined;
+      const caller = {
+        soak,
+        calls,
+        gateway,
+        address,
+        random,
+        isThinking,
+        kinds,
+      };
       return runCaller(caller, endMs);
     }),
   );
+  links.forEach(link => link.close());
 }
 
 interface KeptCaller {
   soak: SoakContext;
   calls: SoakCall[];
   gateway: GatewayProcess;
+  /** Address of the gateway or of the link to it. */
+  address: string;
   random: () => number;
   isThinking: boolean;
+  /** Kinds of its requests; all if absent. */
+  kinds?: readonly SoakRequestKind[];
 }
 
 async function runCaller(caller: KeptCaller, endMs: number): Promise<void> {
   while (performance.now() < endMs) {
-    const connection = openKeptConnection(caller.gateway.address);
-    if (await connection.opened) {
+    // A link accepts connections even while the port of the gateway is closed.
+    const probe = openKeptConnection(caller.gateway.address);
+    const isListening = await probe.opened;
+    probe.close();
+    if (isListening) {
+      const connection = openKeptConnection(caller.address);
       await useConnection(caller, connection, endMs);
+      connection.close();
     }
-    connection.close();
     await delay(RECONNECT_DELAY_MS);
   }
 }
 
 /** Sends one request after the other until the connection must not be used any more. */
 async function useConnection(
-  {soak, calls, gateway, random, isThinking}: KeptCaller,
+  {soak, calls, gateway, random, isThinking, kinds}: KeptCaller,
   connection: KeptConnection,
   endMs: number,
 ): Promise<void> {
   while (!connection.isClosed && performance.now() < endMs) {
-    const call = createCall(soak, calls, gateway, random);
+    const call = createCall(soak, calls, gateway, random, kinds);
     if (isStream(call) && random() < LONG_SHARE) {
       const range = MAX_LONG_EVENTS - MIN_LONG_EVENTS;
       call.events = MIN_LONG_EVENTS + Math.floor(random() * range);
