fix(gateway): answer what a gateway has not read when its grace period ends

Cause: the end of the drain destroyed all connections in the turn of the event loop that noticed the limit; what had arrived since the last poll was unread. Change: the listener reads and answers what has arrived, stops accepting, and waits for the answers to be sent, before connections end. Evidence: caller_listener_test, "answers a request that it has not read yet when its time is over": without the call of finish() the caller gets nothing.

--- a/core/connections/src/drain_server.ts
+++ b/core/connections/src/drain_server.ts
@@ -5,6 +5,18 @@
 /** Interval at which a draining server ends idle connections, in milliseconds. */
 const END_IDLE_INTERVAL_MS = 100;
 
+/**
+ * Stops accepting connections. `onClosed` is called when all connections are closed. The
+ * method of the HTTP server also destroys connections whose response is not sent yet, and
+ * stops checking the timeouts of requests.
+ */
+export function stopAccepting(
+  server: Server,
+  onClosed: () => void = () => undefined,
+): void {
+  NetServer.prototype.close.call(server, onClosed);
+}
+
 /**
  * Stops accepting connections and ends each one once the responses on it were
  * delivered; destroys those that are left after the limit. Resolves when all are
@@ -26,9 +38,7 @@
       ? undefined
       : setTimeout(() => connections.destroyAll(), limitMs);
   return new Promise(resolve => {
-    // The method of the HTTP server also destroys connections whose response is
-    // not sent yet, and stops checking the timeouts of requests.
-    NetServer.prototype.close.call(server, () => {
+    stopAccepting(server, () => {
       clearInterval(timer);
       clearTimeout(limitTimer);
       resolve();
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -4,7 +4,12 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import {manageConnections, type ConnectionEnd} from '@sardinestile/connections';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  manageConnections,
+  stopAccepting,
+  type ConnectionEnd,
+} from '@sardinestile/connections';
 import type {CallerLimits} from '@sardinestile/route_table';
 import {breakOff} from './response_framing.js';
 
@@ -33,7 +38,7 @@
 /** Interval at which a draining listener checks whether it can stop, in milliseconds. */
 const DRAIN_CHECK_INTERVAL_MS = 100;
 
-/** Interval at which `whenSent` checks whether all responses were sent, in milliseconds. */
+/** Interval at which `finish` checks whether all responses were sent, in milliseconds. */
 const SENT_CHECK_MS = 10;
 
 /** Serves one request; resolves when the response was given. */
@@ -73,8 +78,11 @@
    * time by performance.now() at which the signal may have been sent.
    */
   drain(limitMs: number, signalledAtMs: number): Promise<void>;
-  /** Resolves when all responses were sent, or when the limit has passed. */
-  whenSent(limitMs: number): Promise<void>;
+  /**
+   * Answers what has arrived and stops accepting connections. Resolves when all responses
+   * were sent, or when the limit has passed.
+   */
+  finish(limitMs: number): Promise<void>;
   /** Closes every connection at once. */
   close(): void;
 }
@@ -114,17 +122,21 @@
     get isRefusingRequests() {
       return isRefusingRequests();
     },
-    async whenSent(limitMs) {
+    async finish(limitMs) {
       const endMs = performance.now() + limitMs;
+      // After a pause of this process, requests have arrived that it has not read.
+      await sleep(SENT_CHECK_MS);
+      stopAccepting(server);
+      await sleep(SENT_CHECK_MS);
       while (connections.openResponses().length > 0) {
         if (performance.now() >= endMs) return;
-        await new Promise(resolve => setTimeout(resolve, SENT_CHECK_MS));
+        await sleep(SENT_CHECK_MS);
       }
     },
     close() {
       connections.openResponses().forEach(breakOff);
       connections.destroyAll();
-      server.close();
+      stopAccepting(server);
     },
     drain(limitMs, signalledAtMs) {
       drainingSinceMs = signalledAtMs;
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -579,7 +579,7 @@
         performance.now() - signalDelayMs,
       );
       shutdown.abort();
-      await listener.whenSent(LAST_ANSWERS_TIMEOUT_MS);
+      await listener.finish(LAST_ANSWERS_TIMEOUT_MS);
       await Promise.race([close(), sleep(LAST_WRITE_TIMEOUT_MS)]);
     },
     close,
