--- a/testing/end_to_end/src/child_process.ts
+++ b/testing/end_to_end/src/child_process.ts
@@ -29,7 +29,11 @@
   });
   const lines: string[] = [];
   const exited = new Promise<number | null>(resolve =>
-    child.once('exit', code => resolve(code)),
+    child.once('exit', (code, signal) => {
+      // Printed beside the failures of tests, as a process may end without a line.
+      if (code !== 0) console.error(`${args[0]} ended: ${signal ?? code}`);
+      resolve(code);
+    }),
   );
   const startLine = await waitForStart(child, lines);
   return {
