fix(connections): end connections with a rest of a request, and those of HTTP/1.0

A peer could hold a draining server: after a body that was answered early, or a line end behind a body, its connection counted as one with a request that is still arriving, for as long as the peer kept it open (not drained in 70 s; the gateway's drain has a limit, that of an entry has none). A caller of HTTP/1.0 that asked for keep-alive could have a pipelined request run and left without an answer, as node:http ends its connection without a trace in the response. Cause: bytes since the last use were taken for a request, whatever they were; the announcement was read from shouldKeepAlive alone. Change: the end of a request counts as use, a part of a request is given up when no byte of it has come for three seconds, responses to HTTP/1.0 announce the end. The timer of an ended connection goes with it.

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -8,6 +8,9 @@
 /** Time without a request from which a connection counts as idle, in milliseconds. */
 const MIN_IDLE_MS = 500;
 
+/** Time without new bytes from which a request that has not arrived whole is given up, in milliseconds. */
+const MAX_PARTIAL_IDLE_MS = 3_000;
+
 /** A connection of an HTTP server. */
 export interface Connection {
   /** Responses to taken requests that the operating system has not taken whole, in order. */
@@ -39,6 +42,8 @@
   let unsentBytes = 0;
   let bytesReadAtLastUse = 0;
   let lastUsedAtMs = performance.now();
+  let lastBytesRead = 0;
+  let lastBytesAtMs = lastUsedAtMs;
 
   const recordUse = () => {
     bytesReadAtLastUse = socket.bytesRead;
@@ -46,6 +51,15 @@
   };
   const hasPartialRequest = () =>
     responses.size === 0 && socket.bytesRead > bytesReadAtLastUse;
+  const isIdle = () => {
+    const nowMs = performance.now();
+    if (socket.bytesRead !== lastBytesRead) {
+      lastBytesRead = socket.bytesRead;
+      lastBytesAtMs = nowMs;
+    }
+    if (responses.size > 0 || nowMs - lastUsedAtMs < MIN_IDLE_MS) return false;
+    return !hasPartialRequest() || nowMs - lastBytesAtMs > MAX_PARTIAL_IDLE_MS;
+  };
   const hasAnnouncedEnd = () =>
     reason !== undefined ||
     [...responses].some(r => r.headersSent && !r.shouldKeepAlive);
@@ -53,7 +67,8 @@
     if (reason !== undefined) return;
     reason = why;
     socket.end();
-    setTimeout(() => socket.destroy(), LINGER_MS).unref();
+    const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
+    socket.once('close', () => clearTimeout(timer));
   };
   // node:http calls this after a response that announced the end. Its own way closes the
   // connection at once, and bytes that the peer still sends would then reset it before
@@ -70,6 +85,9 @@
       announcer = undefined;
       recordUse();
       responses.add(response);
+      // The response to an older version may end the connection without a trace in it.
+      if (response.req.httpVersion === '1.0') response.shouldKeepAlive = false;
+      response.req.once('close', recordUse);
       response.once('finish', () => {
         responses.delete(response);
         recordUse();
@@ -83,8 +101,7 @@
       announcer = newest;
     },
     endIfIdle() {
-      if (responses.size > 0 || hasPartialRequest()) return;
-      if (performance.now() - lastUsedAtMs < MIN_IDLE_MS) return;
+      if (!isIdle()) return;
       socket.pause();
       end('idle');
     },
