fix(gateway): read on after refusing a body, so that its refusal is read

Callers with a body in chunks over the limit got a reset about a second after the refusal, and lost it if they had not read it by then. Cause: reading stopped with the refusal, and bytes that were left unread reset the connection at its end. Change: the rest of the body is read and dropped until the connection ends. Evidence: endless_responses_test, "a body that is over the limit can be sent to its end, and its refusal is read", failed before (reset) and passes.

--- a/daemons/gateway/src/calls/read_body.ts
+++ b/daemons/gateway/src/calls/read_body.ts
@@ -26,21 +26,26 @@
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let size = 0;
-    request.on('data', (chunk: Buffer) => {
+    const onData = (chunk: Buffer) => {
       size += chunk.length;
       if (size > maxBytes) {
-        request.pause();
-        resolve({kind: 'tooLarge'});
+        refuse('tooLarge');
         return;
       }
       if (!budget.canTakeBody(size, size - chunk.length)) {
-        request.pause();
-        resolve({kind: 'memoryShort'});
+        refuse('memoryShort');
         return;
       }
       chunks.push(chunk);
       account.set('requestBody', size);
-    });
+    };
+    const refuse = (kind: 'tooLarge' | 'memoryShort') => {
+      request.off('data', onData);
+      // Unread bytes would reset the connection before the caller has read the refusal.
+      request.resume();
+      resolve({kind});
+    };
+    request.on('data', onData);
     request.on('end', () => {
       const body =
         size === 0
--- a/testing/hosting/test/endless_responses_test.ts
+++ b/testing/hosting/test/endless_responses_test.ts
@@ -6,6 +6,7 @@
   createGatewayCluster,
   createKeyedHeaders,
   HOST,
+  openKeptConnection,
   ROUTE_PATHS,
   waitUntil,
   type GatewayCluster,
@@ -172,4 +173,21 @@
       expect(cluster.upstreams[0].received.length).toEqual(0);
     });
   }
+
+  it('a body that is over the limit can be sent to its end, and its refusal is read', async () => {
+    const connection = openKeptConnection(gateway.address);
+    const {status, isComplete} = await connection.send({
+      path: ROUTE_PATHS.once,
+      headers: createKeyedHeaders('over the limit'),
+      chunks: Array.from({length: 320}, () => 'x'.repeat(50_000)),
+    });
+    expect({status, isComplete}).toEqual({status: 413, isComplete: true});
+    await delay(1_500);
+    expect(connection.wasReset).toEqual(false);
+    connection.close();
+  });
 });
+
+function delay(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
