fix(cli): date a signal by the last poll of the event loop that had handled all before

Callers of a gateway that had stalled before it got SIGTERM had streams cut up to two seconds early; others could still be taken up to 0.4 s too late. Cause: the wait of a signal was estimated from how late the periodic checks were. A signal during the start counted as sent with the start. Change: a check remembers its time, and once the poll after it is over, all signals sent before that time are known to have been handled. The signals of the process keep that time, also during the start, and hand it to the stop.

--- a/cli/sardinestile/src/loop_delay.ts
+++ b/cli/sardinestile/src/loop_delay.ts
@@ -1,25 +1,29 @@
-/** Bounds how late an event loop handles what happens. */
+/** Interval of the checks, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
+
+/** Bounds how late the event loop of this process handles signals. */
 export interface LoopDelay {
-  /** To be called by a timer at every interval. */
-  check(): void;
   /**
-   * Returns an upper bound of the time for which a signal that is handled now has
-   * waited, in milliseconds.
+   * Returns a time by performance.now() before which no signal was sent that is handled
+   * now or later; 0, the start of the process, until the loop has polled.
    */
-  maxDelayMs(): number;
+  earliestSignalAtMs(): number;
+  stop(): void;
 }
 
-/** Creates a bound that starts now. */
-export function createLoopDelay(nowMs: () => number): LoopDelay {
-  let lastCheckAtMs = nowMs();
-  let earlierCheckAtMs = lastCheckAtMs;
+/** Starts to check the event loop; the checks do not keep the process running. */
+export function startLoopDelay(): LoopDelay {
+  let polledAfterMs = 0;
+  const check = () => {
+    const checkedAtMs = performance.now();
+    // Immediates run after the poll that follows timers, and signals that were sent
+    // before it are handled in it.
+    setImmediate(() => (polledAfterMs = checkedAtMs));
+  };
+  const timer = setInterval(check, CHECK_INTERVAL_MS);
+  timer.unref();
   return {
-    check() {
-      earlierCheckAtMs = lastCheckAtMs;
-      lastCheckAtMs = nowMs();
-    },
-    // A turn of the loop polls after its timers and handles signals after all other
-    // events, so that a signal may have arrived just after the poll of the turn before.
-    maxDelayMs: () => nowMs() - earlierCheckAtMs,
+    earliestSignalAtMs: () => polledAfterMs,
+    stop: () => clearInterval(timer),
   };
 }
--- a/cli/sardinestile/src/process_signals.ts
+++ b/cli/sardinestile/src/process_signals.ts
@@ -1,10 +1,11 @@
 import type {LogEvents, Logger} from '@sardinestile/logger';
+import {startLoopDelay, type LoopDelay} from './loop_delay.js';
 
 /** A running process. */
 export interface StoppableProcess {
   /**
-   * Lets open requests finish before it resolves. `signalledAtMs` is the time by
-   * performance.now() at which the signal was noticed, or 0 while the process started.
+   * Lets open requests finish before it resolves. `signalledAtMs` is the earliest time by
+   * performance.now() at which the signal may have been sent.
    */
   stop(signalledAtMs: number): Promise<void>;
   /** Reads the settings again. */
@@ -45,6 +46,8 @@
   hangUp: 'reload' | 'stop';
   /** Source of the signals; this process by default. */
   host?: Pick<NodeJS.Process, 'on' | 'exit' | 'uptime'>;
+  /** Bounds when a signal was sent; by the event loop of this process by default. */
+  loopDelay?: LoopDelay;
 }
 
 /** The signals of a process. */
@@ -67,6 +70,7 @@
   const {hangUp, host = process} = options;
   let phase: Phase = 'starting';
   let interrupts = 0;
+  const loopDelay = options.loopDelay ?? startLoopDelay();
   let mustReload = false;
   let signalledAtMs = 0;
   let running: StoppableProcess | undefined;
@@ -75,8 +79,7 @@
   let requestStop: () => void;
   const stopRequested = new Promise<void>(resolve => (requestStop = resolve));
   const stop = () => {
-    // A process that is starting may notice a signal long after it was sent.
-    if (phase === 'running') signalledAtMs = performance.now();
+    signalledAtMs = loopDelay.earliestSignalAtMs();
     phase = 'stopping';
     requestStop();
   };
@@ -121,6 +124,7 @@
         await running.stop(signalledAtMs);
       } finally {
         phase = 'stopped';
+        loopDelay.stop();
       }
     },
   };
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -35,7 +35,6 @@
 import {createGatewayCount} from './shared/gateway_count.js';
 import type {GatewayContext} from './gateway_context.js';
 import {refreshGauges} from './gauges.js';
-import {createLoopDelay} from './loop_delay.js';
 import type {DeploymentLimits, GatewayOptions} from './gateway_options.js';
 import {createPeerCalls} from './shared/peer_calls.js';
 import {
@@ -120,8 +119,8 @@
 export interface Gateway {
   /**
    * Drains the open requests, then closes; requests that outlast the grace period are
-   * aborted. The period counts from `signalledAtMs`, a time by performance.now(), or from
-   * now if it is absent.
+   * aborted. The period counts from `signalledAtMs`, the earliest time by performance.now()
+   * at which the signal may have been sent, or from now if it is absent.
    */
   stop(signalledAtMs?: number): Promise<void>;
   /** Closes all connections at once. */
@@ -470,9 +469,7 @@
       .flatMap(({name}) => fleet.upstreamsOf(name));
     void cacheRecovery.recover(engines, groupPeers);
   };
-  const loopDelay = createLoopDelay(() => performance.now());
   const housekeeping = setInterval(() => {
-    loopDelay.check();
     recoverCaches();
     if (!hasAskedPeers && link.livePeers().length > 0) {
       hasAskedPeers = true;
@@ -563,10 +560,7 @@
     async stop(signalledAtMs = performance.now()) {
       isStopping = true;
       const {openRequests} = listener;
-      const signalDelayMs = Math.max(
-        performance.now() - signalledAtMs,
-        loopDelay.maxDelayMs(),
-      );
+      const signalDelayMs = performance.now() - signalledAtMs;
       logger.info('process_stopping', {
         instance,
         openRequests,
@@ -574,10 +568,7 @@
       });
       void usage?.flush();
       void registry.deregister();
-      await listener.drain(
-        options.stopGraceMs - STOP_MARGIN_MS,
-        performance.now() - signalDelayMs,
-      );
+      await listener.drain(options.stopGraceMs - STOP_MARGIN_MS, signalledAtMs);
       shutdown.abort();
       await listener.finish(LAST_ANSWERS_TIMEOUT_MS);
       await Promise.race([close(), sleep(LAST_WRITE_TIMEOUT_MS)]);
