--- a/daemons/gateway/test/caller_listener_test.ts
+++ b/daemons/gateway/test/caller_listener_test.ts
@@ -1,22 +1,28 @@
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {connect, createServer, type AddressInfo} from 'node:net';
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {
-  startCallerListener,
-  type CallerListener,
-} from '../src/calls/caller_listener.js';
+import {startCallerListener} from '../src/calls/caller_listener.js';
 
 const HOST = '127.0.0.1';
-const PORT = 27_431;
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
 
+async function findFreePort(): Promise<number> {
+  const server = createServer().listen(0, HOST);
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
 /** Starts a listener whose responses have bodies of a size. */
-function startListener(bodyBytes: number): Promise<CallerListener> {
-  return startCallerListener({
+async function startListener(bodyBytes: number) {
+  const port = await findFreePort();
+  const listener = await startCallerListener({
     host: HOST,
-    port: PORT,
+    port,
     maxHeaderBytes: 16_384,
     handler(_request, response) {
       response.setHeader('Content-Length', bodyBytes);
@@ -26,13 +32,14 @@
     onConnectionEnded: () => undefined,
     onUnanswerable: () => undefined,
   });
+  return {listener, port};
 }
 
 describe('a listener that drains', () => {
   it('delivers a response that the handler has ended and the caller reads late', async () => {
     const bodyBytes = 16_000_000;
-    const listener = await startListener(bodyBytes);
-    const socket = connect(PORT, HOST);
+    const {listener, port} = await startListener(bodyBytes);
+    const socket = connect(port, HOST);
     let receivedBytes = 0;
     socket.on('data', (bytes: Buffer) => (receivedBytes += bytes.length));
     socket.on('error', () => undefined);
@@ -50,8 +57,8 @@
   });
 
   it('answers a request that it has not read yet when its time is over', async () => {
-    const listener = await startListener(4);
-    const socket = connect(PORT, HOST);
+    const {listener, port} = await startListener(4);
+    const socket = connect(port, HOST);
     let received = '';
     socket.on('data', (bytes: Buffer) => (received += bytes.toString()));
     socket.on('error', () => undefined);
--- a/testing/hosting/test/stopping_gateway_test.ts
+++ b/testing/hosting/test/stopping_gateway_test.ts
@@ -97,7 +97,7 @@
   itOrKnownRed(
     'read the refusal of a request whose body they are still sending',
     async () => {
-      await startWith({kind: 'stream', events: 60, gapMs: 80});
+      await startWith({kind: 'stream', events: 40, gapMs: 80});
       const open = openKeptConnection(gateway.address).send({
         path: ROUTE_PATHS.resumable,
         headers: createKeyedHeaders('open'),
