--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -85,7 +85,7 @@
       announcer = undefined;
       recordUse();
       responses.add(response);
-      // The response to an older version may end the connection without a trace in it.
+      // node:http may end such a connection without a change of shouldKeepAlive.
       if (response.req.httpVersion === '1.0') response.shouldKeepAlive = false;
       response.req.once('close', recordUse);
       response.once('finish', () => {
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -33,7 +33,7 @@
    * or had its time to read.
    */
   readonly isSettled: boolean;
-  /** Time by performance.now() at which the last request or response ended or began. */
+  /** Time by performance.now() at which the last request was taken or response sent. */
   readonly lastUsedAtMs: number;
   /** Ends each connection after its next response from now on. */
   disableKeepAlive(): void;
