feat(cli): one line at every end of a process, and memory near the heap's limit

What operators saw: a process that an uncaught exception ended left no line in the log, a start that failed had neither uptime nor memory, and nothing told a full heap from the other causes.

process_starting says what a process runs on; process_ended is its last line whatever ends it, with cause, uptime and memory; process_heap_high comes before a heap is full; peers log peer_restarted; memory, heap limit and start time are metrics. What ends a process and how is unchanged (uncaughtExceptionMonitor).

Tests: process_end_test runs a process for each of four causes.

--- a/cli/sardinestile/src/commands/daemon_commands.ts
+++ b/cli/sardinestile/src/commands/daemon_commands.ts
@@ -2,6 +2,8 @@
 import {fileURLToPath} from 'node:url';
 import {createLogger, type Logger, type LogLevel} from '@sardinestile/logger';
 import {command, number, option, string} from 'cmd-ts';
+import {describeError, logProcessEnd, logProcessStart} from '../process_end.js';
+import {watchProcessMemory} from '../process_memory.js';
 import {
   createProcessSignals,
   type StoppableProcess,
@@ -21,7 +23,7 @@
     'Run an entry: authenticate callers, place requests and stream answers.',
   args: entrySettings,
   handler: ({logLevel, ...settings}) =>
-    runDaemon(logLevel, logger => startEntryDaemon(settings, logger)),
+    runDaemon('entry', logLevel, logger => startEntryDaemon(settings, logger)),
 });
 
 /** The command `sardinestile agent`. */
@@ -31,7 +33,7 @@
     'Run the agent of one upstream: admit, schedule and run requests.',
   args: agentSettings,
   handler: ({logLevel, ...settings}) =>
-    runDaemon(logLevel, logger => startAgentDaemon(settings, logger)),
+    runDaemon('agent', logLevel, logger => startAgentDaemon(settings, logger)),
 });
 
 /** The command `sardinestile dev`. */
@@ -64,7 +66,7 @@
     logLevel: logLevelSetting,
   },
   handler: ({text, port, opsPort, logLevel}) =>
-    runDaemon(logLevel, async logger => {
+    runDaemon('dev', logLevel, async logger => {
       const {startDevSystem} = await import('@sardinestile/dev');
       const secret = 'sk-dev';
       const system = await startDevSystem({
@@ -82,14 +84,25 @@
 });
 
 /** Runs a process without a settings file until a signal stops it. */
-function runDaemon(
+async function runDaemon(
+  role: string,
   level: LogLevel,
   start: (logger: Logger) => Promise<StoppableProcess>,
 ): Promise<void> {
   const logger = createLogger({level});
-  return createProcessSignals({hangUp: 'stop'}).run(logger, () =>
-    start(logger),
-  );
+  const processEnd = logProcessEnd();
+  const signals = createProcessSignals({hangUp: 'stop'});
+  logProcessStart(role, logger);
+  const memoryWatch = watchProcessMemory({logger});
+  try {
+    await signals.run(logger, () => start(logger));
+    processEnd.record('stopped');
+  } catch (error) {
+    processEnd.record('startFailed', describeError(error));
+    throw error;
+  } finally {
+    memoryWatch.stop();
+  }
 }
 
 function formatExampleRequest(
--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -22,6 +22,8 @@
   readGatewayEnvironment,
   type GatewayEnvironment,
 } from './gateway_environment.js';
+import {logProcessStart} from './process_end.js';
+import {watchProcessMemory} from './process_memory.js';
 import type {ProcessSignals, StoppableProcess} from './process_signals.js';
 import {watchSettings} from './watch_settings.js';
 
@@ -55,9 +57,12 @@
   const settings = parseSettings(text, path);
   const environment = readGatewayEnvironment(process.env);
   const logger = createRateLimitedLogger({level: environment.logLevel});
+  logProcessStart('gateway', logger);
+  const memoryWatch = watchProcessMemory({logger});
   await signals.run(logger, () =>
     startPlatformGateway({path, text, settings, environment, logger}),
   );
+  memoryWatch.stop();
   await logger.flush(LAST_LINES_TIMEOUT_MS);
 }
 
--- a/cli/sardinestile/src/platform_main.ts
+++ b/cli/sardinestile/src/platform_main.ts
@@ -4,12 +4,17 @@
 import {createLogger} from '@sardinestile/logger';
 import {EXIT_CODE_BY_ERROR, EXIT_CODES} from './exit_code.js';
 import {runPlatformGateway} from './platform_gateway.js';
+import {describeError, logProcessEnd} from './process_end.js';
+
+const processEnd = logProcessEnd();
 
 // Entry point of the bundle that runs a gateway on the hosting platform.
 try {
   await runPlatformGateway(gatewaySignals);
+  processEnd.record('stopped');
   process.exit(EXIT_CODES.ok);
 } catch (error) {
+  processEnd.record('startFailed', describeError(error));
   const logger = createLogger({level: 'info'});
   const isSardinestileError = error instanceof SardinestileError;
   logger.error('command_failed', {
--- /dev/null
+++ b/cli/sardinestile/src/process_end.ts
@@ -0,0 +1,94 @@
+import {writeSync} from 'node:fs';
+import {getHeapStatistics} from 'node:v8';
+import {createLogger, type Logger} from '@sardinestile/logger';
+
+/** What ended a process; a signal that it cannot handle leaves no line. */
+export type ProcessEndCause =
+  /** It was asked to stop, and did. */
+  | 'stopped'
+  /** Something that its start needs was missing. */
+  | 'startFailed'
+  /** Nothing caught an exception. */
+  | 'uncaughtException'
+  /** Nothing handled the rejection of a promise. */
+  | 'unhandledRejection'
+  /** Another cause; `exitCode` may tell. */
+  | 'other';
+
+/** Records why this process ends. */
+export interface ProcessEnd {
+  /** Sets the cause, unless one is known. */
+  record(cause: ProcessEndCause, reason?: string): void;
+}
+
+/** Options for logProcessEnd. */
+export interface ProcessEndOptions {
+  /** The process that ends; this one by default. */
+  host?: Pick<NodeJS.Process, 'on' | 'uptime'>;
+  /** Writes a line synchronously; to standard output by default. */
+  write?: (line: string) => void;
+}
+
+const BYTES_PER_MB = 1_048_576;
+
+/**
+ * Logs one line `process_ended` when the process ends, with cause, uptime and memory. The
+ * line is written synchronously, as nothing runs after it.
+ */
+export function logProcessEnd(options: ProcessEndOptions = {}): ProcessEnd {
+  const {host = process, write = line => void writeSync(1, line)} = options;
+  let cause: ProcessEndCause | undefined;
+  let reason: string | undefined;
+  const record = (newCause: ProcessEndCause, newReason?: string) => {
+    if (cause !== undefined) return;
+    cause = newCause;
+    reason = newReason;
+  };
+  host.on('uncaughtExceptionMonitor', (error: unknown, origin) =>
+    record(origin, describeError(error)),
+  );
+  host.on('exit', exitCode => {
+    const logger = createLogger({level: 'info', write});
+    const hasFailed = cause !== undefined && cause !== 'stopped';
+    logger[hasFailed ? 'error' : 'info']('process_ended', {
+      cause: cause ?? 'other',
+      reason,
+      exitCode,
+      uptimeMs: Math.round(host.uptime() * 1_000),
+      ...readProcessMemory(),
+    });
+  });
+  return {record};
+}
+
+/** Logs that this process begins to start, with what it runs on. */
+export function logProcessStart(role: string, logger: Logger): void {
+  logger.info('process_starting', {
+    role,
+    pid: process.pid,
+    nodeVersion: process.versions.node,
+    uptimeMs: Math.round(process.uptime() * 1_000),
+    ...readProcessMemory(),
+  });
+}
+
+/** Returns the memory of this process, in megabytes. */
+export function readProcessMemory(): {
+  residentMb: number;
+  heapUsedMb: number;
+  heapLimitMb: number;
+} {
+  const {used_heap_size: heapUsed, heap_size_limit: heapLimit} =
+    getHeapStatistics();
+  return {
+    residentMb: Math.round(process.memoryUsage.rss() / BYTES_PER_MB),
+    heapUsedMb: Math.round(heapUsed / BYTES_PER_MB),
+    heapLimitMb: Math.round(heapLimit / BYTES_PER_MB),
+  };
+}
+
+/** Returns the stack of an error, or the text of anything else that was thrown. */
+export function describeError(error: unknown): string {
+  if (!(error instanceof Error)) return String(error);
+  return error.stack ?? error.message;
+}
--- /dev/null
+++ b/cli/sardinestile/test/process_end_test.ts
@@ -0,0 +1,66 @@
+import {spawnSync} from 'node:child_process';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {describe, it} from 'node:test';
+import {parseLogLine} from '@sardinestile/logger';
+import {expect} from 'earl';
+
+const MODULE_URL = new URL('../src/process_end.ts', import.meta.url).href;
+
+describe('the end of a process', () => {
+  const directory = mkdtempSync(join(tmpdir(), 'process-end-'));
+  /** Runs a process that executes the statements, and parses its last line. */
+  const runProcess = (name: string, statements: string) => {
+    const path = join(directory, `${name}.mts`);
+    writeFileSync(
+      path,
+      `import {logProcessEnd} from '${MODULE_URL}';
+       const processEnd = logProcessEnd();
+       ${statements}`,
+    );
+    const {stdout, status} = spawnSync(
+      process.execPath,
+      ['--import', 'tsx', '--conditions=sardinestile-source', path],
+      {encoding: 'utf8'},
+    );
+    const lastLine = stdout.trimEnd().split('\n').at(-1)!;
+    return {line: parseLogLine(lastLine), status};
+  };
+
+  for (const {name, statements, cause, status} of [
+    {
+      name: 'a stop',
+      statements: `processEnd.record('stopped');`,
+      cause: 'stopped',
+      status: 0,
+    },
+    {
+      name: 'an exception that nothing catches',
+      statements: `setTimeout(() => { throw new Error('found late'); }, 1);`,
+      cause: 'uncaughtException',
+      status: 1,
+    },
+    {
+      name: 'a rejection that nothing handles',
+      statements: `void Promise.reject(new Error('found late'));`,
+      cause: 'unhandledRejection',
+      status: 1,
+    },
+    {
+      name: 'an exit by other code',
+      statements: `process.exit(7);`,
+      cause: 'other',
+      status: 7,
+    },
+  ]) {
+    it(`has one line with cause, uptime and memory after ${name}`, () => {
+      const {line, status: exitStatus} = runProcess(cause, statements);
+      expect(exitStatus).toEqual(status);
+      expect(line?.event).toEqual('process_ended');
+      expect(line?.fields.get('cause')).toEqual(cause);
+      expect(Number(line?.fields.get('uptimeMs'))).toBeGreaterThan(0);
+      expect(Number(line?.fields.get('heapUsedMb'))).toBeGreaterThan(0);
+    });
+  }
+});
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -13,8 +13,23 @@
   source: string;
 }
 
+/** Memory of this process, in megabytes. */
+interface ProcessMemoryFields {
+  residentMb: number;
+  heapUsedMb: number;
+  /** The process is aborted when its heap exceeds this. */
+  heapLimitMb: number;
+}
+
 /** All log events with their fields. API keys and prompts must not be logged. */
 export interface LogEvents {
+  /** The process has begun to run and starts to listen; it serves from `process_started` on. */
+  process_starting: ProcessMemoryFields & {
+    role: string;
+    pid: number;
+    nodeVersion: string;
+    uptimeMs: number;
+  };
   process_started: {
     role: string;
     instance: string;
@@ -29,6 +44,15 @@
     signalDelayMs?: number;
   };
   process_stopped: {instance: string};
+  /** The last line of a process, whatever ended it, except signals that it cannot handle. */
+  process_ended: ProcessMemoryFields & {
+    cause: string;
+    reason?: string;
+    exitCode: number;
+    uptimeMs: number;
+  };
+  process_heap_high: ProcessMemoryFields;
+  process_heap_usual: ProcessMemoryFields;
   /** `sinceStartMs` is the time since the process started. */
   signal_received: {signal: string; sinceStartMs: number; effect: string};
   /** A connection of a caller ended after the process was told to stop. */
@@ -299,6 +323,8 @@
   store_restored: {generation: number};
   usage_reported: {windowId: string; organisations: number};
   peer_found: {peer: string};
+  /** `uptimeMs` is the time since the start of the peer's process before, by the peer's clock. */
+  peer_restarted: {peer: string; uptimeMs: number};
   peer_lost: {peer: string};
   peer_entry_removed: {entry: string};
   peer_link_failed: {reason: string};
--- a/core/metrics/src/metrics_registry.ts
+++ b/core/metrics/src/metrics_registry.ts
@@ -1,3 +1,4 @@
+import {getHeapStatistics} from 'node:v8';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /**
@@ -15,6 +16,9 @@
  */
 const MAX_SERIES_PER_FAMILY = 1_000;
 
+/** Unix time at which this process started. */
+const PROCESS_STARTED_AT_SECONDS = performance.timeOrigin / 1000;
+
 /** Value of every label of the overflow series. */
 const OVERFLOW_VALUE = 'overflow';
 
@@ -60,16 +64,35 @@
     const histogram = new Histogram(options);
     return labels => histogram.labels(labels);
   });
+  const setGauge = (name: string, labels: Labels, value: number) =>
+    gauges(name, labels).seriesFor(labels).set(value);
   return {
     increment: (name, labels, by = 1) =>
       counters(name, labels).seriesFor(labels).inc(by),
-    setGauge: (name, labels, value) =>
-      gauges(name, labels).seriesFor(labels).set(value),
+    setGauge,
     recordMs: (name, labels, durationMs) =>
       histograms(name, labels)
         .seriesFor(labels)
         .observe(durationMs / 1000),
-    render: () => registry.metrics(),
+    render() {
+      const processGauges = readProcessGauges();
+      for (const [name, value] of Object.entries(processGauges)) {
+        setGauge(name, {}, value);
+      }
+      return registry.metrics();
+    },
+  };
+}
+
+/** Returns the memory of this process in bytes, and the Unix time of its start. */
+function readProcessGauges(): Record<string, number> {
+  const {used_heap_size: heapUsed, heap_size_limit: heapLimit} =
+    getHeapStatistics();
+  return {
+    sardinestile_process_resident_bytes: process.memoryUsage.rss(),
+    sardinestile_process_heap_used_bytes: heapUsed,
+    sardinestile_process_heap_limit_bytes: heapLimit,
+    sardinestile_process_start_time_seconds: PROCESS_STARTED_AT_SECONDS,
   };
 }
 
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -212,6 +212,8 @@
       transmit([], [peer]);
     } else if (peer.startedAtMs !== packet.startedAtMs) {
       observer.onPeerLost(peer.instance);
+      const uptimeMs = packet.startedAtMs - peer.startedAtMs;
+      logger.info('peer_restarted', {peer: packet.instance, uptimeMs});
     }
     peer.instance = packet.instance;
     peer.startedAtMs = packet.startedAtMs;
