--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -1,11 +1,18 @@
 import {spawn, type ChildProcess} from 'node:child_process';
-import {createWriteStream, writeFileSync, type WriteStream} from 'node:fs';
+import {
+  createWriteStream,
+  readFileSync,
+  writeFileSync,
+  type WriteStream,
+} from 'node:fs';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {parse} from 'smol-toml';
 
-const BUNDLE_PATH = fileURLToPath(
-  new URL('../../../target/sardinestile.mjs', import.meta.url),
-);
+const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
+
+/** Arguments with which the hosting platform starts a gateway. */
+const GATEWAY_ARGUMENTS = readGatewayArguments();
 
 /** Module preloaded into each process, so that a signal can step its wall clock. */
 const CLOCK_STEPS_MODULE = new URL('./clock_steps.mjs', import.meta.url).href;
@@ -99,8 +106,9 @@
     isStopping = false;
     child = spawn(
       process.execPath,
-      ['--import', CLOCK_STEPS_MODULE, BUNDLE_PATH, 'gateway'],
+      ['--import', CLOCK_STEPS_MODULE, ...GATEWAY_ARGUMENTS],
       {
+        cwd: ROOT,
         env: {
           ...process.env,
           ...options.environment,
@@ -158,6 +166,12 @@
   };
 }
 
+function readGatewayArguments(): string[] {
+  const text = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
+  const {roles} = parse(text) as {roles: {gateway: {run: string}}};
+  return roles.gateway.run.split(' ').slice(1);
+}
+
 function renderSettings(
   name: string,
   host: string,
