fix(connections): a request whose handling fails no longer ends the process

What callers saw: one request with an invalid target (`GET //`, `GET http://[::1`) at the port for other gateways ended a gateway with exit code 1, and everything that was open on it.

Cause: the handler of each server stood alone between its socket and the process. The peer server called `new URL` outside of a promise; other servers dropped the promise of their handler, or had a catch of their own; a second accept error met `once('error')`.

Change: core/connections has one input boundary. manageConnections, which the peer server now uses as well, runs every handler inside of it: a failed request is answered 500 (which promises nothing about whether it ran) or broken off, logged as input_failed and counted. Errors of a listening server are logged. The line call_failed becomes input_failed.

--- a/core/connections/src/index.ts
+++ b/core/connections/src/index.ts
@@ -1,3 +1,5 @@
 export * from './connection_end.js';
 export * from './drain_server.js';
+export {breakOff} from './fail_request.js';
+export * from './input_boundary.js';
 export * from './server_connections.js';
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -1,17 +1,31 @@
-import type {
-  IncomingMessage,
-  RequestListener,
-  Server,
-  ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ConnectionEnd} from './connection_end.js';
 import {createConnection, type Connection} from './connection.js';
+import {failRequest} from './fail_request.js';
+import {
+  createInputBoundary,
+  type InputBoundary,
+  type InputName,
+} from './input_boundary.js';
+
+/** Serves a request; the promise rejects, or the call throws, if that fails. */
+export type RequestHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void | Promise<void>;
 
 /** Options for `manageConnections`. */
 export interface ServerConnectionsOptions {
-  /** Serves a request whose connection takes its response. */
-  handler: RequestListener;
+  /**
+   * Serves a request whose connection takes its response. If it fails, the request is
+   * answered with status 500, or broken off if its response had begun.
+   */
+  handler: RequestHandler;
+  /** Reports failures of handlers and of the server; logs them by default. */
+  boundary?: InputBoundary;
+  /** What the server receives; `request` by default. */
+  input?: InputName;
   /** Called when a connection has closed. */
   onEnded?: (end: ConnectionEnd) => void;
   /**
@@ -51,8 +65,15 @@
 /** Takes over the connections that a server accepts from now on, and their requests. */
 export function manageConnections(
   server: Server,
-  {handler, onEnded, onUnanswerable}: ServerConnectionsOptions,
+  {
+    handler,
+    onEnded,
+    onUnanswerable,
+    input = 'request',
+    boundary = createInputBoundary(),
+  }: ServerConnectionsOptions,
 ): ServerConnections {
+  const serve = boundary.guard(input, handler, failRequest);
   const connections = new Map<Socket, Connection>();
   let isKeepAliveDisabled = false;
   let lastUsedAtMs = performance.now();
@@ -74,7 +95,12 @@
     }
     if (isKeepAliveDisabled) connection.announceEnd();
     response.once('finish', () => (lastUsedAtMs = performance.now()));
-    handler(request, response);
+    response.on('error', error => boundary.report({input, error}));
+    serve(request, response);
+  });
+  server.on('error', error => {
+    // Until the server listens, its errors concern whoever starts it.
+    if (server.listening) boundary.report({input, error});
   });
   const all = () => [...connections.values()];
   return {
--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -1,6 +1,11 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {drainServer, manageConnections} from '@sardinestile/connections';
+import {
+  drainServer,
+  manageConnections,
+  type InputBoundary,
+  type InputName,
+} from '@sardinestile/connections';
 import type {H3} from 'h3';
 import {toNodeHandler} from 'h3/node';
 
@@ -23,6 +28,10 @@
   /** 0 selects any free port. */
   port: number;
   headersTimeoutMs?: number;
+  /** Reports failures; logs them by default. */
+  boundary?: InputBoundary;
+  /** What the server receives; `request` by default. */
+  input?: InputName;
 }
 
 /** A running HTTP server. */
@@ -53,7 +62,11 @@
     noDelay: true,
   });
   const connections = manageConnections(server, {
-    handler: (request, response) => void handler(request, response),
+    handler: async (request, response) => {
+      await handler(request, response);
+    },
+    boundary: options.boundary,
+    input: options.input,
   });
   await listen(server, options);
   return {
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -122,7 +122,8 @@
   };
   log_suppressed: {suppressedEvent: string; lines: number};
   log_dropped: {lines: number};
-  call_failed: {reason: string};
+  /** Code that handled bytes from outside failed; only that request, connection or datagram did. */
+  input_failed: {input: string; from?: string; reason: string};
   call_abandoned: {requestId?: string};
   /** The response had begun; `reason` says why it did not go on. */
   call_broken_off: {requestId: string; reason: string};
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -9,6 +9,7 @@
   manageConnections,
   stopAccepting,
   type ConnectionEnd,
+  type InputBoundary,
 } from '@sardinestile/connections';
 import type {CallerLimits} from '@sardinestile/route_table';
 import {breakOff} from './response_framing.js';
@@ -53,6 +54,8 @@
   port: number;
   maxHeaderBytes: number;
   handler: RequestHandler;
+  /** Reports failures; logs them by default. */
+  boundary?: InputBoundary;
   /** Called when a connection has closed; `sinceStopMs` is undefined before the drain. */
   onConnectionEnded: (
     end: ConnectionEnd,
@@ -105,7 +108,9 @@
     noDelay: true,
   });
   const connections = manageConnections(server, {
-    handler: (request, response) => void options.handler(request, response),
+    handler: options.handler,
+    boundary: options.boundary,
+    input: 'callerRequest',
     onEnded: end => options.onConnectionEnded(end, sinceStopMs()),
     onUnanswerable: request => options.onUnanswerable(request, sinceStopMs()),
   });
--- a/daemons/gateway/src/calls/response_framing.ts
+++ b/daemons/gateway/src/calls/response_framing.ts
@@ -2,6 +2,8 @@
 import type {HeaderCodec} from '@sardinestile/ports';
 import type {BufferedResponse} from './call.js';
 
+export {breakOff} from '@sardinestile/connections';
+
 /**
  * Whether a response is delimited only by the close of its connection, so that
  * truncation cannot be detected.
@@ -23,15 +25,6 @@
   response.shouldKeepAlive = false;
 }
 
-/**
- * Ends a response early so that it cannot look complete. One that is delimited by
- * the close of its connection needs a reset; others lack their last bytes.
- */
-export function breakOff(response: ServerResponse): void {
-  if (response.useChunkedEncodingByDefault) response.destroy();
-  else response.socket?.resetAndDestroy();
-}
-
 /** Creates a buffered response, which is not sent to the caller before it is known to be final. */
 export function bufferResponse(
   headerCodec: HeaderCodec,
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import {setMaxListeners} from 'node:events';
 import {createReturnSchedule} from '@sardinestile/admission';
+import {createInputBoundary} from '@sardinestile/connections';
 import {
   assignGroup,
   createUpstreamFleet,
@@ -51,7 +52,6 @@
 import {createSharedUpstreams} from './shared/shared_upstreams.js';
 import {createServedVersionStore} from './shared/served_version_store.js';
 import {createStreamContinuations} from './shared/stream_continuations.js';
-import {breakOff} from './calls/response_framing.js';
 import {serveCall} from './calls/serve_call.js';
 import {reportDivision} from './shared/report_division.js';
 import {chooseStoreReader} from './shared/store_reader.js';
@@ -133,6 +133,7 @@
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
   const {clock, logger, metrics, instance, table, peerAddress} = options;
   const {storeRestores = NO_RESTORES} = options;
+  const boundary = createInputBoundary({logger, metrics});
   let isStopping = false;
   let fleetId: string | undefined;
   const peerClient = createPeerClient(() => fleetId);
@@ -423,6 +424,7 @@
   });
   const peerServer = await startPeerServer({
     ...peerAddress,
+    boundary,
     fleetId: () => fleetId,
     getConfirmedConfig: (haveVersion, waitMs) =>
       config.getConfirmedConfig(haveVersion, waitMs),
@@ -491,11 +493,8 @@
   const listener = await startCallerListener({
     ...options.callerAddress,
     maxHeaderBytes: MAX_HEADER_BYTES,
-    handler: (request, response) =>
-      serveCall(context, request, response).catch((error: Error) => {
-        logger.error('call_failed', {reason: error.stack ?? error.message});
-        breakOff(response);
-      }),
+    handler: (request, response) => serveCall(context, request, response),
+    boundary,
     onConnectionEnded: (end, sinceStopMs) =>
       recordConnectionEnd(context, end, sinceStopMs),
     onUnanswerable({headers}, sinceStopMs) {
@@ -513,6 +512,7 @@
   const textServers = await startTextServers({
     readinessAddress: options.readinessAddress,
     metricsAddress: options.metricsAddress,
+    boundary,
     isReady,
     renderMetrics() {
       refreshGauges(context);
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -1,5 +1,9 @@
 import {createServer, type ServerResponse} from 'node:http';
-import {drainServer, manageConnections} from '@sardinestile/connections';
+import {
+  drainServer,
+  manageConnections,
+  type InputBoundary,
+} from '@sardinestile/connections';
 import type {ListenAddress} from './gateway_options.js';
 
 /** A running HTTP server for readiness or metrics. */
@@ -21,29 +25,36 @@
   metricsAddress: ListenAddress | undefined;
   isReady: () => boolean;
   renderMetrics: () => Promise<string>;
+  /** Reports failures; logs them by default. */
+  boundary?: InputBoundary;
 }
 
 /** Starts the HTTP servers for readiness and metrics; rejects if an address is in use. */
 export async function startTextServers(
   options: TextServersOptions,
 ): Promise<TextServer[]> {
-  const {readinessAddress, metricsAddress, isReady, renderMetrics} = options;
+  const {readinessAddress, metricsAddress, isReady, renderMetrics, boundary} =
+    options;
   const servers: TextServer[] = [];
   if (readinessAddress) {
     servers.push(
-      await startTextServer(readinessAddress, () =>
-        isReady()
-          ? {status: 200, text: 'ready\n'}
-          : {status: 503, text: 'not ready\n'},
+      await startTextServer(
+        readinessAddress,
+        () =>
+          isReady()
+            ? {status: 200, text: 'ready\n'}
+            : {status: 503, text: 'not ready\n'},
+        boundary,
       ),
     );
   }
   if (metricsAddress) {
     servers.push(
-      await startTextServer(metricsAddress, async () => ({
-        status: 200,
-        text: await renderMetrics(),
-      })),
+      await startTextServer(
+        metricsAddress,
+        async () => ({status: 200, text: await renderMetrics()}),
+        boundary,
+      ),
     );
   }
   return servers;
@@ -52,6 +63,7 @@
 async function startTextServer(
   {host, port}: ListenAddress,
   render: () => TextResponse | Promise<TextResponse>,
+  boundary: InputBoundary | undefined,
 ): Promise<TextServer> {
   const respond = async (response: ServerResponse) => {
     const {status, text} = await render();
@@ -63,8 +75,9 @@
   };
   const server = createServer();
   const connections = manageConnections(server, {
-    handler: (_request, response) =>
-      void respond(response).catch((error: Error) => response.destroy(error)),
+    handler: (_request, response) => respond(response),
+    boundary,
+    input: 'operatorRequest',
   });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -3,7 +3,11 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  drainServer,
+  manageConnections,
+  type InputBoundary,
+} from '@sardinestile/connections';
 import type {LogPosition} from '@sardinestile/shared_feed';
 import {
   CACHED_PARTS_PATH,
@@ -27,6 +31,9 @@
 /** Limit of a request body. */
 const MAX_MESSAGE_BYTES = 1_048_576;
 
+/** Base of the targets of requests, which are paths. */
+const BASE_URL = 'http://peer';
+
 /** Time within which a closing server answers its open requests, in milliseconds. */
 const CLOSE_LIMIT_MS = 150;
 
@@ -34,6 +41,8 @@
 export interface PeerServerOptions {
   host: string;
   port: number;
+  /** Reports failures; logs them by default. */
+  boundary?: InputBoundary;
   /** Fleet of this gateway; requests from other fleets get status 404. */
   fleetId: () => string | undefined;
   /**
@@ -122,29 +131,34 @@
       return {};
     },
   };
-  const openResponses = new Set<ServerResponse>();
   let isClosing = false;
-  const server = createServer((request, response) => {
-    openResponses.add(response);
-    response.once('close', () => openResponses.delete(response));
-    if (isClosing) {
-      // A connection that closes with an unread body loses the response.
-      request.resume().once('end', () => refuseAtClose(response));
-      return;
-    }
-    const url = new URL(request.url ?? '/', 'http://peer');
-    const handler = handlers[`${request.method} ${url.pathname}`];
-    const isSameFleet =
-      options.fleetId() !== undefined &&
-      request.headers[FLEET_HEADER] === options.fleetId();
-    if (!handler || !isSameFleet) {
-      sendJson(response, 404, {});
-      return;
-    }
-    handler(url, request).then(
-      body => sendJson(response, body ? 200 : 503, body ?? {}),
-      (error: Error) => sendJson(response, 503, {reason: error.message}),
-    );
+  const server = createServer();
+  const connections = manageConnections(server, {
+    async handler(request, response) {
+      if (isClosing) {
+        // A connection that closes with an unread body loses the response.
+        request.resume().once('end', () => refuseAtClose(response));
+        return;
+      }
+      const target = request.url ?? '/';
+      const url = URL.canParse(target, BASE_URL)
+        ? new URL(target, BASE_URL)
+        : undefined;
+      const handle = url && handlers[`${request.method} ${url.pathname}`];
+      const isSameFleet =
+        options.fleetId() !== undefined &&
+        request.headers[FLEET_HEADER] === options.fleetId();
+      if (!handle || !isSameFleet) {
+        sendJson(response, 404, {});
+        return;
+      }
+      await handle(url, request).then(
+        body => sendJson(response, body ? 200 : 503, body ?? {}),
+        (error: Error) => sendJson(response, 503, {reason: error.message}),
+      );
+    },
+    boundary: options.boundary,
+    input: 'peerRequest',
   });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
@@ -153,16 +167,11 @@
   return {
     async close() {
       isClosing = true;
-      for (const response of openResponses) {
-        response.shouldKeepAlive = false;
+      const closed = drainServer(server, connections, CLOSE_LIMIT_MS);
+      for (const response of connections.openResponses()) {
         if (response.req.method === 'GET') refuseAtClose(response);
       }
-      const closed = [...openResponses].map(
-        response => new Promise(resolve => response.once('close', resolve)),
-      );
-      await Promise.race([Promise.all(closed), sleep(CLOSE_LIMIT_MS)]);
-      server.close();
-      server.closeAllConnections();
+      await closed;
     },
   };
 }
--- a/protocol/peer/test/peer_server_test.ts
+++ b/protocol/peer/test/peer_server_test.ts
@@ -90,6 +90,13 @@
     });
   }
 
+  for (const target of ['//', '//:', 'http://[::1', 'http://h:99999/']) {
+    it(`answers 404 instead of ending the process when the target is ${target}`, async () => {
+      expect(await send('GET', target)).toEqual(404);
+      expect(await send('GET', '/unknown')).toEqual(404);
+    });
+  }
+
   describe('while it closes', () => {
     it('answers a long poll with 503 at once instead of resetting it', async () => {
       const status = send('GET', `${CONFIG_PATH}?have=0&waitMs=60000`);
