fix(ledger): an invalid address or update of a peer no longer ends the process

What callers saw: nothing yet; a gateway ends with exit code 1 when its heartbeat goes to an address with an impossible port (a row of the store, or a datagram from port 0), or when an update that passed the schema cannot be applied.

Cause: socket.send throws for such a port, in a timer; the handler of datagrams is called by the socket. Nothing catches either.

Change: receiving and sending datagrams run inside of the input boundary, one datagram each. Rows of gateways with an impossible port are rejected with a line.

Evidence: with the source before, ledger_link_test fails in both new cases: ERR_SOCKET_BAD_PORT, and "uncaughtException: cannot be applied".

Result: the tests of protocol/ledger pass.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -161,6 +161,7 @@
     clock,
     slewedTimeMs,
     logger,
+    boundary,
     observer: {
       onUpdate(peer, event, isFromOtherGroup) {
         reporter.applyPeerUpdate(peer, event, isFromOtherGroup);
--- a/daemons/gateway/src/shared/peer_registry.ts
+++ b/daemons/gateway/src/shared/peer_registry.ts
@@ -47,7 +47,7 @@
 
 const rowSchema = z.object({
   host: z.string(),
-  port: z.number().int(),
+  port: z.number().int().min(1).max(65_535),
   /** Time of the last renewal in Unix milliseconds. */
   renewedAtMs: z.number(),
 });
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -1,4 +1,8 @@
-import {createSocket} from 'node:dgram';
+import {createSocket, type RemoteInfo} from 'node:dgram';
+import {
+  createInputBoundary,
+  type InputBoundary,
+} from '@sardinestile/connections';
 import type {Logger} from '@sardinestile/logger';
 import type {Clock} from '@sardinestile/types';
 import {
@@ -46,6 +50,8 @@
   address: PeerAddress;
   clock: Clock;
   logger: Logger;
+  /** Reports failures; logs them by default. */
+  boundary?: InputBoundary;
   observer: LedgerObserver;
   /**
    * This gateway's wall clock in Unix milliseconds, slewed so that clock steps
@@ -98,6 +104,7 @@
   options: LedgerLinkOptions,
 ): Promise<LedgerLink> {
   const {instance, address, clock, slewedTimeMs, observer, logger} = options;
+  const {boundary = createInputBoundary({logger})} = options;
   const startedAtMs = clock.wallMs();
   const socket = createSocket('udp4');
   const peers = new Map<string, Peer>();
@@ -132,6 +139,11 @@
     }
     return peer;
   };
+  // Addresses come from datagrams and from the store; `send` throws for an invalid one.
+  const sendDatagram = boundary.guard(
+    'datagram',
+    (bytes: Buffer, to: PeerAddress) => socket.send(bytes, to.port, to.host),
+  );
   const transmit = (
     updates: LedgerUpdate[],
     targets: ReadonlyArray<Pick<Peer, 'address'>>,
@@ -155,7 +167,7 @@
       transmit(updates.slice(half), targets, isBetweenGroups);
       return;
     }
-    for (const {address: to} of targets) socket.send(bytes, to.port, to.host);
+    for (const {address: to} of targets) sendDatagram(bytes, to);
   };
   const flush = () => {
     clearTimeout(flushTimer);
@@ -191,7 +203,7 @@
     }
     transmit([], [...peers.values()]);
   };
-  socket.on('message', (bytes, from) => {
+  const receive = (bytes: Buffer, from: RemoteInfo) => {
     const packet = decodeLedgerMessage(bytes);
     if (!packet || packet.fleetId !== fleetId) return;
     if (packet.instance === instance) return;
@@ -223,7 +235,8 @@
     for (const item of packet.updates) {
       observer.onUpdate(packet.instance, item, false);
     }
-  });
+  };
+  socket.on('message', boundary.guard('datagram', receive));
   socket.on('error', error =>
     logger.warn('peer_link_failed', {reason: error.message}),
   );
--- a/protocol/ledger/test/ledger_link_test.ts
+++ b/protocol/ledger/test/ledger_link_test.ts
@@ -29,7 +29,11 @@
   return port;
 }
 
-async function openTestLink(instance: string, fleetId: string) {
+async function openTestLink(
+  instance: string,
+  fleetId: string,
+  apply: () => void = () => undefined,
+) {
   const received: LedgerUpdate[] = [];
   const address = {host: '127.0.0.1', port: await findFreePort()};
   const link = await openLedgerLink({
@@ -39,7 +43,10 @@
     slewedTimeMs: Date.now,
     logger: createLogger({level: 'silent'}),
     observer: {
-      onUpdate: (_peer, update) => received.push(update),
+      onUpdate(_peer, update) {
+        received.push(update);
+        apply();
+      },
       onPeerLost: () => undefined,
     },
     status: () => ({isStopping: false, hasSeenDutyHeld: true}),
@@ -82,4 +89,34 @@
     expect(second.received).toEqual([]);
     second.link.close();
   });
+
+  it('goes on sending to its peers when a registered address has an impossible port', async () => {
+    const first = await openTestLink('a', 'one');
+    const second = await openTestLink('b', 'one');
+    const impossible = [0, 70_000, -1].map(port => ({host: '127.0.0.1', port}));
+    first.link.setAddresses([...impossible, second.address], []);
+    await sleep(50);
+    first.link.send(UPDATES[1], true);
+    // Heartbeats are sent to all addresses, too.
+    await sleep(600);
+    expect(second.received).toEqual([UPDATES[1]]);
+    first.link.close();
+    second.link.close();
+  });
+
+  it('goes on receiving when an update cannot be applied', async () => {
+    const first = await openTestLink('a', 'one');
+    const second = await openTestLink('b', 'one', () => {
+      throw new Error('cannot be applied');
+    });
+    first.link.setAddresses([second.address], []);
+    await sleep(50);
+    first.link.send(UPDATES[1], true);
+    await sleep(50);
+    first.link.send(UPDATES[2], true);
+    await sleep(50);
+    expect(second.received).toEqual([UPDATES[1], UPDATES[2]]);
+    first.link.close();
+    second.link.close();
+  });
 });
