fix(session): a message that cannot be handled closes its session at once

What operators saw: nothing yet; a session whose handler failed on a message stayed open and silent until its timeout of 2 s.

Cause: the stream's data handler had nothing around it.

Change: frames are received inside of the input boundary; a failure is logged and closes the session, so that the entry opens another one.

Evidence: with the source before, session_test "closes the session at once when a message cannot be handled" ends with the reason "timed out".

Result: the tests of protocol/session pass.

--- a/protocol/session/src/session.ts
+++ b/protocol/session/src/session.ts
@@ -1,4 +1,8 @@
 import type {MessageInitShape} from '@bufbuild/protobuf';
+import {
+  createInputBoundary,
+  type InputBoundary,
+} from '@sardinestile/connections';
 import type {
   AgentMessage,
   AgentMessageSchema,
@@ -78,6 +82,8 @@
   handlers: SessionHandlers<In>;
   heartbeatIntervalMs?: number;
   timeoutMs?: number;
+  /** Reports failures; logs them by default. */
+  boundary?: InputBoundary;
 }
 
 interface Frame {
@@ -91,7 +97,7 @@
 export function createSession<Out, In>(
   options: SessionOptions<In>,
 ): Session<Out> {
-  const {stream, handlers} = options;
+  const {stream, handlers, boundary = createInputBoundary()} = options;
   const timeoutMs = options.timeoutMs ?? SESSION_TIMEOUT_MS;
   const intervalMs = options.heartbeatIntervalMs ?? HEARTBEAT_INTERVAL_MS;
   let outbox: Out[] = [];
@@ -141,12 +147,18 @@
     sendHeartbeat();
   }, intervalMs);
 
-  stream.on('data', frame => {
+  const receive = (frame: unknown) => {
     receivedAtMs = performance.now();
     for (const message of (frame as Frame).messages) {
       if (isOpen && message.body.case) handlers.onMessage(message.body as In);
     }
-  });
+  };
+  stream.on(
+    'data',
+    boundary.guard('sessionFrame', receive, () =>
+      close('a message could not be handled'),
+    ),
+  );
   stream.on('error', error => close(error.message));
   stream.on('end', () => close(endReason ?? 'stream ended by peer'));
   stream.on('close', () => close(endReason ?? 'stream closed'));
--- a/protocol/session/src/session_client.ts
+++ b/protocol/session/src/session_client.ts
@@ -1,4 +1,5 @@
 import {Client, credentials, type ClientDuplexStream} from '@grpc/grpc-js';
+import type {InputBoundary} from '@sardinestile/connections';
 import type {
   AgentFrame,
   AgentMessage,
@@ -24,6 +25,8 @@
   handlers: SessionHandlers<ReceivedAgentBody>;
   heartbeatIntervalMs?: number;
   timeoutMs?: number;
+  /** Reports failures; logs them by default. */
+  boundary?: InputBoundary;
 }
 
 /**
--- a/protocol/session/src/session_server.ts
+++ b/protocol/session/src/session_server.ts
@@ -5,6 +5,7 @@
   type ServerUnaryCall,
   type sendUnaryData,
 } from '@grpc/grpc-js';
+import type {InputBoundary} from '@sardinestile/connections';
 import type {
   AgentFrame,
   ConfigPull,
@@ -40,6 +41,8 @@
   pullConfig: (sinceVersion: number) => ConfigPush;
   heartbeatIntervalMs?: number;
   timeoutMs?: number;
+  /** Reports failures; logs them by default. */
+  boundary?: InputBoundary;
 }
 
 /** A running gRPC server. */
@@ -98,6 +101,7 @@
     stream: toFrameStream(call),
     heartbeatIntervalMs: options.heartbeatIntervalMs,
     timeoutMs: options.timeoutMs,
+    boundary: options.boundary,
     handlers: {
       onMessage: body => sessionHandlers.onMessage(body),
       onClose: reason => sessionHandlers.onClose(reason),
--- a/protocol/session/test/session_test.ts
+++ b/protocol/session/test/session_test.ts
@@ -15,6 +15,9 @@
 const HEARTBEAT_INTERVAL_MS = 100;
 const TIMEOUT_MS = 2_000;
 
+/** Attempt id whose message the server's handler fails on. */
+const UNUSABLE_ID = 'unusable';
+
 /** A TCP relay that can stall its existing connections while new ones work. */
 interface StallingRelay {
   port: number;
@@ -62,7 +65,15 @@
       timeoutMs: TIMEOUT_MS,
       pullConfig: () => ({}) as ConfigPush,
       accept: () => ({
-        onMessage: body => received.push(body),
+        onMessage(body) {
+          if (
+            body.case === 'withdraw' &&
+            body.value.attemptId === UNUSABLE_ID
+          ) {
+            throw new Error('unusable');
+          }
+          received.push(body);
+        },
         onClose: reason => serverCloses.push(reason),
       }),
     });
@@ -97,6 +108,18 @@
     while (!isReceived()) await new Promise(resolve => setTimeout(resolve, 10));
   }
 
+  it('closes the session at once when a message cannot be handled', async () => {
+    const {session, closed} = open();
+    session.send({case: 'withdraw', value: {attemptId: UNUSABLE_ID}});
+    await closed;
+    const next = open().session;
+    next.send({case: 'withdraw', value: {attemptId: 'after'}});
+    await waitForWithdraw('after');
+    expect(serverCloses.at(-1)).toEqual('a message could not be handled');
+    next.close('done');
+    received.length = 0;
+  });
+
   it('delivers messages of one event loop turn in order', async () => {
     const {session} = open();
     for (const attemptId of ['m1', 'm2', 'm3']) {
