fix(connections): serve pipelined requests one after another, within a bound

What callers saw: a gateway process ended with SIGABRT, heap out of memory, when callers sent many requests on a connection without waiting for responses and reset it.

Cause: node:http parses all requests of a chunk and started a handler for each. A response that is not the first of its connection gets no 'close' when the connection is reset, so its memory account, its listeners and its call were never released, and the call ran on.

Change: a connection serves one request at a time. Up to eight wait behind it; beyond them the newest response announces the end, and what follows is dropped unparsed, while the connection is still read so that a peer that leaves is noticed. A request without a host or with an unknown expectation is refused in the order of its connection; node:http answered it without regard to the line. onTaken tells of each request's end, whatever its place.

--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -19,6 +19,21 @@
    * been announced to its peer.
    */
   onUnanswerable?: (request: IncomingMessage) => void;
+  /**
+   * Called for each request that is taken; what it returns is called once its response was
+   * sent or its connection has ended, whichever comes first.
+   */
+  onTaken?: (request: IncomingMessage) => () => void;
+  /** Whether requests may wait behind others on their connection; they may if absent. */
+  mayWait?: () => boolean;
+}
+
+/** A request whose headers have not arrived whole. */
+export interface PartialRequest {
+  /** Bytes that have arrived. */
+  bytes: number;
+  /** Closes its connection. */
+  destroy(): void;
 }
 
 /**
@@ -33,6 +48,8 @@
    * or had its time to read.
    */
   readonly isSettled: boolean;
+  /** Requests whose headers have not arrived whole, on connections without another one. */
+  partialRequests(): PartialRequest[];
   /** Time by performance.now() at which the last request was taken or response sent. */
   readonly lastUsedAtMs: number;
   /** Ends each connection after its next response from now on. */
@@ -48,40 +65,69 @@
   destroyAll(): void;
 }
 
-/** Takes over the connections that a server accepts from now on, and their requests. */
+/**
+ * Options for the HTTP servers whose connections are managed: a request without a host is
+ * then refused in the order of its connection.
+ */
+export const MANAGED_SERVER_OPTIONS = {requireHostHeader: false} as const;
+
+/**
+ * Takes over the connections that a server accepts from now on, and their requests. The
+ * requests of a connection are served one after another.
+ */
 export function manageConnections(
   server: Server,
-  {handler, onEnded, onUnanswerable}: ServerConnectionsOptions,
+  options: ServerConnectionsOptions,
 ): ServerConnections {
+  const {
+    handler,
+    onEnded,
+    onUnanswerable = () => undefined,
+    onTaken = () => () => undefined,
+    mayWait = () => true,
+  } = options;
   const connections = new Map<Socket, Connection>();
   let isKeepAliveDisabled = false;
   let lastUsedAtMs = performance.now();
+  const receive = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    serve: RequestListener,
+  ) => {
+    lastUsedAtMs = performance.now();
+    response.once('finish', () => (lastUsedAtMs = performance.now()));
+    connections.get(request.socket)?.receive(request, response, {
+      serve,
+      announcesEnd: isKeepAliveDisabled,
+      mayWait: mayWait(),
+    });
+  };
   server.on('connection', (socket: Socket) => {
-    const connection = createConnection(socket);
+    const connection = createConnection(socket, {onTaken, onUnanswerable});
     connections.set(socket, connection);
     socket.once('close', () => {
       connections.delete(socket);
-      onEnded?.(connection.describeEnd());
+      const end = connection.close();
+      onEnded?.(end);
     });
   });
-  server.on('request', (request, response) => {
-    lastUsedAtMs = performance.now();
-    const connection = connections.get(request.socket);
-    if (!connection?.take(response)) {
-      onUnanswerable?.(request);
-      request.resume();
-      return;
-    }
-    if (isKeepAliveDisabled) connection.announceEnd();
-    response.once('finish', () => (lastUsedAtMs = performance.now()));
-    handler(request, response);
-  });
+  server.on('request', (request, response) =>
+    receive(request, response, isHostMissing(request) ? refuseHost : handler),
+  );
+  // node:http would answer without regard to the requests that wait before it.
+  server.on('checkExpectation', (request, response) =>
+    receive(request, response, refuseExpectation),
+  );
   const all = () => [...connections.values()];
   return {
     openResponses: () => all().flatMap(({openResponses}) => openResponses()),
     get isSettled() {
       return all().every(({isSettled}) => isSettled);
     },
+    partialRequests: () =>
+      all()
+        .map(({partialRequestBytes: bytes, destroy}) => ({bytes, destroy}))
+        .filter(({bytes}) => bytes > 0),
     get lastUsedAtMs() {
       return lastUsedAtMs;
     },
@@ -95,3 +141,19 @@
     destroyAll: () => all().forEach(connection => connection.destroy()),
   };
 }
+
+const refuseHost: RequestListener = (_request, response) =>
+  refuseAndClose(response, 400);
+
+const refuseExpectation: RequestListener = (_request, response) =>
+  refuseAndClose(response, 417);
+
+function isHostMissing({httpVersion, headers}: IncomingMessage): boolean {
+  return httpVersion === '1.1' && headers.host === undefined;
+}
+
+function refuseAndClose(response: ServerResponse, status: number): void {
+  response.shouldKeepAlive = false;
+  response.writeHead(status, {'Content-Length': 0});
+  response.end();
+}
--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -1,6 +1,10 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {drainServer, manageConnections} from '@sardinestile/connections';
+import {
+  drainServer,
+  MANAGED_SERVER_OPTIONS,
+  manageConnections,
+} from '@sardinestile/connections';
 import type {H3} from 'h3';
 import {toNodeHandler} from 'h3/node';
 
@@ -46,6 +50,7 @@
 ): Promise<HttpServer> {
   const handler = toNodeHandler(options.app);
   const server = createServer({
+    ...MANAGED_SERVER_OPTIONS,
     headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
+  MANAGED_SERVER_OPTIONS,
   manageConnections,
   stopAccepting,
   type ConnectionEnd,
@@ -99,6 +100,7 @@
   const isRefusingRequests = () =>
     (sinceStopMs() ?? 0) > ACCEPT_WHILE_DRAINING_MS;
   const server = createServer({
+    ...MANAGED_SERVER_OPTIONS,
     maxHeaderSize: options.maxHeaderBytes,
     requestTimeout: REQUEST_TIMEOUT_MS,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -1,5 +1,9 @@
 import {createServer, type ServerResponse} from 'node:http';
-import {drainServer, manageConnections} from '@sardinestile/connections';
+import {
+  drainServer,
+  MANAGED_SERVER_OPTIONS,
+  manageConnections,
+} from '@sardinestile/connections';
 import type {ListenAddress} from './gateway_options.js';
 
 /** A running HTTP server for readiness or metrics. */
@@ -61,7 +65,7 @@
     });
     response.end(text);
   };
-  const server = createServer();
+  const server = createServer(MANAGED_SERVER_OPTIONS);
   const connections = manageConnections(server, {
     handler: (_request, response) =>
       void respond(response).catch((error: Error) => response.destroy(error)),
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -14,6 +14,7 @@
 const CALLER_PORT = 18_740;
 const READY_PORT = 18_749;
 const PEER_PORT = 18_200;
+const METRICS_PORT = PEER_PORT + 1;
 
 /** Values of the settings section `bounds` that checks depend on. */
 export const SOAK_BOUNDS = {
@@ -25,6 +26,20 @@
   report_window_s: 3,
 } as const;
 
+/** What a process may use at most. */
+export interface ProcessLimits {
+  memoryMb: number;
+  descriptors: number;
+  /** Arguments of Node.js, such as those that limit its heap. */
+  nodeArguments: readonly string[];
+}
+
+const USUAL_LIMITS: ProcessLimits = {
+  memoryMb: 200,
+  descriptors: 1_000,
+  nodeArguments: [],
+};
+
 /** Options for startGatewayProcess. */
 export interface GatewayProcessOptions {
   /** Number of the gateway; last octet of its IP address. */
@@ -35,6 +50,8 @@
   directory: string;
   storePort: number;
   dutyInterfacePort: number;
+  /** Limits of the process; its heap has the default one of Node.js if absent. */
+  limits?: ProcessLimits;
   /** Environment variables added to those of this process. */
   environment?: Readonly<Record<string, string>>;
 }
@@ -51,6 +68,7 @@
   readonly address: string;
   readonly readinessAddress: string;
   readonly logPath: string;
+  readonly metricsAddress: string;
   /** Id of the current process. */
   readonly pid: number;
   /** Whether it received SIGTERM and has not been restarted yet. */
@@ -99,7 +117,13 @@
     isStopping = false;
     child = spawn(
       process.execPath,
-      ['--import', CLOCK_STEPS_MODULE, BUNDLE_PATH, 'gateway'],
+      [
+        ...(options.limits ?? USUAL_LIMITS).nodeArguments,
+        '--import',
+        CLOCK_STEPS_MODULE,
+        BUNDLE_PATH,
+        'gateway',
+      ],
       {
         env: {
           ...process.env,
@@ -125,6 +149,7 @@
     name,
     address: `${host}:${CALLER_PORT}`,
     readinessAddress: `${host}:${READY_PORT}`,
+    metricsAddress: `${host}:${METRICS_PORT}`,
     logPath,
     get pid() {
       return child.pid!;
@@ -161,7 +186,7 @@
 function renderSettings(
   name: string,
   host: string,
-  {storePort, dutyInterfacePort}: GatewayProcessOptions,
+  {storePort, dutyInterfacePort, limits = USUAL_LIMITS}: GatewayProcessOptions,
   edits: number,
 ): string {
   const bounds = Object.entries(SOAK_BOUNDS).map(([k, v]) => `${k} = ${v}`);
@@ -178,8 +203,8 @@
 front = "${host}:${CALLER_PORT}"
 ready = "${host}:${READY_PORT}"
 [limits]
-memory_mb = 200
-max_fds = 1000
+memory_mb = ${limits.memoryMb}
+max_fds = ${limits.descriptors}
 [bounds]
 ${bounds.join('\n')}
 reuse_after_s = 2
