--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -2,6 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {
   drainServer,
+  MANAGED_SERVER_OPTIONS,
   manageConnections,
   type InputBoundary,
   type InputName,
@@ -55,6 +56,7 @@
 ): Promise<HttpServer> {
   const handler = toNodeHandler(options.app);
   const server = createServer({
+    ...MANAGED_SERVER_OPTIONS,
     headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
