test(soak): hostile clients by seed against every port of real processes

- The soak has the fault `hostile` as a third series, and checks that processes ended only by signals that they were sent and logged no input_failed.
Other series keep their faults for a seed.

--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -53,6 +53,8 @@
       endsInside?: number;
       isHeldOpen?: boolean;
     }
+  /** Sends these bytes instead of a response, then closes the connection in order. */
+  | {kind: 'raw'; bytes: Buffer}
   /** Closes the connection before the announced length is sent. */
   | {kind: 'truncate'}
   /** Sends the response of another request. */
@@ -290,6 +292,7 @@
     if (isHeldOpen) return;
     response.end(endsInside < events ? `id: ${endsInside}\ndata: ha` : '');
   },
+  raw: ({bytes}, {request}) => void request.socket.end(bytes),
   truncate(_behaviour, {request, response, baseHeaders}) {
     response.writeHead(200, {...baseHeaders, 'content-length': 100});
     response.write('half');
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -14,6 +14,7 @@
 const CALLER_PORT = 18_740;
 const READY_PORT = 18_749;
 const PEER_PORT = 18_200;
+const METRICS_PORT = 18_201;
 
 /** Values of the settings section `bounds` that checks depend on. */
 export const SOAK_BOUNDS = {
@@ -50,6 +51,9 @@
   readonly name: string;
   readonly address: string;
   readonly readinessAddress: string;
+  /** Address for other gateways, by TCP and UDP. */
+  readonly peerAddress: string;
+  readonly metricsAddress: string;
   readonly logPath: string;
   /** Id of the current process. */
   readonly pid: number;
@@ -57,6 +61,8 @@
   readonly isStopping: boolean;
   /** How each process before the current one ended. */
   readonly exits: readonly ProcessExit[];
+  /** Those of them that no signal explains which was sent to the process. */
+  readonly unexpectedExits: readonly ProcessExit[];
   signal(signal: NodeJS.Signals): void;
   /** Calls back once, when the process has been started again. */
   onNextStart(callback: () => void): void;
@@ -88,6 +94,8 @@
   let {storePort} = options;
   let restartTimer: NodeJS.Timeout | undefined;
   const exits: ProcessExit[] = [];
+  const unexpectedExits: ProcessExit[] = [];
+  let sentSignals = new Set<NodeJS.Signals>();
   let startCallbacks: Array<() => void> = [];
 
   const writeSettings = () =>
@@ -97,6 +105,7 @@
     );
   const start = () => {
     isStopping = false;
+    const sent = (sentSignals = new Set());
     child = spawn(
       process.execPath,
       ['--import', CLOCK_STEPS_MODULE, BUNDLE_PATH, 'gateway'],
@@ -113,6 +122,9 @@
     child.stderr!.pipe(log, {end: false});
     child.once('exit', (code, signal) => {
       exits.push({code, signal});
+      const isExpected =
+        signal === null ? code === 0 && sent.has('SIGTERM') : sent.has(signal);
+      if (!isExpected && !isEnding) unexpectedExits.push({code, signal});
       if (!isEnding) restartTimer = setTimeout(start, RESTART_DELAY_MS);
     });
     const callbacks = startCallbacks;
@@ -125,6 +137,8 @@
     name,
     address: `${host}:${CALLER_PORT}`,
     readinessAddress: `${host}:${READY_PORT}`,
+    peerAddress: `${host}:${PEER_PORT}`,
+    metricsAddress: `${host}:${METRICS_PORT}`,
     logPath,
     get pid() {
       return child.pid!;
@@ -133,7 +147,9 @@
       return isStopping;
     },
     exits,
+    unexpectedExits,
     signal(signal) {
+      sentSignals.add(signal);
       if (signal === 'SIGTERM') isStopping = true;
       child.kill(signal);
     },
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -4,6 +4,7 @@
 import {startStoreListener} from '@sardinestile/hosting_stand_ins';
 import {createGatewayCluster} from '@sardinestile/hosting_tests';
 import {createSeededRandom} from '@sardinestile/types';
+import {checkProcesses} from './check_processes.js';
 import {FAULTS} from './faults.js';
 import {checkFleetBounds} from './fleet_bounds.js';
 import {
@@ -13,6 +14,7 @@
 } from './gateway_process.js';
 import {checkGuarantees, type SoakCall} from './guarantees.js';
 import {runKeptCallers} from './kept_callers.js';
+import {HOSTILE_FAULTS} from './hostile_faults.js';
 import {checkLostRequests} from './lost_requests.js';
 import {reserveNetwork} from './reserve_network.js';
 import {sendCalls} from './send_calls.js';
@@ -33,6 +35,7 @@
 const FAULT_SERIES = [
   {faults: FAULTS, minDelayMs: 100, maxDelayMs: 900},
   {faults: STOP_FAULTS, minDelayMs: 1_000, maxDelayMs: 4_000},
+  {faults: HOSTILE_FAULTS, minDelayMs: 300, maxDelayMs: 2_000},
 ];
 
 /**
@@ -60,6 +63,7 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const {next: random} = createSeededRandom(options.seed);
   const {next: upstreamRandom} = createSeededRandom(options.seed + 3_000_017);
+  const {next: hostileRandom} = createSeededRandom(options.seed + 5_000_011);
   const directory = mkdtempSync(join(tmpdir(), `soak-${options.seed}-`));
   const cluster = await createGatewayCluster(options.upstreams);
   const keys = ['key-one', 'key-spare'];
@@ -97,6 +101,8 @@
     storeProxies,
     random,
     upstreamRandom,
+    hostileRandom,
+    hostileRuns: [],
     revokedKeys,
     keys,
     disturbances: [],
@@ -134,7 +140,7 @@
     }
   };
   await Promise.all(FAULT_SERIES.map(injectFaults));
-  await traffic;
+  await Promise.all([traffic, ...soak.hostileRuns]);
   timers.forEach(clearTimeout);
   gateways.forEach(gateway => gateway.signal('SIGCONT'));
   storeProxies.forEach(proxy => proxy.setMode('pass'));
@@ -149,6 +155,7 @@
     ),
     ...checkLostRequests({...soak, calls, upstreams: cluster.upstreams}),
     ...checkFleetBounds({...soak, calls, upstreams: cluster.upstreams}),
+    ...checkProcesses(gateways),
   ];
   for (const upstream of cluster.upstreams) upstream.onCrash = () => undefined;
   await Promise.all(gateways.map(gateway => gateway.stop()));
--- a/testing/soak/src/soak_context.ts
+++ b/testing/soak/src/soak_context.ts
@@ -29,6 +29,10 @@
   random: () => number;
   /** Generator for upstreams, so that faults do not depend on the number of requests. */
   upstreamRandom: () => number;
+  /** Generator for hostile clients, so that other faults do not depend on them. */
+  hostileRandom: () => number;
+  /** Resolve when hostile clients have ended. */
+  hostileRuns: Array<Promise<void>>;
   revokedKeys: Map<string, number>;
   keys: string[];
   disturbances: Disturbance[];
