Merge pipelining limits into the input boundary

The requests that wait on a connection are served inside of the boundary, as are onTaken and onEnded, which read headers from outside. The peer server takes the options of managed servers.

--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -1,4 +1,9 @@
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ConnectionEnd} from './connection_end.js';
 import {createConnection, type Connection} from './connection.js';
@@ -33,6 +38,21 @@
    * been announced to its peer.
    */
   onUnanswerable?: (request: IncomingMessage) => void;
+  /**
+   * Called for each request that is taken; what it returns is called once its response was
+   * sent or its connection has ended, whichever comes first.
+   */
+  onTaken?: (request: IncomingMessage) => () => void;
+  /** Whether requests may wait behind others on their connection; they may if absent. */
+  mayWait?: () => boolean;
+}
+
+/** A request whose headers have not arrived whole. */
+export interface PartialRequest {
+  /** Bytes that have arrived. */
+  bytes: number;
+  /** Closes its connection. */
+  destroy(): void;
 }
 
 /**
@@ -47,6 +67,8 @@
    * or had its time to read.
    */
   readonly isSettled: boolean;
+  /** Requests whose headers have not arrived whole, on connections without another one. */
+  partialRequests(): PartialRequest[];
   /** Time by performance.now() at which the last request was taken or response sent. */
   readonly lastUsedAtMs: number;
   /** Ends each connection after its next response from now on. */
@@ -62,42 +84,68 @@
   destroyAll(): void;
 }
 
-/** Takes over the connections that a server accepts from now on, and their requests. */
+/**
+ * Options for the HTTP servers whose connections are managed: a request without a host is
+ * then refused in the order of its connection.
+ */
+export const MANAGED_SERVER_OPTIONS = {requireHostHeader: false} as const;
+
+/**
+ * Takes over the connections that a server accepts from now on, and their requests. The
+ * requests of a connection are served one after another.
+ */
 export function manageConnections(
   server: Server,
-  {
+  options: ServerConnectionsOptions,
+): ServerConnections {
+  const {
     handler,
-    onEnded,
-    onUnanswerable,
+    onEnded = () => undefined,
+    onUnanswerable = () => undefined,
+    onTaken = () => () => undefined,
+    mayWait = () => true,
     input = 'request',
     boundary = createInputBoundary(),
-  }: ServerConnectionsOptions,
-): ServerConnections {
-  const serve = boundary.guard(input, handler, failRequest);
+  } = options;
+  const serveRequest = boundary.guard(input, handler, failRequest);
+  const recordEnd = boundary.guard(input, onEnded);
   const connections = new Map<Socket, Connection>();
   let isKeepAliveDisabled = false;
   let lastUsedAtMs = performance.now();
+  const take = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    serve: RequestListener,
+  ) => {
+    lastUsedAtMs = performance.now();
+    response.once('finish', () => (lastUsedAtMs = performance.now()));
+    response.on('error', error => boundary.report({input, error}));
+    connections.get(request.socket)?.receive(request, response, {
+      serve,
+      announcesEnd: isKeepAliveDisabled,
+      mayWait: mayWait(),
+    });
+  };
+  const receive = boundary.guard(input, take, failRequest);
   server.on('connection', (socket: Socket) => {
-    const connection = createConnection(socket);
+    const connection = createConnection(socket, {onTaken, onUnanswerable});
     connections.set(socket, connection);
     socket.once('close', () => {
       connections.delete(socket);
-      onEnded?.(connection.describeEnd());
+      recordEnd(connection.close());
     });
   });
-  server.on('request', (request, response) => {
-    lastUsedAtMs = performance.now();
-    const connection = connections.get(request.socket);
-    if (!connection?.take(response)) {
-      onUnanswerable?.(request);
-      request.resume();
-      return;
-    }
-    if (isKeepAliveDisabled) connection.announceEnd();
-    response.once('finish', () => (lastUsedAtMs = performance.now()));
-    response.on('error', error => boundary.report({input, error}));
-    serve(request, response);
-  });
+  server.on('request', (request, response) =>
+    receive(
+      request,
+      response,
+      isHostMissing(request) ? refuseHost : serveRequest,
+    ),
+  );
+  // node:http would answer without regard to the requests that wait before it.
+  server.on('checkExpectation', (request, response) =>
+    receive(request, response, refuseExpectation),
+  );
   server.on('error', error => {
     // Until the server listens, its errors concern whoever starts it.
     if (server.listening) boundary.report({input, error});
@@ -108,6 +156,10 @@
     get isSettled() {
       return all().every(({isSettled}) => isSettled);
     },
+    partialRequests: () =>
+      all()
+        .map(({partialRequestBytes: bytes, destroy}) => ({bytes, destroy}))
+        .filter(({bytes}) => bytes > 0),
     get lastUsedAtMs() {
       return lastUsedAtMs;
     },
@@ -121,3 +173,19 @@
     destroyAll: () => all().forEach(connection => connection.destroy()),
   };
 }
+
+const refuseHost: RequestListener = (_request, response) =>
+  refuseAndClose(response, 400);
+
+const refuseExpectation: RequestListener = (_request, response) =>
+  refuseAndClose(response, 417);
+
+function isHostMissing({httpVersion, headers}: IncomingMessage): boolean {
+  return httpVersion === '1.1' && headers.host === undefined;
+}
+
+function refuseAndClose(response: ServerResponse, status: number): void {
+  response.shouldKeepAlive = false;
+  response.writeHead(status, {'Content-Length': 0});
+  response.end();
+}
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -1,6 +1,7 @@
 import {createServer, type ServerResponse} from 'node:http';
 import {
   drainServer,
+  MANAGED_SERVER_OPTIONS,
   manageConnections,
   type InputBoundary,
 } from '@sardinestile/connections';
@@ -73,7 +74,7 @@
     });
     response.end(text);
   };
-  const server = createServer();
+  const server = createServer(MANAGED_SERVER_OPTIONS);
   const connections = manageConnections(server, {
     handler: (_request, response) => respond(response),
     boundary,
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import {
   drainServer,
+  MANAGED_SERVER_OPTIONS,
   manageConnections,
   type InputBoundary,
 } from '@sardinestile/connections';
@@ -132,7 +133,7 @@
     },
   };
   let isClosing = false;
-  const server = createServer();
+  const server = createServer(MANAGED_SERVER_OPTIONS);
   const connections = manageConnections(server, {
     async handler(request, response) {
       if (isClosing) {
