--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -100,18 +100,19 @@
 ): ServerConnections {
   const {
     handler,
-    onEnded,
+    onEnded = () => undefined,
     onUnanswerable = () => undefined,
     onTaken = () => () => undefined,
     mayWait = () => true,
     input = 'request',
     boundary = createInputBoundary(),
   } = options;
-  const serveGuarded = boundary.guard(input, handler, failRequest);
+  const serveRequest = boundary.guard(input, handler, failRequest);
+  const recordEnd = boundary.guard(input, onEnded);
   const connections = new Map<Socket, Connection>();
   let isKeepAliveDisabled = false;
   let lastUsedAtMs = performance.now();
-  const receive = (
+  const take = (
     request: IncomingMessage,
     response: ServerResponse,
     serve: RequestListener,
@@ -125,30 +126,30 @@
       mayWait: mayWait(),
     });
   };
+  const receive = boundary.guard(input, take, failRequest);
   server.on('connection', (socket: Socket) => {
     const connection = createConnection(socket, {onTaken, onUnanswerable});
     connections.set(socket, connection);
     socket.once('close', () => {
       connections.delete(socket);
-      const end = connection.close();
-      onEnded?.(end);
+      recordEnd(connection.close());
     });
   });
-  server.on('error', error => {
-    // Until the server listens, its errors concern whoever starts it.
-    if (server.listening) boundary.report({input, error});
-  });
   server.on('request', (request, response) =>
     receive(
       request,
       response,
-      isHostMissing(request) ? refuseHost : serveGuarded,
+      isHostMissing(request) ? refuseHost : serveRequest,
     ),
   );
   // node:http would answer without regard to the requests that wait before it.
   server.on('checkExpectation', (request, response) =>
     receive(request, response, refuseExpectation),
   );
+  server.on('error', error => {
+    // Until the server listens, its errors concern whoever starts it.
+    if (server.listening) boundary.report({input, error});
+  });
   const all = () => [...connections.values()];
   return {
     openResponses: () => all().flatMap(({openResponses}) => openResponses()),
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -70,14 +70,18 @@
   readonly name: string;
   readonly address: string;
   readonly readinessAddress: string;
-  readonly logPath: string;
+  /** Address for other gateways, by TCP and UDP. */
+  readonly peerAddress: string;
   readonly metricsAddress: string;
+  readonly logPath: string;
   /** Id of the current process. */
   readonly pid: number;
   /** Whether it received SIGTERM and has not been restarted yet. */
   readonly isStopping: boolean;
   /** How each process before the current one ended. */
   readonly exits: readonly ProcessExit[];
+  /** Those of them that no signal explains which was sent to the process. */
+  readonly unexpectedExits: readonly ProcessExit[];
   signal(signal: NodeJS.Signals): void;
   /** Calls back once, when the process has been started again. */
   onNextStart(callback: () => void): void;
@@ -109,6 +113,8 @@
   let {storePort} = options;
   let restartTimer: NodeJS.Timeout | undefined;
   const exits: ProcessExit[] = [];
+  const unexpectedExits: ProcessExit[] = [];
+  let sentSignals = new Set<NodeJS.Signals>();
   let startCallbacks: Array<() => void> = [];
 
   const writeSettings = () =>
@@ -118,6 +124,7 @@
     );
   const start = () => {
     isStopping = false;
+    const sent = (sentSignals = new Set());
     child = spawn(
       process.execPath,
       ['--import', CLOCK_STEPS_MODULE, ...GATEWAY_ARGUMENTS],
@@ -135,6 +142,9 @@
     child.stderr!.pipe(log, {end: false});
     child.once('exit', (code, signal) => {
       exits.push({code, signal});
+      const isExpected =
+        signal === null ? code === 0 && sent.has('SIGTERM') : sent.has(signal);
+      if (!isExpected && !isEnding) unexpectedExits.push({code, signal});
       if (!isEnding) restartTimer = setTimeout(start, RESTART_DELAY_MS);
     });
     const callbacks = startCallbacks;
@@ -147,6 +157,7 @@
     name,
     address: `${host}:${CALLER_PORT}`,
     readinessAddress: `${host}:${READY_PORT}`,
+    peerAddress: `${host}:${PEER_PORT}`,
     metricsAddress: `${host}:${METRICS_PORT}`,
     logPath,
     get pid() {
@@ -156,7 +167,9 @@
       return isStopping;
     },
     exits,
+    unexpectedExits,
     signal(signal) {
+      sentSignals.add(signal);
       if (signal === 'SIGTERM') isStopping = true;
       child.kill(signal);
     },
