fix(gateway): keep connections and headers of callers within the heap's limit

What callers saw: a gateway process ended with SIGABRT, heap out of memory, within seconds of 3,700 connections with 8 KB or more of headers and a part of a body.

Cause: the heap has a limit of its own (90 MB by deploy/system.toml). The memory budget counts buffers, which lie outside of it; connections, headers and the objects of requests were bounded by nothing but descriptors. Headers could have 64 KB, whatever the configuration says.

Change: heap_budget estimates what connections, parts of headers and requests take, from their first byte to their end. Beyond three quarters of the limit less what the process needs, requests are refused as not run before their bodies are read, none waits behind another, and connections with parts of headers are closed, the largest first. Connections beyond descriptors or heap are closed unread, and all new ones while 92 % of the heap is in use. max_header_bytes applies to connections from when they are accepted.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -219,6 +219,16 @@
     unreadResponse: number;
     readAhead: number;
   };
+  /**
+   * The process began or ceased to take a step that keeps its heap within the limit, or
+   * closed connections unread since the last line.
+   */
+  heap_step_changed: {
+    step: string;
+    heldBytes: number;
+    limitBytes: number;
+    refusedConnections: number;
+  };
   /** The response that the caller left unread the most was ended, as memory is short. */
   unread_response_ended: {
     requestId?: string;
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -11,7 +11,11 @@
   stopAccepting,
   type ConnectionEnd,
 } from '@sardinestile/connections';
+import type {Logger} from '@sardinestile/logger';
+import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {CallerLimits} from '@sardinestile/route_table';
+import {startHeapGuard} from '../memory/heap_guard.js';
+import type {HeapBudget} from '../memory/heap_budget.js';
 import {breakOff} from './response_framing.js';
 
 /** Time limit for receiving a complete request, in milliseconds. */
@@ -52,7 +56,11 @@
 export interface CallerListenerOptions {
   host: string;
   port: number;
+  /** Limit of headers until the configuration is known, in bytes. */
   maxHeaderBytes: number;
+  heapBudget: HeapBudget;
+  logger: Logger;
+  metrics: MetricsRegistry;
   handler: RequestHandler;
   /** Called when a connection has closed; `sinceStopMs` is undefined before the drain. */
   onConnectionEnded: (
@@ -92,6 +100,7 @@
 export async function startCallerListener(
   options: CallerListenerOptions,
 ): Promise<CallerListener> {
+  const {heapBudget, logger, metrics} = options;
   let drainingSinceMs: number | undefined;
   const sinceStopMs = () =>
     drainingSinceMs === undefined
@@ -110,11 +119,22 @@
     handler: (request, response) => void options.handler(request, response),
     onEnded: end => options.onConnectionEnded(end, sinceStopMs()),
     onUnanswerable: request => options.onUnanswerable(request, sinceStopMs()),
+    onTaken: request => heapBudget.openRequest(request),
+    mayWait: () => heapBudget.step() === 'none',
+  });
+  const stopHeapGuard = startHeapGuard({
+    server,
+    connections,
+    budget: heapBudget,
+    logger,
+    metrics,
   });
   server.maxRequestsPerSocket = 0;
   await listen(server, options);
   return {
-    applyLimits({headerTimeoutMs, idleTimeoutMs}) {
+    applyLimits({headerTimeoutMs, idleTimeoutMs, maxHeaderBytes}) {
+      // Node.js reads it for each connection that it accepts.
+      Object.assign(server, {maxHeaderSize: maxHeaderBytes});
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs + IDLE_TIMEOUT_SLACK_MS;
     },
@@ -136,6 +156,7 @@
       }
     },
     close() {
+      stopHeapGuard();
       connections.openResponses().forEach(breakOff);
       connections.destroyAll();
       stopAccepting(server);
--- a/daemons/gateway/src/calls/refuse.ts
+++ b/daemons/gateway/src/calls/refuse.ts
@@ -1,3 +1,4 @@
+import type {IncomingMessage} from 'node:http';
 import type {Call} from './call.js';
 import type {GatewayContext} from '../gateway_context.js';
 
@@ -13,7 +14,7 @@
   bodyTooLarge: {status: 413, message: 'the body is over the size limit'},
   memoryShort: {
     status: 503,
-    message: 'this instance holds too much to take a large body',
+    message: 'this instance holds too much to take the request',
   },
   overloaded: {
     status: 503,
@@ -108,7 +109,10 @@
   });
   if (response.destroyed || response.headersSent) return;
   // The unread rest of a body must not be parsed as the next request.
-  if (!request.complete) response.shouldKeepAlive = false;
+  if (!request.complete) {
+    response.shouldKeepAlive = false;
+    response.once('finish', () => dropHeaders(request));
+  }
   const body = `${JSON.stringify({error: {code, message}})}\n`;
   response.writeHead(status, {
     ...context.headerCodec.refusalHeaders(requestId, retryAfterMs),
@@ -117,3 +121,9 @@
   });
   response.end(body);
 }
+
+/** Drops the headers of a request that node:http keeps until its connection has closed. */
+function dropHeaders(request: IncomingMessage): void {
+  request.headers = {};
+  request.rawHeaders = [];
+}
--- a/daemons/gateway/src/calls/serve_call.ts
+++ b/daemons/gateway/src/calls/serve_call.ts
@@ -43,9 +43,13 @@
     refuseAsLeaving(context, exchange);
     return;
   }
+  const {memoryBudget, heapBudget} = context;
+  if (heapBudget.step() !== 'none') {
+    refuseForMemory(context, exchange, heapBudget);
+    return;
+  }
   const callAccount = openCallAccount(context, request, response);
   const {account} = callAccount;
-  const {memoryBudget} = context;
   const {maxBodyBytes} = index.table.limits;
   const body = await readBody(request, maxBodyBytes, memoryBudget, account);
   if (body.kind === 'aborted' || !(await isCallerPresent(request))) {
@@ -62,11 +66,7 @@
     return;
   }
   if (body.kind === 'memoryShort') {
-    const {heldBytes, limitBytes} = memoryBudget;
-    refuse(context, exchange, 'memoryShort', {
-      retryAfterMs: OTHER_INSTANCE_RETRY_AFTER_MS,
-      reason: `the process holds ${heldBytes} bytes of at most ${limitBytes}`,
-    });
+    refuseForMemory(context, exchange, memoryBudget);
     return;
   }
   // The configuration may have changed while the request was read.
@@ -150,6 +150,17 @@
   });
 }
 
+function refuseForMemory(
+  context: GatewayContext,
+  exchange: RefusedRequest,
+  {heldBytes, limitBytes}: {heldBytes: number; limitBytes: number},
+): void {
+  refuse(context, exchange, 'memoryShort', {
+    retryAfterMs: OTHER_INSTANCE_RETRY_AFTER_MS,
+    reason: `the process holds ${Math.round(heldBytes)} bytes of at most ${Math.round(limitBytes)}`,
+  });
+}
+
 /** Logs and counts a request whose caller left before it was sent to an upstream. */
 function recordAbandoned(
   {metrics, logger}: GatewayContext,
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 import {setMaxListeners} from 'node:events';
+import {getHeapStatistics} from 'node:v8';
 import {createReturnSchedule} from '@sardinestile/admission';
 import {
   assignGroup,
@@ -24,6 +25,7 @@
 import {createColdWatch} from './upstreams/cold_watch.js';
 import {createConnectionPool} from './upstreams/connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
+import {createHeapBudget} from './memory/heap_budget.js';
 import {createMemoryBudget, heldBytesLimit} from './memory/memory_budget.js';
 import {createMemoryWatch} from './memory/memory_watch.js';
 import {
@@ -361,6 +363,10 @@
       metrics.increment('sardinestile_upstream_connections_total', {}),
     ),
     memoryBudget: createMemoryBudget(heldBytesLimit(options.memoryLimitMb)),
+    heapBudget: createHeapBudget({
+      heapLimitBytes: getHeapStatistics().heap_size_limit,
+      maxDescriptors: options.maxDescriptors,
+    }),
     retryBudgets: createRetryBudgets({
       retryRatio: () => deployment.retryRatio,
       windowMs: () => deployment.retryWindowMs,
@@ -491,6 +497,9 @@
   const listener = await startCallerListener({
     ...options.callerAddress,
     maxHeaderBytes: MAX_HEADER_BYTES,
+    heapBudget: context.heapBudget,
+    logger,
+    metrics,
     handler: (request, response) =>
       serveCall(context, request, response).catch((error: Error) => {
         logger.error('call_failed', {reason: error.stack ?? error.message});
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -11,6 +11,7 @@
 import type {CrashWatch} from './upstreams/crash_watch.js';
 import type {ConnectionPool} from './upstreams/connection_pool.js';
 import type {RetryBudgets} from './calls/retry_budgets.js';
+import type {HeapBudget} from './memory/heap_budget.js';
 import type {MemoryBudget} from './memory/memory_budget.js';
 import type {ResponseTimes} from './calls/response_times.js';
 import type {GatewayCount} from './shared/gateway_count.js';
@@ -34,6 +35,7 @@
   connections: ConnectionPool;
   /** Counts what this process holds for callers and upstreams. */
   memoryBudget: MemoryBudget;
+  heapBudget: HeapBudget;
   retryBudgets: RetryBudgets;
   /** Measured times of responses, by which waiting and refusing are decided. */
   responseTimes: ResponseTimes;
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -62,6 +62,8 @@
   upstreamScaler: UpstreamScaler | undefined;
   /** Memory above which the platform kills the process, in megabytes; absent for no limit. */
   memoryLimitMb?: number;
+  /** Descriptors that the process may have open; absent for no limit. */
+  maxDescriptors?: number;
   usageWindowMs: number;
   /** Time after its end in which the usage of a window has to be reported, in milliseconds. */
   usageDueMs: number;
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -55,6 +55,13 @@
     {},
     memoryBudget.limitBytes,
   );
+  const {heapBudget} = context;
+  metrics.setGauge('sardinestile_held_heap_bytes', {}, heapBudget.heldBytes);
+  metrics.setGauge(
+    'sardinestile_held_heap_bytes_limit',
+    {},
+    heapBudget.limitBytes,
+  );
   for (const {name} of table?.services ?? []) {
     const records = fleet.membership.usableUpstreamsOf(name);
     const states = records.map(record => fleet.upstreamStateOf(record));
--- a/daemons/gateway/test/caller_listener_test.ts
+++ b/daemons/gateway/test/caller_listener_test.ts
@@ -3,7 +3,10 @@
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
+import {createLogger} from '@sardinestile/logger';
+import {createMetricsRegistry} from '@sardinestile/metrics';
 import {startCallerListener} from '../src/calls/caller_listener.js';
+import {createHeapBudget} from '../src/memory/heap_budget.js';
 
 const HOST = '127.0.0.1';
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
@@ -24,6 +27,9 @@
     host: HOST,
     port,
     maxHeaderBytes: 16_384,
+    heapBudget: createHeapBudget({heapLimitBytes: Infinity}),
+    logger: createLogger({level: 'error'}),
+    metrics: createMetricsRegistry(),
     handler(_request, response) {
       response.setHeader('Content-Length', bodyBytes);
       response.end(Buffer.alloc(bodyBytes));
--- a/testing/soak/test/crowded_gateway_test.ts
+++ b/testing/soak/test/crowded_gateway_test.ts
@@ -34,6 +34,12 @@
 /** Connections of callers, close to the number of descriptors. */
 const CROWD_SIZE = 3_700;
 
+/** Time for which they stay, in milliseconds. */
+const CROWD_MS = 2_500;
+
+/** What callers of a crowd get; 0 for those that are closed without an answer. */
+const CROWD_STATUSES: ReadonlySet<number> = new Set([0, 200, 408, 503]);
+
 /** Heap that a process may hold beyond that at its start once its callers have left. */
 const MAX_HEAP_GROWTH_MB = 10;
 
@@ -169,5 +175,56 @@
       expect(soundStatuses.filter(status => status !== 200)).toEqual([]);
       await waitForUsualHeap();
     });
+
+    const createCall = (headers: Record<string, string>) =>
+      renderRequest(
+        'POST',
+        {
+          ...createKeyedHeaders('crowd'),
+          ...headers,
+          'Content-Length': '90000',
+        },
+        'b'.repeat(8_000),
+      );
+    const crowds = [
+      {
+        name: '8 KB of headers and a part of a body',
+        text: createCall(createLargeHeaders(8_192, 8)),
+      },
+      {
+        name: '8 KB of many headers and a part of a body',
+        text: createCall(createLargeHeaders(8_192, 150)),
+      },
+      {
+        name: '13 KB of headers and a part of a body',
+        text: createCall(createLargeHeaders(13_312, 13)),
+      },
+      {
+        name: 'headers that do not end',
+        text: `GET / HTTP/1.1\r\n${'a:b\r\n'.repeat(2_500)}`,
+      },
+      {
+        name: 'requests that wait behind a call',
+        text:
+          renderRequest('GET', createKeyedHeaders('first')) +
+          renderRequest('GET', createLargeHeaders(4_096, 150)).repeat(12),
+      },
+    ];
+    for (const {name, text} of crowds) {
+      it(`is not ended by ${CROWD_SIZE} connections with ${name}`, async () => {
+        const crowd = await openCrowd(gateway.address, CROWD_SIZE, text);
+        await sleep(CROWD_MS);
+        expect(gateway.exits).toEqual([]);
+        expect(await readResidentMb()).toBeLessThan(memoryMb);
+        // What was not served was refused as not run, timed out or was closed unread.
+        const statuses = [...crowd.outcomes.keys()];
+        const isUsual = (status: number) => CROWD_STATUSES.has(status);
+        expect(statuses.filter(status => !isUsual(status))).toEqual([]);
+        crowd.leave();
+        await expectSoundService();
+        await waitForUsualHeap();
+        expect(gateway.exits).toEqual([]);
+      });
+    }
   });
 }
