fix(gateway): a raised header limit reaches connections that are open

Since max_header_bytes applies to each connection from when it is accepted, a caller within a limit that was raised could get 431 on a kept connection. Such connections now end after their next response.

Tests: caller_listener_test, server_connections_test (new cases).

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -54,6 +54,8 @@
   ): void;
   /** Lets the newest response that has not begun announce the end. */
   announceEnd(): void;
+  /** Lets the newest response from now on announce the end. */
+  expire(): void;
   /** Ends it without reading on, unless something is open or arriving on it. */
   endIfIdle(): void;
   /** States that what is open on it has to end now; its end counts as caused by that. */
@@ -78,6 +80,7 @@
   const waiting: Array<{response: ServerResponse; serve: RequestListener}> = [];
   /** Whether no more requests are taken, as the newest one taken announces the end. */
   let isLineClosed = false;
+  let isExpired = false;
   let reason: ConnectionEndReason | undefined;
   let isDrainLimitPassed = false;
   let unsentBytes = 0;
@@ -185,11 +188,15 @@
         recordUse();
         serveNext();
       });
-      if (announcesEnd) announceEnd();
+      if (announcesEnd || isExpired) announceEnd();
       if (isFirst) serve(request, response);
       else waiting.push({response, serve});
     },
     announceEnd,
+    expire() {
+      isExpired = true;
+      announceEnd();
+    },
     endIfIdle() {
       if (!isIdle()) return;
       socket.pause();
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -54,6 +54,8 @@
   readonly lastUsedAtMs: number;
   /** Ends each connection after its next response from now on. */
   disableKeepAlive(): void;
+  /** Ends each connection that is open now after its next response. */
+  expireOpen(): void;
   /**
    * Ends the connections on which nothing is open or arriving. A request that crosses the
    * end is left unread, so that its sender can send it again elsewhere.
@@ -135,6 +137,7 @@
       isKeepAliveDisabled = true;
       all().forEach(connection => connection.announceEnd());
     },
+    expireOpen: () => all().forEach(connection => connection.expire()),
     endIdle: () => all().forEach(connection => connection.endIfIdle()),
     markDrainLimit: () =>
       all().forEach(connection => connection.markDrainLimit()),
--- a/core/connections/test/server_connections_test.ts
+++ b/core/connections/test/server_connections_test.ts
@@ -153,6 +153,18 @@
     });
   });
 
+  it('ends an expired connection after its next response', async () => {
+    peer.write(requestOf('/1'));
+    (await take(1)).end('a');
+    await waitFor(() => countResponses() === 1);
+    connections.expireOpen();
+    peer.write(requestOf('/2'));
+    (await take(2)).end('b');
+    await once(peer, 'end');
+    expect(countResponses()).toEqual(2);
+    expect(received.match(/connection: close/gi)?.length).toEqual(1);
+  });
+
   describe('requests sent without waiting for responses', () => {
     const paths = (from: number, to: number) =>
       Array.from({length: to - from + 1}, (_, i) => `/${from + i}`);
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -101,6 +101,7 @@
   options: CallerListenerOptions,
 ): Promise<CallerListener> {
   const {heapBudget, logger, metrics} = options;
+  let headerLimitBytes = options.maxHeaderBytes;
   let drainingSinceMs: number | undefined;
   const sinceStopMs = () =>
     drainingSinceMs === undefined
@@ -133,6 +134,8 @@
   await listen(server, options);
   return {
     applyLimits({headerTimeoutMs, idleTimeoutMs, maxHeaderBytes}) {
+      if (maxHeaderBytes > headerLimitBytes) connections.expireOpen();
+      headerLimitBytes = maxHeaderBytes;
       // Node.js reads it for each connection that it accepts.
       Object.assign(server, {maxHeaderSize: maxHeaderBytes});
       server.headersTimeout = headerTimeoutMs;
--- a/daemons/gateway/test/caller_listener_test.ts
+++ b/daemons/gateway/test/caller_listener_test.ts
@@ -78,3 +78,46 @@
     expect(received).toMatchRegex(/^HTTP\/1\.1 200 /);
   });
 });
+
+describe('the limit of headers', () => {
+  const limits = (maxHeaderBytes: number) => ({
+    maxHeaderBytes,
+    maxBodyBytes: 1_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 3_000,
+  });
+  const requestWith = (headerBytes: number) =>
+    REQUEST.replace('Host: h', `Host: h\r\nA: ${'v'.repeat(headerBytes)}`);
+  const open = async (port: number) => {
+    const socket = connect(port, HOST);
+    await once(socket, 'connect');
+    const send = async (text: string) => {
+      socket.write(text);
+      const [bytes] = (await once(socket, 'data')) as [Buffer];
+      return bytes.toString('latin1').split('\r\n\r\n')[0];
+    };
+    return {socket, send};
+  };
+
+  it('holds for connections that are accepted after it was set', async () => {
+    const {listener, port} = await startListener(4);
+    listener.applyLimits(limits(4_000));
+    const first = await open(port);
+    expect(await first.send(requestWith(3_000))).toMatchRegex(/ 200 OK/);
+    expect(await first.send(requestWith(6_000))).toMatchRegex(/ 431 /);
+    listener.close();
+  });
+
+  it('ends connections with a lower one after their next response', async () => {
+    const {listener, port} = await startListener(4);
+    listener.applyLimits(limits(4_000));
+    const first = await open(port);
+    expect(await first.send(REQUEST)).toMatchRegex(/ 200 OK/);
+    listener.applyLimits(limits(8_000));
+    expect(await first.send(REQUEST)).toMatchRegex(/Connection: close/i);
+    await once(first.socket, 'close');
+    const second = await open(port);
+    expect(await second.send(requestWith(6_000))).toMatchRegex(/ 200 OK/);
+    listener.close();
+  });
+});
