fix(cli): a settings file that is absent, unfinished or without some figures no longer ends a start

What callers saw: nothing, as the gateway did not start; exit code 1 or 2 within half a second, and again after each restart that met the same file. Cause: the file was read once, and 21 figures were required, 11 of which nothing reads, others of parts that a deployment may not have. Change: the file is read again every 100 ms for up to 10 s, then the last list of problems ends the process with exit code 2; SIGTERM ends the wait with exit code 0. A store that is absent at the start was no fault before and is not now.

--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -1,4 +1,3 @@
-import {readFileSync} from 'node:fs';
 import {
   createConfigurationFeed,
   createDutyCalls,
@@ -8,10 +7,8 @@
   createUpstreamFeed,
   createUpstreamScaler,
   createUsageReceiver,
-  parseSettings,
   platformHeaderCodec,
   SETTINGS_PATH_VARIABLE,
-  type PlatformSettings,
 } from '@sardinestile/adapter_platform';
 import {SardinestileError} from '@sardinestile/errors';
 import {startGateway} from '@sardinestile/gateway';
@@ -25,14 +22,16 @@
 import {logProcessStart} from './process_end.js';
 import {watchProcessMemory} from './process_memory.js';
 import type {ProcessSignals, StoppableProcess} from './process_signals.js';
+import {waitForSettings} from './wait_for_settings.js';
 import {watchSettings} from './watch_settings.js';
 
 /** Table and partition of the store that hold the rows of this system. */
 const SYSTEM_TABLE = 'sardinestile';
 const SYSTEM_PARTITION = 'system';
 
-/** The metrics port is the peer port plus this offset. */
-const METRICS_PORT_OFFSET = 1;
+/** Time for which a start waits for a settings file that can be used, in milliseconds. */
+const SETTINGS_WAIT_LIMIT_MS = 10_000;
+
 
 /** Time limit for writing the last lines of the log, in milliseconds. */
 const LAST_LINES_TIMEOUT_MS = 100;
@@ -53,40 +52,36 @@
   signals: ProcessSignals,
 ): Promise<void> {
   const path = readSettingsPath();
-  const text = readFileSync(path, 'utf8');
-  const settings = parseSettings(text, path);
   const environment = readGatewayEnvironment(process.env);
   const logger = createRateLimitedLogger({level: environment.logLevel});
   logProcessStart('gateway', logger);
   const memoryWatch = watchProcessMemory({logger});
-  await signals.run(logger, () =>
-    startPlatformGateway({path, text, settings, environment, logger}),
+  await signals.run(logger, stopSignal =>
+    startPlatformGateway({path, environment, logger, stopSignal}),
   );
   memoryWatch.stop();
   await logger.flush(LAST_LINES_TIMEOUT_MS);
 }
 
 interface PlatformGatewayOptions {
-  /** Path and content of the settings file. */
+  /** Path of the settings file. */
   path: string;
-  text: string;
-  settings: PlatformSettings;
   environment: GatewayEnvironment;
   logger: Logger;
+  /** Ends a start that still waits for something. */
+  stopSignal: AbortSignal;
 }
 
 async function startPlatformGateway(
   options: PlatformGatewayOptions,
 ): Promise<StoppableProcess> {
-  const {path, text, settings, environment, logger} = options;
-  const {callerAddress} = settings;
-  if (!callerAddress) {
-    throw new SardinestileError({
-      code: 'SETTINGS_INVALID',
-      message: 'the settings have no address for callers (listen.front)',
-      hint: 'Run the gateway in a role that serves callers.',
-    });
-  }
+  const {path, environment, logger, stopSignal} = options;
+  const {text, settings} = await waitForSettings({
+    path,
+    logger,
+    limitMs: SETTINGS_WAIT_LIMIT_MS,
+    signal: stopSignal,
+  });
   const metrics = createMetricsRegistry();
   const store = createStoreClient(
     settings.store.address,
@@ -107,12 +102,11 @@
     ...settings,
     resourceCosts: environment.resourceCosts,
     fairShares: environment.fairShares,
-    callerAddress,
     readinessAddress: settings.readinessAddress,
-    metricsAddress: {
-      host: settings.host,
-      port: settings.peerPort + METRICS_PORT_OFFSET,
-    },
+    metricsAddress:
+      settings.metricsPort === undefined
+        ? undefined
+        : {host: settings.host, port: settings.metricsPort},
     peerAddress: {host: settings.host, port: settings.peerPort},
     storeRestores: store.restores,
     promptCacheReader: createPromptCacheReader(),
--- a/cli/sardinestile/src/process_signals.ts
+++ b/cli/sardinestile/src/process_signals.ts
@@ -54,9 +54,13 @@
 export interface ProcessSignals {
   /**
    * Starts a process, and stops it when a signal asks for that. Resolves after the stop,
-   * or without a start if the signal came before.
+   * or without a start if the signal came before. A start that still waits for something
+   * can reject with the reason of `stopSignal` when the process is asked to stop.
    */
-  run(logger: Logger, start: () => Promise<StoppableProcess>): Promise<void>;
+  run(
+    logger: Logger,
+    start: (stopSignal: AbortSignal) => Promise<StoppableProcess>,
+  ): Promise<void>;
 }
 
 /**
@@ -76,11 +80,13 @@
   let running: StoppableProcess | undefined;
   let logger: Logger | undefined;
   const unloggedSignals: Array<LogEvents['signal_received']> = [];
+  const startAbort = new AbortController();
   let requestStop: () => void;
   const stopRequested = new Promise<void>(resolve => (requestStop = resolve));
   const stop = () => {
     signalledAtMs = loopDelay.earliestSignalAtMs();
     phase = 'stopping';
+    startAbort.abort();
     requestStop();
   };
   const handlers: Readonly<Record<SignalEffect, () => void>> = {
@@ -115,13 +121,19 @@
       }
       try {
         if (phase === 'stopping') return;
-        running = await start();
+        running = await start(startAbort.signal);
         if (phase === 'starting') {
           phase = 'running';
           if (mustReload) running.reload?.();
         }
         await stopRequested;
         await running.stop(signalledAtMs);
+      } catch (error) {
+        const {aborted, reason} = startAbort.signal;
+        if (!aborted || error !== reason) throw error;
+        logger.info('start_abandoned', {
+          uptimeMs: Math.round(host.uptime() * 1_000),
+        });
       } finally {
         phase = 'stopped';
         loopDelay.stop();
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -37,6 +37,8 @@
     opsAddress: string;
     peerAddress?: string;
   };
+  /** The process was asked to stop while its start waited for something. */
+  start_abandoned: {uptimeMs: number};
   process_stopping: {
     instance: string;
     openRequests: number;
@@ -203,6 +205,9 @@
   config_rejected: {reason: string};
   settings_reloaded: {path: string; changed: string};
   settings_rejected: {path: string; reason: string};
+  /** The settings file cannot be used at the start; it is read again. */
+  settings_waiting: {path: string; reason: string};
+  settings_found: {path: string; waitMs: number};
   /** The upstream cut off a response that the gateway had stopped reading for its caller. */
   response_cut_off_unread: {
     requestId: string;
