fix(gateway): an address that is taken for a time no longer ends a start

What callers saw: no gateway, as each start ended with exit code 1 (EADDRINUSE) while any one of its five sockets was taken, also that of the metrics. An outgoing connection of another process can take a port of the range for such connections, for 60 s after its end, too; the process before may hold its addresses for the grace period. Cause: every server listened once, and each failure ended the process. Change: createAddressOpener tries an address that is taken, or that no interface has, every 100 ms within one limit for the whole start (65 s and the grace period). The link and server for peers open at the same time, then the server for callers. Readiness and metrics open beside them for as long as the process runs, as it can serve without them; it is ready only when it serves. A signal ends the wait with exit code 0. Log events address_waiting, address_opened, address_given_up, server_not_opened; process_started has startMs and addressWaits.

--- a/admin/api/src/admin_api.ts
+++ b/admin/api/src/admin_api.ts
@@ -21,6 +21,7 @@
 /** HTTP status of the response for each error code. */
 const STATUS_BY_CODE: Readonly<Record<ErrorCode, number>> = {
   SETTINGS_INVALID: 500,
+  ADDRESS_UNAVAILABLE: 500,
   TEXT_REFUSED: 422,
   VERSION_CONFLICT: 412,
   STORE_UNAVAILABLE: 503,
--- a/cli/sardinestile/src/exit_code.ts
+++ b/cli/sardinestile/src/exit_code.ts
@@ -17,6 +17,7 @@
 /** Exit code for each error code. */
 export const EXIT_CODE_BY_ERROR: Readonly<Record<ErrorCode, number>> = {
   SETTINGS_INVALID: EXIT_CODES.usage,
+  ADDRESS_UNAVAILABLE: EXIT_CODES.failed,
   TEXT_REFUSED: EXIT_CODES.textRefused,
   VERSION_CONFLICT: EXIT_CODES.versionConflict,
   STORE_UNAVAILABLE: EXIT_CODES.unreachable,
--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -32,6 +32,11 @@
 /** Time for which a start waits for a settings file that can be used, in milliseconds. */
 const SETTINGS_WAIT_LIMIT_MS = 10_000;
 
+/**
+ * Time for which the operating system may keep an address after the connection that used
+ * it was closed, with a margin, in milliseconds.
+ */
+const CLOSED_CONNECTION_MS = 65_000;
 
 /** Time limit for writing the last lines of the log, in milliseconds. */
 const LAST_LINES_TIMEOUT_MS = 100;
@@ -108,6 +113,9 @@
         ? undefined
         : {host: settings.host, port: settings.metricsPort},
     peerAddress: {host: settings.host, port: settings.peerPort},
+    // The process before may hold its addresses until the end of its grace period.
+    addressWaitLimitMs: CLOSED_CONNECTION_MS + settings.stopGraceMs,
+    startSignal: stopSignal,
     storeRestores: store.restores,
     promptCacheReader: createPromptCacheReader(),
     table: createTableService({
--- a/core/connections/src/index.ts
+++ b/core/connections/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address_opener.js';
 export * from './connection_end.js';
 export * from './drain_server.js';
 export {breakOff} from './fail_request.js';
--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -1,8 +1,11 @@
-import {createServer, type Server} from 'node:http';
+import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
+  createAddressOpener,
   drainServer,
   manageConnections,
+  type AddressOpener,
+  type AddressPurpose,
   type InputBoundary,
   type InputName,
 } from '@sardinestile/connections';
@@ -28,6 +31,10 @@
   /** 0 selects any free port. */
   port: number;
   headersTimeoutMs?: number;
+  /** Opens the address; does not wait for it by default. */
+  addresses?: AddressOpener;
+  /** What the server serves; `callers` by default. */
+  purpose?: AddressPurpose;
   /** Reports failures; logs them by default. */
   boundary?: InputBoundary;
   /** What the server receives; `request` by default. */
@@ -68,7 +75,9 @@
     boundary: options.boundary,
     input: options.input,
   });
-  await listen(server, options);
+  const {host, port, purpose = 'callers'} = options;
+  const {addresses = createAddressOpener()} = options;
+  await addresses.listen(purpose, server, {host, port});
   return {
     port: (server.address() as AddressInfo).port,
     disableKeepAlive: () => connections.disableKeepAlive(),
@@ -79,10 +88,3 @@
     },
   };
 }
-
-function listen(server: Server, options: HttpServerOptions): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options.port, options.host, () => resolve());
-  });
-}
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -21,6 +21,13 @@
   heapLimitMb: number;
 }
 
+/** Address of this process that is opened, as host:port. */
+interface AddressFields {
+  /** What is served there. */
+  purpose: string;
+  address: string;
+}
+
 /** All log events with their fields. API keys and prompts must not be logged. */
 export interface LogEvents {
   /** The process has begun to run and starts to listen; it serves from `process_started` on. */
@@ -36,7 +43,17 @@
     address: string;
     opsAddress: string;
     peerAddress?: string;
+    /** Time since the process started. */
+    startMs?: number;
+    /** Addresses that were not available at once, as `purpose:ms`, by commas. */
+    addressWaits?: string;
   };
+  /** The address is taken, or no interface has it; it is tried again. */
+  address_waiting: AddressFields & {reason: string};
+  address_opened: AddressFields & {waitMs: number};
+  /** An error that cannot pass keeps a server that the process does not need from listening. */
+  server_not_opened: {reason: string};
+  address_given_up: AddressFields & {reason: string; waitMs: number};
   /** The process was asked to stop while its start waited for something. */
   start_abandoned: {uptimeMs: number};
   process_stopping: {
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -1,13 +1,13 @@
 import {
   createServer,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
 } from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   manageConnections,
   stopAccepting,
+  type AddressOpener,
   type ConnectionEnd,
   type InputBoundary,
 } from '@sardinestile/connections';
@@ -48,7 +48,7 @@
   response: ServerResponse,
 ) => Promise<void>;
 
-/** Options for `startCallerListener`. */
+/** Options for `createCallerListener`. */
 export interface CallerListenerOptions {
   host: string;
   port: number;
@@ -70,6 +70,8 @@
 
 /** HTTP server for callers. */
 export interface CallerListener {
+  /** Begins to serve callers; rejects if the address does not become available. */
+  open(addresses: AddressOpener): Promise<void>;
   applyLimits(limits: CallerLimits): void;
   readonly openRequests: number;
   /** Whether new requests must be refused, as they could not be finished before the stop. */
@@ -90,10 +92,10 @@
   close(): void;
 }
 
-/** Starts the HTTP server for callers; rejects if the address is in use. */
-export async function startCallerListener(
+/** Creates the HTTP server for callers, which serves none until it is opened. */
+export function createCallerListener(
   options: CallerListenerOptions,
-): Promise<CallerListener> {
+): CallerListener {
   let drainingSinceMs: number | undefined;
   const sinceStopMs = () =>
     drainingSinceMs === undefined
@@ -115,8 +117,13 @@
     onUnanswerable: request => options.onUnanswerable(request, sinceStopMs()),
   });
   server.maxRequestsPerSocket = 0;
-  await listen(server, options);
   return {
+    open: addresses =>
+      addresses.listen('callers', server, {
+        host: options.host,
+        port: options.port,
+        backlog: ACCEPT_BACKLOG,
+      }),
     applyLimits({headerTimeoutMs, idleTimeoutMs}) {
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs + IDLE_TIMEOUT_SLACK_MS;
@@ -169,13 +176,3 @@
     },
   };
 }
-
-function listen(
-  server: Server,
-  {host, port}: CallerListenerOptions,
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port, backlog: ACCEPT_BACKLOG}, () => resolve());
-  });
-}
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,6 +1,9 @@
 import {setMaxListeners} from 'node:events';
 import {createReturnSchedule} from '@sardinestile/admission';
-import {createInputBoundary} from '@sardinestile/connections';
+import {
+  createAddressOpener,
+  createInputBoundary,
+} from '@sardinestile/connections';
 import {
   assignGroup,
   createUpstreamFleet,
@@ -12,10 +15,10 @@
   createPeerAdjustedTime,
 } from '@sardinestile/freshness';
 import {NO_RESTORES} from '@sardinestile/ports';
-import {openLedgerLink, type LedgerLink} from '@sardinestile/ledger';
-import {createPeerClient, startPeerServer} from '@sardinestile/peer';
+import {createLedgerLink, type LedgerLink} from '@sardinestile/ledger';
+import {createPeerClient, createPeerServer} from '@sardinestile/peer';
 import {createCacheRecovery} from './upstreams/cache_recovery.js';
-import {startCallerListener} from './calls/caller_listener.js';
+import {createCallerListener} from './calls/caller_listener.js';
 import {recordConnectionEnd} from './calls/record_connection_end.js';
 import {
   createConfigView,
@@ -56,7 +59,7 @@
 import {reportDivision} from './shared/report_division.js';
 import {chooseStoreReader} from './shared/store_reader.js';
 import {createZoneView} from './shared/zone_view.js';
-import {startTextServers} from './text_server.js';
+import {createTextServers, openInBackground} from './text_server.js';
 import {createUpstreamView} from './upstreams/upstream_view.js';
 import {createResponseTimes} from './calls/response_times.js';
 import {startUsageDuties} from './duties/usage_duties.js';
@@ -155,7 +158,7 @@
     onDivisionChange: change => reportDivision(change, logger, metrics),
   });
   const slewedTimeMs = createSlewedTime(clock);
-  const link: LedgerLink = await openLedgerLink({
+  const link: LedgerLink = createLedgerLink({
     instance,
     address: peerAddress,
     clock,
@@ -423,7 +426,7 @@
       );
     },
   });
-  const peerServer = await startPeerServer({
+  const peerServer = createPeerServer({
     ...peerAddress,
     boundary,
     fleetId: () => fleetId,
@@ -490,8 +493,7 @@
     fleet.prune(clock.monotonicMs());
   }, HOUSEKEEPING_INTERVAL_MS);
 
-  // Starts last, since serving requests needs all other parts.
-  const listener = await startCallerListener({
+  const listener = createCallerListener({
     ...options.callerAddress,
     maxHeaderBytes: MAX_HEADER_BYTES,
     handler: (request, response) => serveCall(context, request, response),
@@ -505,12 +507,14 @@
   });
   config.subscribe(({limits}) => listener.applyLimits(limits));
 
+  let isServing = false;
   const isReady = () =>
+    isServing &&
     !isStopping &&
     config.routes() !== undefined &&
     upstreams.isLoaded &&
     config.ageMs() <= maxKeyAgeMs();
-  const textServers = await startTextServers({
+  const textServers = createTextServers({
     readinessAddress: options.readinessAddress,
     metricsAddress: options.metricsAddress,
     boundary,
@@ -520,10 +524,10 @@
       return metrics.render();
     },
   });
-  let isClosed = false;
+  const closing = new AbortController();
   const close = async () => {
-    if (isClosed) return;
-    isClosed = true;
+    if (closing.signal.aborted) return;
+    closing.abort();
     isStopping = true;
     clearInterval(housekeeping);
     sharedQuarantine.stop();
@@ -544,6 +548,22 @@
     context.connections.close();
     logger.info('process_stopped', {instance});
   };
+  const addresses = createAddressOpener({
+    logger,
+    limitMs: options.addressWaitLimitMs ?? 0,
+    signal: options.startSignal,
+  });
+  openInBackground(textServers, logger, closing.signal);
+  try {
+    await Promise.all([link.open(addresses), peerServer.open(addresses)]);
+    // Opened last, since serving requests needs all other parts.
+    await listener.open(addresses);
+  } catch (error) {
+    void registry.deregister();
+    await Promise.race([close(), sleep(LAST_WRITE_TIMEOUT_MS)]);
+    throw error;
+  }
+  isServing = true;
   logger.info('process_started', {
     role: 'gateway',
     instance,
@@ -551,6 +571,8 @@
     opsAddress: options.metricsAddress
       ? formatAddress(options.metricsAddress)
       : '',
+    startMs: Math.round(performance.now()),
+    addressWaits: addresses.waits || undefined,
   });
   return {
     reload(limits) {
--- a/daemons/gateway/src/gateway_options.ts
+++ b/daemons/gateway/src/gateway_options.ts
@@ -76,6 +76,13 @@
   zoneOutOfServiceLimitMs?: number;
   /** Time after which the platform kills a stopping process, in milliseconds. */
   stopGraceMs: number;
+  /**
+   * Time for which the start waits for the addresses for callers and peers if they are not
+   * available, in milliseconds; it does not wait if absent.
+   */
+  addressWaitLimitMs?: number;
+  /** Ends the start, which rejects with its reason. */
+  startSignal?: AbortSignal;
   clock: Clock;
   logger: Logger;
   metrics: MetricsRegistry;
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -1,13 +1,19 @@
 import {createServer, type ServerResponse} from 'node:http';
 import {
+  createAddressOpener,
   drainServer,
   manageConnections,
+  type AddressOpener,
+  type AddressPurpose,
   type InputBoundary,
 } from '@sardinestile/connections';
+import type {Logger} from '@sardinestile/logger';
 import type {ListenAddress} from './gateway_options.js';
 
-/** A running HTTP server for readiness or metrics. */
+/** HTTP server for readiness or metrics. */
 export interface TextServer {
+  /** Begins to serve; rejects if the address does not become available. */
+  open(addresses: AddressOpener): Promise<void>;
   /** Resolves when the open responses were delivered, or after the limit. */
   close(limitMs: number): Promise<void>;
 }
@@ -17,7 +23,7 @@
   text: string;
 }
 
-/** Options for `startTextServers`. */
+/** Options for `createTextServers`. */
 export interface TextServersOptions {
   /** Address of the readiness check for load balancers; undefined to serve none. */
   readinessAddress: ListenAddress | undefined;
@@ -29,42 +35,61 @@
   boundary?: InputBoundary;
 }
 
-/** Starts the HTTP servers for readiness and metrics; rejects if an address is in use. */
-export async function startTextServers(
-  options: TextServersOptions,
-): Promise<TextServer[]> {
+/** Creates the HTTP servers for readiness and metrics, which serve nothing until they are opened. */
+export function createTextServers(options: TextServersOptions): TextServer[] {
   const {readinessAddress, metricsAddress, isReady, renderMetrics, boundary} =
     options;
   const servers: TextServer[] = [];
   if (readinessAddress) {
     servers.push(
-      await startTextServer(
-        readinessAddress,
-        () =>
+      createTextServer({
+        purpose: 'readiness',
+        address: readinessAddress,
+        render: () =>
           isReady()
             ? {status: 200, text: 'ready\n'}
             : {status: 503, text: 'not ready\n'},
         boundary,
-      ),
+      }),
     );
   }
   if (metricsAddress) {
     servers.push(
-      await startTextServer(
-        metricsAddress,
-        async () => ({status: 200, text: await renderMetrics()}),
+      createTextServer({
+        purpose: 'metrics',
+        address: metricsAddress,
+        render: async () => ({status: 200, text: await renderMetrics()}),
         boundary,
-      ),
+      }),
     );
   }
   return servers;
 }
 
-async function startTextServer(
-  {host, port}: ListenAddress,
-  render: () => TextResponse | Promise<TextResponse>,
-  boundary: InputBoundary | undefined,
-): Promise<TextServer> {
+/** Opens servers without which a gateway can serve callers, whenever their addresses come. */
+export function openInBackground(
+  servers: readonly TextServer[],
+  logger: Logger,
+  signal: AbortSignal,
+): void {
+  const addresses = createAddressOpener({logger, limitMs: Infinity, signal});
+  for (const server of servers) {
+    server.open(addresses).catch((error: Error) => {
+      if (signal.aborted) return;
+      logger.error('server_not_opened', {reason: error.message});
+    });
+  }
+}
+
+interface TextServerOptions {
+  purpose: AddressPurpose;
+  address: ListenAddress;
+  render: () => TextResponse | Promise<TextResponse>;
+  boundary: InputBoundary | undefined;
+}
+
+function createTextServer(options: TextServerOptions): TextServer {
+  const {purpose, address, render, boundary} = options;
   const respond = async (response: ServerResponse) => {
     const {status, text} = await render();
     response.writeHead(status, {
@@ -79,9 +104,8 @@
     boundary,
     input: 'operatorRequest',
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port}, () => resolve());
-  });
-  return {close: limitMs => drainServer(server, connections, limitMs)};
+  return {
+    open: addresses => addresses.listen(purpose, server, address),
+    close: limitMs => drainServer(server, connections, limitMs),
+  };
 }
--- a/daemons/gateway/test/caller_listener_test.ts
+++ b/daemons/gateway/test/caller_listener_test.ts
@@ -2,8 +2,9 @@
 import {connect, createServer, type AddressInfo} from 'node:net';
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createAddressOpener} from '@sardinestile/connections';
 import {expect} from 'earl';
-import {startCallerListener} from '../src/calls/caller_listener.js';
+import {createCallerListener} from '../src/calls/caller_listener.js';
 
 const HOST = '127.0.0.1';
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
@@ -20,7 +21,7 @@
 /** Starts a listener whose responses have bodies of a size. */
 async function startListener(bodyBytes: number) {
   const port = await findFreePort();
-  const listener = await startCallerListener({
+  const listener = createCallerListener({
     host: HOST,
     port,
     maxHeaderBytes: 16_384,
@@ -32,6 +33,7 @@
     onConnectionEnded: () => undefined,
     onUnanswerable: () => undefined,
   });
+  await listener.open(createAddressOpener());
   return {listener, port};
 }
 
--- a/daemons/gateway/test/groups_over_link_test.ts
+++ b/daemons/gateway/test/groups_over_link_test.ts
@@ -3,10 +3,11 @@
 import {createStreamOrigins} from '@sardinestile/continuation';
 import {createUpstreamFleet, type UpstreamFleet} from '@sardinestile/fleet';
 import {
-  openLedgerLink,
+  createLedgerLink,
   type LedgerLink,
   type PeerAddress,
 } from '@sardinestile/ledger';
+import {createAddressOpener} from '@sardinestile/connections';
 import {createLogger} from '@sardinestile/logger';
 import {createSystemClock} from '@sardinestile/types';
 import {expect} from 'earl';
@@ -64,7 +65,7 @@
   }
   fleet.setGroup({index, count: 2, gateways: 43});
   const instance = `front-${index}`;
-  const link = await openLedgerLink({
+  const link = createLedgerLink({
     instance,
     address,
     clock,
@@ -86,6 +87,7 @@
     onEvidence: () => undefined,
     onUsage: () => undefined,
   });
+  await link.open(createAddressOpener());
   link.joinFleet('fleet');
   return {fleet, reporter, link};
 }
--- a/daemons/gateway/test/text_server_test.ts
+++ b/daemons/gateway/test/text_server_test.ts
@@ -1,8 +1,9 @@
 import {once} from 'node:events';
 import {connect, createServer, type AddressInfo} from 'node:net';
 import {beforeEach, describe, it} from 'node:test';
+import {createAddressOpener} from '@sardinestile/connections';
 import {expect} from 'earl';
-import {startTextServers} from '../src/text_server.js';
+import {createTextServers} from '../src/text_server.js';
 
 const HOST = '127.0.0.1';
 
@@ -24,17 +25,19 @@
   let port: number;
   beforeEach(async () => (port = await findFreePort()));
 
-  function start(renderMetrics: () => Promise<string>) {
-    return startTextServers({
+  async function start(renderMetrics: () => Promise<string>) {
+    const [server] = createTextServers({
       readinessAddress: undefined,
       metricsAddress: {host: HOST, port},
       isReady: () => true,
       renderMetrics,
     });
+    await server.open(createAddressOpener());
+    return server;
   }
 
   it('delivers metrics to a scraper that reads late', async () => {
-    const [server] = await start(async () => LARGE_TEXT);
+    const server = await start(async () => LARGE_TEXT);
     const socket = connect(port, HOST);
     socket.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n');
     await once(socket, 'readable');
--- a/protocol/ledger/src/ledger_link.ts
+++ b/protocol/ledger/src/ledger_link.ts
@@ -1,6 +1,7 @@
 import {createSocket, type RemoteInfo} from 'node:dgram';
 import {
   createInputBoundary,
+  type AddressOpener,
   type InputBoundary,
 } from '@sardinestile/connections';
 import type {Logger} from '@sardinestile/logger';
@@ -44,7 +45,7 @@
   sinceLastReceivedMs: number;
 }
 
-/** Options for openLedgerLink. */
+/** Options for createLedgerLink. */
 export interface LedgerLinkOptions {
   instance: string;
   address: PeerAddress;
@@ -64,6 +65,8 @@
 
 /** Exchanges updates with the other gateways over UDP; updates may be lost. */
 export interface LedgerLink {
+  /** Begins to send and receive; rejects if the address does not become available. */
+  open(addresses: AddressOpener): Promise<void>;
   /**
    * Sends an update to every live peer, and to the gateways of other groups if it
    * is for all groups. An urgent one is not delayed for batching.
@@ -99,10 +102,8 @@
   hasSeenDutyHeld: false,
 };
 
-/** Opens the UDP socket of a link; rejects if the address is in use. */
-export async function openLedgerLink(
-  options: LedgerLinkOptions,
-): Promise<LedgerLink> {
+/** Creates a link, which neither sends nor receives until it is opened. */
+export function createLedgerLink(options: LedgerLinkOptions): LedgerLink {
   const {instance, address, clock, slewedTimeMs, observer, logger} = options;
   const {boundary = createInputBoundary({logger})} = options;
   const startedAtMs = clock.wallMs();
@@ -118,7 +119,7 @@
   let flushTimer: NodeJS.Timeout | undefined;
   let isFlushScheduled = false;
   let fleetId: string | undefined;
-  let isClosed = false;
+  let isOpen = false;
 
   const isLive = (peer: Peer) =>
     peer.instance !== undefined &&
@@ -150,7 +151,7 @@
     isBetweenGroups = false,
   ) => {
     // Requests that end while the process stops are still reported.
-    if (isClosed || fleetId === undefined) return;
+    if (!isOpen || fleetId === undefined) return;
     const message: LedgerMessage = {
       fleetId,
       instance,
@@ -237,18 +238,15 @@
     }
   };
   socket.on('message', boundary.guard('datagram', receive));
-  socket.on('error', error =>
-    logger.warn('peer_link_failed', {reason: error.message}),
-  );
-  await new Promise<void>((resolve, reject) => {
-    socket.once('error', reject);
-    socket.bind(address.port, address.host, () => {
-      socket.off('error', reject);
-      resolve();
-    });
-  });
   const heartbeatTimer = setInterval(sendHeartbeats, HEARTBEAT_INTERVAL_MS);
   return {
+    async open(addresses) {
+      await addresses.bind('peerDatagrams', socket, address);
+      isOpen = true;
+      socket.on('error', error =>
+        logger.warn('peer_link_failed', {reason: error.message}),
+      );
+    },
     send(update, isUrgent, isForAllGroups = false) {
       pendingUpdates.push(update);
       if (isForAllGroups) pendingForOtherGroups.push(update);
@@ -298,7 +296,7 @@
           : [],
       ),
     close() {
-      isClosed = true;
+      isOpen = false;
       clearInterval(heartbeatTimer);
       clearTimeout(flushTimer);
       socket.close();
--- a/protocol/ledger/test/ledger_groups_test.ts
+++ b/protocol/ledger/test/ledger_groups_test.ts
@@ -1,10 +1,11 @@
 import {createSocket} from 'node:dgram';
 import {after, before, describe, it} from 'node:test';
+import {createAddressOpener} from '@sardinestile/connections';
 import {createLogger} from '@sardinestile/logger';
 import {createSystemClock} from '@sardinestile/types';
 import {expect} from 'earl';
 import {
-  openLedgerLink,
+  createLedgerLink,
   type LedgerLink,
   type PeerAddress,
 } from '../src/index.js';
@@ -27,7 +28,7 @@
   });
 }
 
-describe('groups of openLedgerLink', () => {
+describe('groups of createLedgerLink', () => {
   const links: LedgerLink[] = [];
   const addresses: PeerAddress[] = [];
   const lost: string[] = [];
@@ -43,7 +44,7 @@
 
   const openLink = async (instance: string, address: PeerAddress) => {
     const clock = createSystemClock();
-    const link = await openLedgerLink({
+    const link = createLedgerLink({
       instance,
       address,
       clock,
@@ -58,6 +59,7 @@
       },
       status: () => ({isStopping: false, hasSeenDutyHeld: false}),
     });
+    await link.open(createAddressOpener());
     link.joinFleet('fleet');
     return link;
   };
--- a/protocol/ledger/test/ledger_link_test.ts
+++ b/protocol/ledger/test/ledger_link_test.ts
@@ -1,9 +1,10 @@
 import {createSocket} from 'node:dgram';
 import {describe, it} from 'node:test';
+import {createAddressOpener} from '@sardinestile/connections';
 import {createLogger} from '@sardinestile/logger';
 import {createSystemClock} from '@sardinestile/types';
 import {expect} from 'earl';
-import {openLedgerLink, type LedgerUpdate} from '../src/index.js';
+import {createLedgerLink, type LedgerUpdate} from '../src/index.js';
 
 const UPDATES: LedgerUpdate[] = [
   {
@@ -36,7 +37,7 @@
 ) {
   const received: LedgerUpdate[] = [];
   const address = {host: '127.0.0.1', port: await findFreePort()};
-  const link = await openLedgerLink({
+  const link = createLedgerLink({
     instance,
     address,
     clock: createSystemClock(),
@@ -51,13 +52,14 @@
     },
     status: () => ({isStopping: false, hasSeenDutyHeld: true}),
   });
+  await link.open(createAddressOpener());
   link.joinFleet(fleetId);
   return {link, address, received};
 }
 
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
-describe('openLedgerLink', () => {
+describe('createLedgerLink', () => {
   it('exchanges updates only with peers of its own fleet, even if it knows addresses of another fleet', async () => {
     const first = await openTestLink('a', 'one');
     const second = await openTestLink('b', 'one');
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -6,6 +6,7 @@
 import {
   drainServer,
   manageConnections,
+  type AddressOpener,
   type InputBoundary,
 } from '@sardinestile/connections';
 import type {LogPosition} from '@sardinestile/shared_feed';
@@ -37,7 +38,7 @@
 /** Time within which a closing server answers its open requests, in milliseconds. */
 const CLOSE_LIMIT_MS = 150;
 
-/** Options for startPeerServer. */
+/** Options for createPeerServer. */
 export interface PeerServerOptions {
   host: string;
   port: number;
@@ -78,6 +79,8 @@
 
 /** A running peer server. */
 export interface PeerServer {
+  /** Begins to serve other gateways; rejects if the address does not become available. */
+  open(addresses: AddressOpener): Promise<void>;
   /**
    * Ends long polls with status 503, refuses new requests with the same, and
    * closes all connections once the other requests are answered or a short
@@ -86,10 +89,8 @@
   close(): Promise<void>;
 }
 
-/** Starts the HTTP server for other gateways; rejects if the address is in use. */
-export async function startPeerServer(
-  options: PeerServerOptions,
-): Promise<PeerServer> {
+/** Creates the HTTP server for other gateways, which serves none until it is opened. */
+export function createPeerServer(options: PeerServerOptions): PeerServer {
   const handlers: Readonly<
     Record<
       string,
@@ -160,11 +161,12 @@
     boundary: options.boundary,
     input: 'peerRequest',
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host: options.host, port: options.port}, () => resolve());
-  });
   return {
+    open: addresses =>
+      addresses.listen('peers', server, {
+        host: options.host,
+        port: options.port,
+      }),
     async close() {
       isClosing = true;
       const closed = drainServer(server, connections, CLOSE_LIMIT_MS);
--- a/protocol/peer/test/peer_server_test.ts
+++ b/protocol/peer/test/peer_server_test.ts
@@ -2,11 +2,12 @@
 import type {AddressInfo} from 'node:net';
 import {createServer} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {createAddressOpener} from '@sardinestile/connections';
 import {expect} from 'earl';
 import {
   CONFIG_PATH,
+  createPeerServer,
   FLEET_HEADER,
-  startPeerServer,
   USAGE_PATH,
   type PeerServer,
   type PeerServerOptions,
@@ -44,7 +45,7 @@
   return port;
 }
 
-describe('startPeerServer', () => {
+describe('createPeerServer', () => {
   const agent = new Agent({keepAlive: true});
   let server: PeerServer;
   let port: number;
@@ -62,7 +63,8 @@
       },
       storeUsage: () => gate.pass(),
     };
-    server = await startPeerServer(options as PeerServerOptions);
+    server = createPeerServer(options as PeerServerOptions);
+    await server.open(createAddressOpener());
   });
   afterEach(async () => {
     gate.open();
--- a/testing/hosting/test/process_start_test.ts
+++ b/testing/hosting/test/process_start_test.ts
@@ -1,3 +1,6 @@
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {connect, createServer, type AddressInfo} from 'node:net';
 import {after, afterEach, before, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -26,6 +29,46 @@
 /** Time within which a process that was asked to stop ends, in milliseconds. */
 const STOP_LIMIT_MS = 2_000;
 
+type Release = () => Promise<unknown>;
+
+/** Listens on an address over TCP, like the process that had it before. */
+async function holdPort(host: string, port: number): Promise<Release> {
+  const server = createServer().listen(port, host);
+  await once(server, 'listening');
+  return () => new Promise(resolve => server.close(resolve));
+}
+
+async function holdDatagramPort(host: string, port: number): Promise<Release> {
+  const socket = createSocket('udp4').bind(port, host);
+  await once(socket, 'listening');
+  return () => new Promise<void>(resolve => socket.close(() => resolve()));
+}
+
+/** Opens a connection whose local port the operating system chooses. */
+async function connectFrom(host: string) {
+  const server = createServer(accepted =>
+    accepted.on('error', () => undefined),
+  ).listen(0, host);
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const socket = connect({host, port});
+  await once(socket, 'connect');
+  const close = async () => {
+    // A reset connection does not enter TIME_WAIT.
+    socket.resetAndDestroy();
+    await new Promise(resolve => server.close(resolve));
+  };
+  return {localPort: socket.localPort!, close};
+}
+
+const HOLDERS: Readonly<Record<string, (host: string) => Promise<Release>>> = {
+  'address for callers': host => holdPort(host, PROCESS_PORTS.callers),
+  'readiness address': host => holdPort(host, PROCESS_PORTS.readiness),
+  'address for peers': host => holdPort(host, PROCESS_PORTS.peers),
+  'datagram address for peers': host =>
+    holdDatagramPort(host, PROCESS_PORTS.peers),
+};
+
 const UNUSABLE_SETTINGS: Readonly<Record<string, (text: string) => string>> = {
   empty: () => '',
   'half written': text => text.slice(0, text.length / 2),
@@ -38,6 +81,7 @@
   let upstream: UpstreamStandIn;
   let gateway: GatewayProcess;
   let host: string;
+  let releases: Release[] = [];
   let hosts = 0;
 
   before(async () => {
@@ -58,6 +102,8 @@
   after(() => Promise.all([store.close(), upstream.close()]));
   afterEach(async () => {
     await gateway.end();
+    await Promise.all(releases.map(release => release()));
+    releases = [];
   });
 
   const prepare = (options: Partial<GatewayProcessOptions> = {}) => {
@@ -77,10 +123,75 @@
     });
     return status;
   };
+  const hold = async (holder: (address: string) => Promise<Release>) => {
+    const release = await holder(host);
+    let released: Promise<unknown> | undefined;
+    const releaseOnce = () => (released ??= release());
+    releases.push(releaseOnce);
+    return releaseOnce;
+  };
   const expectToServe = async (port?: number) => {
     await waitUntil('the gateway to be ready', () => gateway.isReady());
     expect(await call(port)).toEqual(200);
   };
+  const logged = (event: string) =>
+    gateway.lines.filter(line => line.includes(`event=${event} `));
+
+  for (const [what, holder] of Object.entries(HOLDERS)) {
+    it(`waits for the ${what} while it is taken`, async () => {
+      prepare();
+      const release = await hold(holder);
+      gateway.start();
+      await sleep(MISSING_MS);
+      expect(gateway.exitCode).toEqual(undefined);
+      await release();
+      await expectToServe();
+      expect(logged('address_waiting').length).toEqual(1);
+      expect(logged('address_opened').length).toEqual(1);
+    });
+  }
+
+  it('waits for the port for callers while an outgoing connection of another process uses it', async () => {
+    // The source address of connections between loopback addresses.
+    host = '127.0.0.1';
+    const {localPort, close} = await connectFrom(host);
+    const release = await hold(() => Promise.resolve(close));
+    prepare({host, callerPort: localPort});
+    gateway.start();
+    await sleep(MISSING_MS);
+    expect(gateway.exitCode).toEqual(undefined);
+    await release();
+    await expectToServe(localPort);
+    expect(logged('address_waiting').length).toEqual(1);
+  });
+
+  it('serves callers while the address of the metrics is taken, and opens it later', async () => {
+    prepare();
+    const release = await hold(address =>
+      holdPort(address, PROCESS_PORTS.metrics),
+    );
+    gateway.start();
+    await expectToServe();
+    await release();
+    const url = `http://${host}:${PROCESS_PORTS.metrics}/metrics`;
+    await waitUntil('the metrics', () =>
+      fetch(url).then(
+        ({status}) => status === 200,
+        () => false,
+      ),
+    );
+  });
+
+  it('ends in order at SIGTERM while it waits for an address', async () => {
+    prepare();
+    await hold(address => holdPort(address, PROCESS_PORTS.callers));
+    gateway.start();
+    await sleep(MISSING_MS);
+    gateway.signal('SIGTERM');
+    const code = await Promise.race([gateway.exited, sleep(STOP_LIMIT_MS)]);
+    expect(code).toEqual(0);
+  });
+
   for (const [kind, spoil] of Object.entries(UNUSABLE_SETTINGS)) {
     it(`reads a settings file again that is ${kind} at first`, async () => {
       prepare();
