fix(cli): a process goes on when nobody reads its output

What callers saw: an entry, an agent or `sardinestile dev` ended at its next log line once the reader of its output was gone, with all open requests (ECONNRESET, exit 1).

Cause: they wrote lines through process.stdout, which emits EPIPE as an error that nothing handled. The last line, process_ended, was written with one writeSync: EPIPE and EAGAIN threw in the exit handler, and the line was lost.

Change: entries, agents and dev log through the background writer with its rate limit, as gateways do. Errors of standard output and standard error are logged (output_failed).

--- a/cli/sardinestile/src/commands/daemon_commands.ts
+++ b/cli/sardinestile/src/commands/daemon_commands.ts
@@ -1,8 +1,14 @@
 import {readFile} from 'node:fs/promises';
 import {fileURLToPath} from 'node:url';
-import {createLogger, type Logger, type LogLevel} from '@sardinestile/logger';
+import {
+  createRateLimitedLogger,
+  type Logger,
+  type LogLevel,
+} from '@sardinestile/logger';
 import {command, number, option, string} from 'cmd-ts';
-import {describeError, logProcessEnd, logProcessStart} from '../process_end.js';
+import {describeError} from '../describe_error.js';
+import {logOutputErrors} from '../log_output_errors.js';
+import {logProcessEnd, logProcessStart} from '../process_end.js';
 import {watchProcessMemory} from '../process_memory.js';
 import {
   createProcessSignals,
@@ -16,6 +22,9 @@
   new URL('../../../../examples/paletta_viva.yaml', import.meta.url),
 );
 
+/** Time limit for writing the last lines of the log, in milliseconds. */
+const LAST_LINES_TIMEOUT_MS = 100;
+
 /** The command `sardinestile entry`. */
 export const entryCommand = command({
   name: 'entry',
@@ -89,7 +98,8 @@
   level: LogLevel,
   start: (logger: Logger) => Promise<StoppableProcess>,
 ): Promise<void> {
-  const logger = createLogger({level});
+  const logger = createRateLimitedLogger({level});
+  logOutputErrors(logger);
   const processEnd = logProcessEnd();
   const signals = createProcessSignals({hangUp: 'stop'});
   logProcessStart(role, logger);
@@ -102,6 +112,7 @@
     throw error;
   } finally {
     memoryWatch.stop();
+    await logger.flush(LAST_LINES_TIMEOUT_MS);
   }
 }
 
--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -22,6 +22,7 @@
   readGatewayEnvironment,
   type GatewayEnvironment,
 } from './gateway_environment.js';
+import {logOutputErrors} from './log_output_errors.js';
 import {logProcessStart} from './process_end.js';
 import {watchProcessMemory} from './process_memory.js';
 import type {ProcessSignals, StoppableProcess} from './process_signals.js';
@@ -57,6 +58,7 @@
   const settings = parseSettings(text, path);
   const environment = readGatewayEnvironment(process.env);
   const logger = createRateLimitedLogger({level: environment.logLevel});
+  logOutputErrors(logger);
   logProcessStart('gateway', logger);
   const memoryWatch = watchProcessMemory({logger});
   await signals.run(logger, () =>
--- a/cli/sardinestile/src/platform_main.ts
+++ b/cli/sardinestile/src/platform_main.ts
@@ -2,9 +2,11 @@
 import {gatewaySignals} from './gateway_signals.js';
 import {SardinestileError} from '@sardinestile/errors';
 import {createLogger} from '@sardinestile/logger';
+import {describeError} from './describe_error.js';
 import {EXIT_CODE_BY_ERROR, EXIT_CODES} from './exit_code.js';
 import {runPlatformGateway} from './platform_gateway.js';
-import {describeError, logProcessEnd} from './process_end.js';
+import {logProcessEnd} from './process_end.js';
+import {writeLastLine} from './write_last_line.js';
 
 const processEnd = logProcessEnd();
 
@@ -15,7 +17,7 @@
   process.exit(EXIT_CODES.ok);
 } catch (error) {
   processEnd.record('startFailed', describeError(error));
-  const logger = createLogger({level: 'info'});
+  const logger = createLogger({level: 'info', write: writeLastLine});
   const isSardinestileError = error instanceof SardinestileError;
   logger.error('command_failed', {
     code: isSardinestileError ? error.code : 'FAILED',
--- a/cli/sardinestile/src/process_end.ts
+++ b/cli/sardinestile/src/process_end.ts
@@ -1,6 +1,7 @@
-import {writeSync} from 'node:fs';
 import {getHeapStatistics} from 'node:v8';
 import {createLogger, type Logger} from '@sardinestile/logger';
+import {describeError} from './describe_error.js';
+import {writeLastLine} from './write_last_line.js';
 
 /** What ended a process; a signal that it cannot handle leaves no line. */
 export type ProcessEndCause =
@@ -25,7 +26,7 @@
 export interface ProcessEndOptions {
   /** The process that ends; this one by default. */
   host?: Pick<NodeJS.Process, 'on' | 'uptime'>;
-  /** Writes a line synchronously; to standard output by default. */
+  /** Writes a line synchronously; must not throw. */
   write?: (line: string) => void;
 }
 
@@ -36,7 +37,7 @@
  * line is written synchronously, as nothing runs after it.
  */
 export function logProcessEnd(options: ProcessEndOptions = {}): ProcessEnd {
-  const {host = process, write = line => void writeSync(1, line)} = options;
+  const {host = process, write = writeLastLine} = options;
   let cause: ProcessEndCause | undefined;
   let reason: string | undefined;
   const record = (newCause: ProcessEndCause, newReason?: string) => {
@@ -86,9 +87,3 @@
     heapLimitMb: Math.round(heapLimit / BYTES_PER_MB),
   };
 }
-
-/** Returns the stack of an error, or the text of anything else that was thrown. */
-export function describeError(error: unknown): string {
-  if (!(error instanceof Error)) return String(error);
-  return error.stack ?? error.message;
-}
--- a/cli/sardinestile/test/process_end_test.ts
+++ b/cli/sardinestile/test/process_end_test.ts
@@ -1,7 +1,9 @@
-import {spawnSync} from 'node:child_process';
+import {spawn, spawnSync} from 'node:child_process';
+import {once} from 'node:events';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {text} from 'node:stream/consumers';
 import {describe, it} from 'node:test';
 import {parseLogLine} from '@sardinestile/logger';
 import {expect} from 'earl';
@@ -10,18 +12,23 @@
 
 describe('the end of a process', () => {
   const directory = mkdtempSync(join(tmpdir(), 'process-end-'));
-  /** Runs a process that executes the statements, and parses its last line. */
-  const runProcess = (name: string, statements: string) => {
+  /** Writes a program that executes the statements, and returns the arguments to run it. */
+  const writeProgram = (name: string, statements: string) => {
     const path = join(directory, `${name}.mts`);
     writeFileSync(
       path,
-      `import {logProcessEnd} from '${MODULE_URL}';
+      `import {writeSync} from 'node:fs';
+       import {logProcessEnd} from '${MODULE_URL}';
        const processEnd = logProcessEnd();
        ${statements}`,
     );
+    return ['--import', 'tsx', '--conditions=sardinestile-source', path];
+  };
+  /** Runs a process that executes the statements, and parses its last line. */
+  const runProcess = (name: string, statements: string) => {
     const {stdout, status} = spawnSync(
       process.execPath,
-      ['--import', 'tsx', '--conditions=sardinestile-source', path],
+      writeProgram(name, statements),
       {encoding: 'utf8'},
     );
     const lastLine = stdout.trimEnd().split('\n').at(-1)!;
@@ -63,4 +70,29 @@
       expect(Number(line?.fields.get('heapUsedMb'))).toBeGreaterThan(0);
     });
   }
+
+  describe('whose standard output takes no line', () => {
+    for (const {name, statements, isReaderGone} of [
+      {name: 'has no reader', statements: '', isReaderGone: true},
+      {
+        name: 'is full',
+        statements: `process.stdout.fd; // Makes a pipe non-blocking.
+          try { for (;;) writeSync(1, 'x'.repeat(65_536)); } catch {}`,
+        isReaderGone: false,
+      },
+    ]) {
+      it(`keeps its exit code and has the line on standard error if it ${name}`, async () => {
+        const program = writeProgram(
+          `unread-${String(isReaderGone)}`,
+          `${statements}\nprocessEnd.record('stopped'); process.exitCode = 4;`,
+        );
+        const child = spawn(process.execPath, program);
+        if (isReaderGone) child.stdout.destroy();
+        const errorText = text(child.stderr);
+        const [exitCode] = (await once(child, 'exit')) as [number];
+        expect(exitCode).toEqual(4);
+        expect(await errorText).toInclude('event=process_ended cause=stopped');
+      });
+    }
+  });
 });
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -51,6 +51,8 @@
     exitCode: number;
     uptimeMs: number;
   };
+  /** `stream` is `stdout` or `stderr`; nobody reads it any more. */
+  output_failed: {stream: string; reason: string};
   process_heap_high: ProcessMemoryFields;
   process_heap_usual: ProcessMemoryFields;
   /** `sinceStartMs` is the time since the process started. */
--- a/testing/end_to_end/src/child_process.ts
+++ b/testing/end_to_end/src/child_process.ts
@@ -16,15 +16,22 @@
   /** Log lines received so far. */
   lines: string[];
   kill(signal: NodeJS.Signals): void;
+  /** Closes the reading end of the standard output. */
+  closeOutput(): void;
   /** Resolves with the exit code; null if a signal ended the process. */
   exited: Promise<number | null>;
 }
 
-/** Starts `sardinestile`; resolves when it logs that it has started, rejects if it exits before. */
+/**
+ * Starts `sardinestile` with additional environment variables; resolves when it logs that
+ * it has started, rejects if it exits before.
+ */
 export async function startProcess(
   args: readonly string[],
+  environment: NodeJS.ProcessEnv = {},
 ): Promise<TestProcess> {
   const child = spawn(process.execPath, [MAIN_PATH, ...args], {
+    env: {...process.env, ...environment},
     stdio: ['ignore', 'pipe', 'inherit'],
   });
   const lines: string[] = [];
@@ -43,6 +50,7 @@
     pid: child.pid!,
     lines,
     kill: signal => child.kill(signal),
+    closeOutput: () => child.stdout!.destroy(),
     exited,
   };
 }
--- a/testing/end_to_end/src/deployment.ts
+++ b/testing/end_to_end/src/deployment.ts
@@ -31,6 +31,7 @@
 /** Starts two entries and three agents, and waits until every session is open. */
 export async function startDeployment(
   deployment: Deployment,
+  environment?: NodeJS.ProcessEnv,
 ): Promise<TestCluster> {
   const {zones, engineService, plainService} = deployment;
   const textFile = new URL(
@@ -41,6 +42,7 @@
     text: relaxTargets(await readFile(textFile, 'utf8')),
     organisations: [deployment.organisation],
     model: deployment.model,
+    environment,
   });
   const {engines, plainServices} = cluster;
   await Promise.all([
--- a/testing/end_to_end/src/test_cluster.ts
+++ b/testing/end_to_end/src/test_cluster.ts
@@ -63,6 +63,8 @@
   model: string;
   /** Number of engine stand-ins; 2 by default. */
   engineCount?: number;
+  /** Environment variables added to those of each process. */
+  environment?: NodeJS.ProcessEnv;
 }
 
 /** Starts the stand-ins and stores the configuration; starts no entry or agent. */
@@ -97,13 +99,16 @@
     members,
     secrets,
     async startEntry(id, zone, extraArgs = []) {
-      const process = await startProcess([
-        'entry',
-        ...commonArgs(id, zone),
-        `--platform-url=${platformUrl}`,
-        '--leave-delay-ms=300',
-        ...extraArgs,
-      ]);
+      const process = await startProcess(
+        [
+          'entry',
+          ...commonArgs(id, zone),
+          `--platform-url=${platformUrl}`,
+          '--leave-delay-ms=300',
+          ...extraArgs,
+        ],
+        options.environment,
+      );
       const address = process.peerAddress;
       const isLeaving = false;
       return register(
@@ -112,13 +117,16 @@
       );
     },
     async startAgent({id, zone, service, kind, upstreamPort}) {
-      const process = await startProcess([
-        'agent',
-        ...commonArgs(id, zone),
-        `--service=${service}`,
-        `--upstream-kind=${kind}`,
-        `--upstream-url=http://${HOST}:${upstreamPort}`,
-      ]);
+      const process = await startProcess(
+        [
+          'agent',
+          ...commonArgs(id, zone),
+          `--service=${service}`,
+          `--upstream-kind=${kind}`,
+          `--upstream-url=http://${HOST}:${upstreamPort}`,
+        ],
+        options.environment,
+      );
       const instance: Instance = {
         id,
         role: 'agent',
--- /dev/null
+++ b/testing/end_to_end/test/process_ends_test.ts
@@ -0,0 +1,78 @@
+import {after, afterEach, beforeEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  callChat,
+  DEPLOYMENTS,
+  entriesOf,
+  startDeployment,
+  startProcess,
+  waitUntil,
+  type TestCluster,
+  type TestProcess,
+} from '../src/index.js';
+
+const DEPLOYMENT = DEPLOYMENTS[1];
+const LONG_ANSWER_TOKENS = 150;
+
+describe('an entry and its agents', () => {
+  let cluster: TestCluster;
+  beforeEach(async () => {
+    cluster = await startDeployment(DEPLOYMENT);
+  });
+  afterEach(() => cluster.stop());
+
+  /** Starts a long stream; resolves when its first tokens have arrived. */
+  const startStream = async () => {
+    let textCount = 0;
+    const response = callChat({
+      address: entriesOf(cluster)[0].process.address,
+      secret: cluster.secrets.get(DEPLOYMENT.organisation)!,
+      model: DEPLOYMENT.model,
+      content: 'long',
+      maxTokens: LONG_ANSWER_TOKENS,
+      onText: () => textCount++,
+    });
+    await waitUntil(() => textCount > 10);
+    return {response};
+  };
+  const processOf = (role: 'entry' | 'agent'): TestProcess => {
+    if (role === 'entry') return entriesOf(cluster)[0].process;
+    const index = cluster.engines.findIndex(
+      engine => engine.counts().running > 0,
+    );
+    return cluster.members.find(
+      ({instance}) => instance.id === `engine-agent-${index}`,
+    )!.process;
+  };
+
+  for (const role of ['entry', 'agent'] as const) {
+    it(`finish a stream and stop in order when nobody reads the output of the ${role}`, async () => {
+      const {response} = await startStream();
+      const unread = processOf(role);
+      unread.closeOutput();
+      expect((await response).isComplete).toEqual(true);
+      const next = await startStream();
+      expect((await next.response).isComplete).toEqual(true);
+      unread.kill('SIGTERM');
+      expect(await unread.exited).toEqual(0);
+    });
+  }
+});
+
+describe('sardinestile dev', () => {
+  const processes: TestProcess[] = [];
+  after(() => processes.forEach(({kill}) => kill('SIGKILL')));
+  const startDev = async () => {
+    const dev = await startProcess(['dev', '--port=0', '--ops-port=0']);
+    processes.push(dev);
+    await waitUntil(() => dev.lines.some(line => line.startsWith('Ready.')));
+    return dev;
+  };
+
+  it('stops in order when nobody reads its output', async () => {
+    const dev = await startDev();
+    dev.closeOutput();
+    dev.kill('SIGTERM');
+    expect(await dev.exited).toEqual(0);
+  });
+});
