fix(cli): an uncaught error ends a process in order

What callers saw: all open requests of a process broke off at once, wherever in it an exception was thrown that no code caught, or a promise rejected that nothing handled.

Cause: nothing owned such errors; the default of Node.js is to exit at once with code 1.

Change: process_signals.ts, which owns the phase of a process, also decides what an uncaught error does in it: a running process stops as at SIGTERM and exits with code 1, a start fails with the reason, a stop goes on. After such an error a stop is limited to the grace period (30 s for entries, agents and dev), as what the error left undone may be what the stop waits for. A stop that throws has a cause of its own, stopFailed; it was recorded as startFailed. Daemons exit when their command has ended, also if a failed start left a listener open.

Ruled out: going on after such an error, as the code that threw was interrupted anywhere.

--- a/cli/sardinestile/src/commands/daemon_commands.ts
+++ b/cli/sardinestile/src/commands/daemon_commands.ts
@@ -92,7 +92,19 @@
     }),
 });
 
-/** Runs a process without a settings file until a signal stops it. */
+/** Subcommands that run until a signal stops them. */
+const DAEMON_COMMANDS: ReadonlySet<string | undefined> = new Set([
+  'entry',
+  'agent',
+  'dev',
+]);
+
+/** Returns whether the arguments run a daemon rather than a command that ends by itself. */
+export function isDaemonCommand([subcommand]: readonly string[]): boolean {
+  return DAEMON_COMMANDS.has(subcommand);
+}
+
+/** Runs a process without a settings file until a signal or an uncaught error stops it. */
 async function runDaemon(
   role: string,
   level: LogLevel,
@@ -105,8 +117,13 @@
   logProcessStart(role, logger);
   const memoryWatch = watchProcessMemory({logger});
   try {
-    await signals.run(logger, () => start(logger));
-    processEnd.record('stopped');
+    const outcome = await signals.run(logger, () => start(logger));
+    processEnd.recordOutcome(outcome);
+    if (outcome.cause !== 'stopped') {
+      throw new Error(`${role} ended: ${outcome.cause}`, {
+        cause: outcome.error,
+      });
+    }
   } catch (error) {
     processEnd.record('startFailed', describeError(error));
     throw error;
--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -25,7 +25,11 @@
 import {logOutputErrors} from './log_output_errors.js';
 import {logProcessStart} from './process_end.js';
 import {watchProcessMemory} from './process_memory.js';
-import type {ProcessSignals, StoppableProcess} from './process_signals.js';
+import type {
+  ProcessOutcome,
+  ProcessSignals,
+  StoppableProcess,
+} from './process_signals.js';
 import {watchSettings} from './watch_settings.js';
 
 /** Table and partition of the store that hold the rows of this system. */
@@ -49,10 +53,10 @@
   });
 }
 
-/** Runs a gateway on the hosting platform until a signal stops it. */
+/** Runs a gateway on the hosting platform until a signal or an uncaught error stops it. */
 export async function runPlatformGateway(
   signals: ProcessSignals,
-): Promise<void> {
+): Promise<ProcessOutcome> {
   const path = readSettingsPath();
   const text = readFileSync(path, 'utf8');
   const settings = parseSettings(text, path);
@@ -61,11 +65,14 @@
   logOutputErrors(logger);
   logProcessStart('gateway', logger);
   const memoryWatch = watchProcessMemory({logger});
-  await signals.run(logger, () =>
-    startPlatformGateway({path, text, settings, environment, logger}),
-  );
-  memoryWatch.stop();
-  await logger.flush(LAST_LINES_TIMEOUT_MS);
+  try {
+    return await signals.run(logger, () =>
+      startPlatformGateway({path, text, settings, environment, logger}),
+    );
+  } finally {
+    memoryWatch.stop();
+    await logger.flush(LAST_LINES_TIMEOUT_MS);
+  }
 }
 
 interface PlatformGatewayOptions {
@@ -153,6 +160,7 @@
     },
   });
   return {
+    stopLimitMs: settings.stopGraceMs,
     reload: () => watcher.checkNow(),
     async stop(signalledAtMs) {
       isStopping = true;
--- a/cli/sardinestile/src/process_end.ts
+++ b/cli/sardinestile/src/process_end.ts
@@ -1,6 +1,7 @@
 import {getHeapStatistics} from 'node:v8';
 import {createLogger, type Logger} from '@sardinestile/logger';
 import {describeError} from './describe_error.js';
+import type {ProcessOutcome} from './process_signals.js';
 import {writeLastLine} from './write_last_line.js';
 
 /** What ended a process; a signal that it cannot handle leaves no line. */
@@ -9,6 +10,8 @@
   | 'stopped'
   /** Something that its start needs was missing. */
   | 'startFailed'
+  /** It was asked to stop, and its stop failed. */
+  | 'stopFailed'
   /** Nothing caught an exception. */
   | 'uncaughtException'
   /** Nothing handled the rejection of a promise. */
@@ -16,10 +19,10 @@
   /** Another cause; `exitCode` may tell. */
   | 'other';
 
-/** Records why this process ends. */
+/** Records why this process ends; what was recorded first holds. */
 export interface ProcessEnd {
-  /** Sets the cause, unless one is known. */
   record(cause: ProcessEndCause, reason?: string): void;
+  recordOutcome(outcome: ProcessOutcome): void;
 }
 
 /** Options for logProcessEnd. */
@@ -38,28 +41,39 @@
  */
 export function logProcessEnd(options: ProcessEndOptions = {}): ProcessEnd {
   const {host = process, write = writeLastLine} = options;
-  let cause: ProcessEndCause | undefined;
-  let reason: string | undefined;
-  const record = (newCause: ProcessEndCause, newReason?: string) => {
-    if (cause !== undefined) return;
-    cause = newCause;
-    reason = newReason;
-  };
-  host.on('uncaughtExceptionMonitor', (error: unknown, origin) =>
-    record(origin, describeError(error)),
-  );
+  let recorded: RecordedCause | undefined;
+  let uncaught: RecordedCause | undefined;
+  host.on('uncaughtExceptionMonitor', (error: unknown, origin) => {
+    uncaught ??= {cause: origin, reason: describeError(error)};
+  });
   host.on('exit', exitCode => {
     const logger = createLogger({level: 'info', write});
-    const hasFailed = cause !== undefined && cause !== 'stopped';
+    const {cause, reason} = recorded ?? uncaught ?? {cause: 'other'};
+    const hasFailed = cause !== 'other' && cause !== 'stopped';
     logger[hasFailed ? 'error' : 'info']('process_ended', {
-      cause: cause ?? 'other',
+      cause,
       reason,
       exitCode,
       uptimeMs: Math.round(host.uptime() * 1_000),
       ...readProcessMemory(),
     });
   });
-  return {record};
+  const record = (cause: ProcessEndCause, reason?: string) => {
+    recorded ??= {cause, reason};
+  };
+  return {
+    record,
+    recordOutcome: outcome =>
+      record(
+        outcome.cause,
+        'error' in outcome ? describeError(outcome.error) : undefined,
+      ),
+  };
+}
+
+interface RecordedCause {
+  cause: ProcessEndCause;
+  reason?: string;
 }
 
 /** Logs that this process begins to start, with what it runs on. */
--- a/cli/sardinestile/src/process_signals.ts
+++ b/cli/sardinestile/src/process_signals.ts
@@ -1,5 +1,12 @@
 import type {LogEvents, Logger} from '@sardinestile/logger';
+import {createDeferred} from './deferred.js';
+import {describeError} from './describe_error.js';
 import {startLoopDelay, type LoopDelay} from './loop_delay.js';
+import {
+  handleUncaughtErrors,
+  type UncaughtError,
+  type UncaughtErrorEffect,
+} from './uncaught_errors.js';
 
 /** A running process. */
 export interface StoppableProcess {
@@ -10,8 +17,15 @@
   stop(signalledAtMs: number): Promise<void>;
   /** Reads the settings again. */
   reload?(): void;
+  /** Time limit of the stop after an uncaught error, in milliseconds; 30 s by default. */
+  stopLimitMs?: number;
 }
 
+/** How a process that had started came to its end. */
+export type ProcessOutcome =
+  | {cause: 'stopped'}
+  | {cause: 'stopFailed' | UncaughtError['origin']; error: unknown};
+
 /** Signals that a process handles; all others have their default action. */
 const HANDLED_SIGNALS = ['SIGHUP', 'SIGTERM', 'SIGINT'] as const;
 
@@ -37,6 +51,19 @@
   stopped: {SIGHUP: 'none', SIGTERM: 'exit', SIGINT: 'exit'},
 };
 
+const ERROR_EFFECTS: Readonly<Record<Phase, UncaughtErrorEffect>> = {
+  starting: 'failStart',
+  running: 'stop',
+  stopping: 'none',
+  stopped: 'none',
+};
+
+/**
+ * Time limit of the stop after an uncaught error, in milliseconds. What the error left
+ * undone may be what the stop waits for.
+ */
+const DEFAULT_STOP_LIMIT_MS = 30_000;
+
 /** Exit code by convention of a process that SIGINT ended. */
 const INTERRUPTED_EXIT_CODE = 130;
 
@@ -53,16 +80,21 @@
 /** The signals of a process. */
 export interface ProcessSignals {
   /**
-   * Starts a process, and stops it when a signal asks for that. Resolves after the stop,
-   * or without a start if the signal came before.
+   * Starts a process, and stops it when a signal asks for that or an error was caught
+   * nowhere. Resolves after the stop, or without a start if the signal came before.
+   * Rejects if the start fails.
    */
-  run(logger: Logger, start: () => Promise<StoppableProcess>): Promise<void>;
+  run(
+    logger: Logger,
+    start: () => Promise<StoppableProcess>,
+  ): Promise<ProcessOutcome>;
 }
 
 /**
- * Handles the signals of this process from now on. The first SIGTERM or SIGINT stops
- * it; further ones have no effect while open requests finish. Only the second SIGINT
- * ends it at once, as users expect of Ctrl-C in a terminal.
+ * Handles the signals and uncaught errors of this process from now on. The first SIGTERM
+ * or SIGINT stops it; further ones have no effect while open requests finish. Only the
+ * second SIGINT ends it at once, as users expect of Ctrl-C in a terminal. An uncaught
+ * error stops it as SIGTERM does.
  */
 export function createProcessSignals(
   options: ProcessSignalsOptions,
@@ -75,14 +107,18 @@
   let signalledAtMs = 0;
   let running: StoppableProcess | undefined;
   let logger: Logger | undefined;
+  let firstError: UncaughtError | undefined;
   const unloggedSignals: Array<LogEvents['signal_received']> = [];
-  let requestStop: () => void;
-  const stopRequested = new Promise<void>(resolve => (requestStop = resolve));
-  const stop = () => {
-    signalledAtMs = loopDelay.earliestSignalAtMs();
+  const stopRequest = createDeferred();
+  const startFailure = createDeferred<never>();
+  const stopFailure = createDeferred<never>();
+  let stopTimer: NodeJS.Timeout | undefined;
+  const stopFrom = (atMs: number) => {
+    signalledAtMs = atMs;
     phase = 'stopping';
-    requestStop();
+    stopRequest.resolve();
   };
+  const stop = () => stopFrom(loopDelay.earliestSignalAtMs());
   const handlers: Readonly<Record<SignalEffect, () => void>> = {
     reload: () => running?.reload?.(),
     reloadOnceStarted: () => (mustReload = true),
@@ -107,23 +143,63 @@
       handlers[effect]();
     });
   }
+  const limitStop = (limitMs: number) => {
+    const endStop = () =>
+      stopFailure.reject(new Error(`the stop took longer than ${limitMs} ms`));
+    const passedMs = performance.now() - signalledAtMs;
+    stopTimer = setTimeout(endStop, limitMs - passedMs);
+  };
+  const errors = handleUncaughtErrors({
+    host,
+    onError(uncaughtError) {
+      // A signal may have asked to stop a process that is still starting.
+      const hasStarted = running !== undefined || phase === 'stopped';
+      const effect = hasStarted ? ERROR_EFFECTS[phase] : 'failStart';
+      const isFirst = firstError === undefined;
+      firstError ??= uncaughtError;
+      if (effect === 'failStart') startFailure.reject(uncaughtError.error);
+      if (effect === 'stop') stopFrom(performance.now());
+      if (isFirst && running) {
+        limitStop(running.stopLimitMs ?? DEFAULT_STOP_LIMIT_MS);
+      }
+      return effect;
+    },
+  });
+  const finishStop = async (
+    stopping: StoppableProcess,
+    stopLogger: Logger,
+  ): Promise<ProcessOutcome> => {
+    const stopCause = firstError
+      ? {cause: firstError.origin, error: firstError.error}
+      : undefined;
+    try {
+      await Promise.race([stopping.stop(signalledAtMs), stopFailure.promise]);
+      return stopCause ?? {cause: 'stopped'};
+    } catch (error) {
+      stopLogger.error('process_stop_failed', {reason: describeError(error)});
+      return stopCause ?? {cause: 'stopFailed', error};
+    }
+  };
   return {
     async run(processLogger, start) {
       logger = processLogger;
       for (const fields of unloggedSignals) {
         logger.info('signal_received', fields);
       }
+      errors.logTo(logger);
       try {
-        if (phase === 'stopping') return;
-        running = await start();
+        if (firstError) throw firstError.error;
+        if (phase === 'stopping') return {cause: 'stopped'};
+        running = await Promise.race([start(), startFailure.promise]);
         if (phase === 'starting') {
           phase = 'running';
           if (mustReload) running.reload?.();
         }
-        await stopRequested;
-        await running.stop(signalledAtMs);
+        await stopRequest.promise;
+        return await finishStop(running, logger);
       } finally {
         phase = 'stopped';
+        clearTimeout(stopTimer);
         loopDelay.stop();
       }
     },
--- a/cli/sardinestile/test/process_signals_test.ts
+++ b/cli/sardinestile/test/process_signals_test.ts
@@ -1,84 +1,12 @@
 import {EventEmitter} from 'node:events';
 import {describe, it} from 'node:test';
-import {setImmediate as nextTurn} from 'node:timers/promises';
 import {createLogger} from '@sardinestile/logger';
 import {expect} from 'earl';
 import {
   createProcessSignals,
   type ProcessSignalsOptions,
 } from '../src/process_signals.js';
-
-/** A process whose start and stop end when the test says so. */
-function createTestProcess(hangUp: ProcessSignalsOptions['hangUp']) {
-  const exitCodes: unknown[] = [];
-  const host = Object.assign(new EventEmitter(), {
-    uptime: () => 1.5,
-    exit: (code?: unknown) => void exitCodes.push(code),
-  }) as EventEmitter & NonNullable<ProcessSignalsOptions['host']>;
-  const loopDelay = {
-    earliestSignalAtMs: () => polledAtMs,
-    stop: () => undefined,
-  };
-  const signals = createProcessSignals({hangUp, host, loopDelay});
-  const lines: string[] = [];
-  const calls: string[] = [];
-  let polledAtMs = 0;
-  const stopTimes: number[] = [];
-  const logger = createLogger({
-    level: 'info',
-    write: line => lines.push(line),
-  });
-  let finishStart: () => void = () => undefined;
-  let finishStop: () => void = () => undefined;
-  const daemon = {
-    reload: () => void calls.push('reload'),
-    stop(signalledAtMs: number) {
-      calls.push('stop');
-      stopTimes.push(signalledAtMs);
-      return new Promise<void>(resolve => (finishStop = resolve));
-    },
-  };
-  let hasEnded = false;
-  return {
-    calls,
-    stopTimes,
-    poll: (atMs: number) => void (polledAtMs = atMs),
-    exitCodes,
-    get hasEnded() {
-      return hasEnded;
-    },
-    effects: () => lines.map(line => /effect=(\w+)/.exec(line)?.[1]),
-    lines,
-    /** Begins the start of the process. */
-    start() {
-      const ended = signals.run(logger, async () => {
-        calls.push('start');
-        await new Promise<void>(resolve => (finishStart = resolve));
-        return daemon;
-      });
-      return ended.then(() => void (hasEnded = true));
-    },
-    async send(signal: 'SIGHUP' | 'SIGTERM' | 'SIGINT') {
-      host.emit(signal, signal);
-      await nextTurn();
-    },
-    async finishStart() {
-      finishStart();
-      await nextTurn();
-    },
-    async finishStop() {
-      finishStop();
-      await nextTurn();
-    },
-  };
-}
-
-async function startTestProcess(hangUp: ProcessSignalsOptions['hangUp']) {
-  const testProcess = createTestProcess(hangUp);
-  void testProcess.start();
-  await testProcess.finishStart();
-  return testProcess;
-}
+import {createTestProcess, startTestProcess} from './test_process.js';
 
 describe('createProcessSignals', () => {
   describe('a running process', () => {
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -51,6 +51,17 @@
     exitCode: number;
     uptimeMs: number;
   };
+  /** No code caught the error; `origin` is `uncaughtException` or `unhandledRejection`. */
+  uncaught_error: {
+    origin: string;
+    /** `failStart`, `stop`, or `none` while the process stops. */
+    effect: string;
+    sinceStartMs: number;
+    /** Stack of the error. */
+    reason: string;
+  };
+  /** The stop failed or passed its time limit; open requests may have been broken off. */
+  process_stop_failed: {reason: string};
   /** `stream` is `stdout` or `stderr`; nobody reads it any more. */
   output_failed: {stream: string; reason: string};
   process_heap_high: ProcessMemoryFields;
--- a/testing/end_to_end/test/process_ends_test.ts
+++ b/testing/end_to_end/test/process_ends_test.ts
@@ -14,10 +14,17 @@
 const DEPLOYMENT = DEPLOYMENTS[1];
 const LONG_ANSWER_TOKENS = 150;
 
+const THROW_ON_SIGNAL_MODULE = new URL(
+  '../../soak/src/throw_on_signal.mjs',
+  import.meta.url,
+).href;
+
+const THROWING = {NODE_OPTIONS: `--import=${THROW_ON_SIGNAL_MODULE}`};
+
 describe('an entry and its agents', () => {
   let cluster: TestCluster;
   beforeEach(async () => {
-    cluster = await startDeployment(DEPLOYMENT);
+    cluster = await startDeployment(DEPLOYMENT, THROWING);
   });
   afterEach(() => cluster.stop());
 
@@ -46,6 +53,21 @@
   };
 
   for (const role of ['entry', 'agent'] as const) {
+    it(`finish a stream after exceptions that nothing catches in the ${role}, which exits with code 1`, async () => {
+      const {response} = await startStream();
+      const failing = processOf(role);
+      failing.kill('SIGWINCH');
+      await waitUntil(() =>
+        failing.lines.some(line => line.includes('event=process_stopping')),
+      );
+      failing.kill('SIGWINCH');
+      expect((await response).isComplete).toEqual(true);
+      expect(await failing.exited).toEqual(1);
+      const log = failing.lines.join('\n');
+      expect(log).toInclude('event=uncaught_error');
+      expect(log).toInclude('event=process_ended cause=uncaughtException');
+    });
+
     it(`finish a stream and stop in order when nobody reads the output of the ${role}`, async () => {
       const {response} = await startStream();
       const unread = processOf(role);
@@ -62,13 +84,23 @@
 describe('sardinestile dev', () => {
   const processes: TestProcess[] = [];
   after(() => processes.forEach(({kill}) => kill('SIGKILL')));
-  const startDev = async () => {
-    const dev = await startProcess(['dev', '--port=0', '--ops-port=0']);
+  const startDev = async (environment?: NodeJS.ProcessEnv) => {
+    const dev = await startProcess(
+      ['dev', '--port=0', '--ops-port=0'],
+      environment,
+    );
     processes.push(dev);
     await waitUntil(() => dev.lines.some(line => line.startsWith('Ready.')));
     return dev;
   };
 
+  it('exits with code 1 after a rejection that nothing handles', async () => {
+    const dev = await startDev(THROWING);
+    dev.kill('SIGURG');
+    expect(await dev.exited).toEqual(1);
+    expect(dev.lines.join('\n')).toInclude('event=process_stopped');
+  });
+
   it('stops in order when nobody reads its output', async () => {
     const dev = await startDev();
     dev.closeOutput();
--- a/testing/soak/test/signals_test.ts
+++ b/testing/soak/test/signals_test.ts
@@ -1,171 +1,93 @@
-import {execFileSync} from 'node:child_process';
-import {mkdtempSync, readFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {after, afterEach, before, describe, it} from 'node:test';
-import {fileURLToPath} from 'node:url';
 import {startStoreListener} from '@sardinestile/hosting_stand_ins';
-import {
-  createGatewayCluster,
-  createKeyedHeaders,
-  eventIds,
-  HOST,
-  numbersBelow,
-  ROUTE_PATHS,
-  sendRawRequest,
-  waitUntil,
-  type GatewayCluster,
-} from '@sardinestile/hosting_tests';
+import {eventIds, numbersBelow, ROUTE_PATHS} from '@sardinestile/hosting_tests';
 import {expect} from 'earl';
-import {startGatewayProcess, type GatewayProcess} from '../src/index.js';
-import {reserveNetwork, type ReservedNetwork} from '../src/reserve_network.js';
-
-const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
+import {
+  createSingleGateway,
+  STREAM_EVENTS,
+  type SingleGateway,
+} from '../src/single_gateway.js';
 
 const SIGNAL_WHILE_STARTING_MODULE = new URL(
   '../src/signal_while_starting.mjs',
   import.meta.url,
 ).href;
 
-const EVENTS = 40;
-const EVENT_GAP_MS = 50;
-const ANSWER_DELAY_MS = 2_000;
-
-const TIMEOUT_MS = 30_000;
-
 const ORDERLY_EXIT = {code: 0, signal: null};
 
 describe('a gateway process that gets signals', () => {
-  const directory = mkdtempSync(join(tmpdir(), 'signals-'));
-  let cluster: GatewayCluster;
-  let store: Awaited<ReturnType<typeof startStoreListener>>;
-  let reserved: ReservedNetwork;
-  let gateway: GatewayProcess;
-  let startedCount = 0;
-
+  let single: SingleGateway;
   before(async () => {
-    execFileSync(process.execPath, ['deploy/bundle.mjs'], {cwd: ROOT});
-    cluster = await createGatewayCluster(2);
-    for (const upstream of cluster.upstreams) {
-      upstream.chooseBehaviour = ({url}) =>
-        url === ROUTE_PATHS.stream
-          ? {kind: 'stream', events: EVENTS, gapMs: EVENT_GAP_MS}
-          : {kind: 'answer', delayMs: ANSWER_DELAY_MS};
-    }
-    store = await startStoreListener(cluster.store);
-    reserved = await reserveNetwork(process.pid);
-  });
-  afterEach(() => gateway.stop());
-  after(async () => {
-    reserved.release();
-    await store.close();
-    await cluster.close();
+    single = await createSingleGateway();
   });
+  afterEach(() => single.process.stop());
+  after(() => single.close());
 
-  const start = (environment?: Record<string, string>) => {
-    gateway = startGatewayProcess({
-      index: ++startedCount,
-      network: reserved.network,
-      directory,
-      storePort: store.port,
-      dutyInterfacePort: cluster.duties.listener.port,
-      environment,
-    });
-  };
   const startWithSignal = (signal: NodeJS.Signals) =>
-    start({
+    single.start({
       NODE_OPTIONS: `--import=${SIGNAL_WHILE_STARTING_MODULE}`,
       SIGNAL_WHILE_STARTING: signal,
     });
-  const waitUntilReady = () =>
-    waitUntil(
-      'the gateway to be ready',
-      async () => {
-        const address = gateway.readinessAddress;
-        const path = '/api/ready';
-        return (
-          (await sendRawRequest({address, host: HOST, path})).status === 200
-        );
-      },
-      TIMEOUT_MS,
-    );
-  const waitForLine = (part: string) =>
-    waitUntil(
-      `a line with ${part}`,
-      () => readFileSync(gateway.logPath, 'utf8').includes(part),
-      TIMEOUT_MS,
-    );
-  const waitForExit = () =>
-    waitUntil('the exit', () => gateway.exits.length > 0, TIMEOUT_MS);
-  const startCall = async (path: string, requestId: string) => {
-    const response = sendRawRequest({
-      address: gateway.address,
-      host: HOST,
-      path,
-      headers: createKeyedHeaders(requestId),
-      timeoutMs: TIMEOUT_MS,
-    });
-    await waitUntil('the call to reach an upstream', () =>
-      cluster.upstreams.some(({received}) =>
-        received.some(request => request.requestId === requestId),
-      ),
-    );
-    return response;
-  };
 
   describe('while it drains', () => {
     it('finishes a stream when SIGTERM comes twice', async () => {
-      start();
-      await waitUntilReady();
-      const stream = startCall(ROUTE_PATHS.stream, 's1');
-      await waitForLine('requestId=s1');
-      gateway.signal('SIGTERM');
-      await waitForLine('event=process_stopping');
-      gateway.signal('SIGTERM');
+      single.start();
+      await single.waitUntilReady();
+      const {response: stream} = await single.startCall(
+        ROUTE_PATHS.stream,
+        's1',
+      );
+      await single.waitForLine('requestId=s1');
+      single.process.signal('SIGTERM');
+      await single.waitForLine('event=process_stopping');
+      single.process.signal('SIGTERM');
       const response = await stream;
-      expect(eventIds(response)).toEqual(numbersBelow(EVENTS));
+      expect(eventIds(response)).toEqual(numbersBelow(STREAM_EVENTS));
       expect(response.isComplete).toEqual(true);
-      await waitForExit();
-      expect(gateway.exits[0]).toEqual(ORDERLY_EXIT);
+      await single.waitForExit();
+      expect(single.process.exits[0]).toEqual(ORDERLY_EXIT);
     });
 
     it('serves its open requests when SIGHUP comes after a change of the settings', async () => {
-      start();
-      await waitUntilReady();
-      const stream = startCall(ROUTE_PATHS.stream, 's2');
-      await waitForLine('requestId=s2');
-      gateway.signal('SIGTERM');
-      await waitForLine('event=process_stopping');
-      gateway.rewriteSettings();
-      gateway.signal('SIGHUP');
-      await waitForLine('signal=SIGHUP');
+      single.start();
+      await single.waitUntilReady();
+      const {response: stream} = await single.startCall(
+        ROUTE_PATHS.stream,
+        's2',
+      );
+      await single.waitForLine('requestId=s2');
+      single.process.signal('SIGTERM');
+      await single.waitForLine('event=process_stopping');
+      single.process.rewriteSettings();
+      single.process.signal('SIGHUP');
+      await single.waitForLine('signal=SIGHUP');
       const response = await stream;
-      expect(eventIds(response)).toEqual(numbersBelow(EVENTS));
+      expect(eventIds(response)).toEqual(numbersBelow(STREAM_EVENTS));
       expect(response.isComplete).toEqual(true);
-      await waitForExit();
-      expect(gateway.exits[0]).toEqual(ORDERLY_EXIT);
-      const log = readFileSync(gateway.logPath, 'utf8');
+      await single.waitForExit();
+      expect(single.process.exits[0]).toEqual(ORDERLY_EXIT);
+      const log = single.readLog();
       expect(log.includes('event=settings_reloaded')).toEqual(false);
     });
 
     it('stores the usage of its last request when the store moves', async () => {
-      start();
-      await waitUntilReady();
-      const call = startCall(ROUTE_PATHS.once, 'o1');
-      await waitForLine('requestId=o1');
-      gateway.signal('SIGTERM');
-      await waitForLine('event=process_stopping');
-      const movedStore = await startStoreListener(cluster.store);
-      gateway.moveStore(movedStore.port);
-      store.mode = 'reset';
+      single.start();
+      await single.waitUntilReady();
+      const {response: call} = await single.startCall(ROUTE_PATHS.once, 'o1');
+      await single.waitForLine('requestId=o1');
+      single.process.signal('SIGTERM');
+      await single.waitForLine('event=process_stopping');
+      const movedStore = await startStoreListener(single.cluster.store);
+      single.process.moveStore(movedStore.port);
+      single.store.mode = 'reset';
       expect((await call).status).toEqual(200);
-      await waitForExit();
-      store.mode = 'up';
+      await single.waitForExit();
+      single.store.mode = 'up';
       await movedStore.close();
-      const keys = cluster.store
+      const keys = single.cluster.store
         .rows('sardinestile', 'system')
         .map(({key}) => key)
-        .filter(key => key.includes(`/${gateway.name}-`));
+        .filter(key => key.includes(`/${single.process.name}-`));
       expect(keys.length).toEqual(1);
     });
   });
@@ -173,18 +95,18 @@
   describe('while it starts', () => {
     it('survives a SIGHUP', async () => {
       startWithSignal('SIGHUP');
-      await waitUntilReady();
-      await waitForLine('effect=reloadOnceStarted');
-      expect(gateway.exits).toEqual([]);
+      await single.waitUntilReady();
+      await single.waitForLine('effect=reloadOnceStarted');
+      expect(single.process.exits).toEqual([]);
     });
 
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
       it(`ends in order when ${signal} comes`, async () => {
         startWithSignal(signal);
-        await waitForExit();
-        expect(gateway.exits[0]).toEqual(ORDERLY_EXIT);
-        await waitForLine('effect=stopOnceStarted');
-        await waitForLine('event=process_stopped');
+        await single.waitForExit();
+        expect(single.process.exits[0]).toEqual(ORDERLY_EXIT);
+        await single.waitForLine('effect=stopOnceStarted');
+        await single.waitForLine('event=process_stopped');
       });
     }
   });
