--- a/cli/sardinestile/src/commands/daemon_commands.ts
+++ b/cli/sardinestile/src/commands/daemon_commands.ts
@@ -1,8 +1,14 @@
 import {readFile} from 'node:fs/promises';
 import {fileURLToPath} from 'node:url';
-import {createLogger, type Logger, type LogLevel} from '@sardinestile/logger';
+import {
+  createRateLimitedLogger,
+  type Logger,
+  type LogLevel,
+} from '@sardinestile/logger';
 import {command, number, option, string} from 'cmd-ts';
-import {describeError, logProcessEnd, logProcessStart} from '../process_end.js';
+import {describeError} from '../describe_error.js';
+import {logOutputErrors} from '../log_output_errors.js';
+import {logProcessEnd, logProcessStart} from '../process_end.js';
 import {watchProcessMemory} from '../process_memory.js';
 import {
   createProcessSignals,
@@ -16,6 +22,9 @@
   new URL('../../../../examples/paletta_viva.yaml', import.meta.url),
 );
 
+/** Time limit for writing the last lines of the log, in milliseconds. */
+const LAST_LINES_TIMEOUT_MS = 100;
+
 /** The command `sardinestile entry`. */
 export const entryCommand = command({
   name: 'entry',
@@ -83,25 +92,44 @@
     }),
 });
 
-/** Runs a process without a settings file until a signal stops it. */
+/** Subcommands that run until a signal stops them. */
+const DAEMON_COMMANDS: ReadonlySet<string | undefined> = new Set([
+  'entry',
+  'agent',
+  'dev',
+]);
+
+/** Returns whether the arguments run a daemon rather than a command that ends by itself. */
+export function isDaemonCommand([subcommand]: readonly string[]): boolean {
+  return DAEMON_COMMANDS.has(subcommand);
+}
+
+/** Runs a process without a settings file until a signal or an uncaught error stops it. */
 async function runDaemon(
   role: string,
   level: LogLevel,
   start: (logger: Logger) => Promise<StoppableProcess>,
 ): Promise<void> {
-  const logger = createLogger({level});
+  const logger = createRateLimitedLogger({level});
+  logOutputErrors(logger);
   const processEnd = logProcessEnd();
   const signals = createProcessSignals({hangUp: 'stop'});
   logProcessStart(role, logger);
   const memoryWatch = watchProcessMemory({logger});
   try {
-    await signals.run(logger, () => start(logger));
-    processEnd.record('stopped');
+    const outcome = await signals.run(logger, () => start(logger));
+    processEnd.recordOutcome(outcome);
+    if (outcome.cause !== 'stopped') {
+      throw new Error(`${role} ended: ${outcome.cause}`, {
+        cause: outcome.error,
+      });
+    }
   } catch (error) {
     processEnd.record('startFailed', describeError(error));
     throw error;
   } finally {
     memoryWatch.stop();
+    await logger.flush(LAST_LINES_TIMEOUT_MS);
   }
 }
 
--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -19,9 +19,14 @@
   readGatewayEnvironment,
   type GatewayEnvironment,
 } from './gateway_environment.js';
+import {logOutputErrors} from './log_output_errors.js';
 import {logProcessStart} from './process_end.js';
 import {watchProcessMemory} from './process_memory.js';
-import type {ProcessSignals, StoppableProcess} from './process_signals.js';
+import type {
+  ProcessOutcome,
+  ProcessSignals,
+  StoppableProcess,
+} from './process_signals.js';
 import {waitForSettings} from './wait_for_settings.js';
 import {watchSettings} from './watch_settings.js';
 
@@ -52,20 +57,24 @@
   });
 }
 
-/** Runs a gateway on the hosting platform until a signal stops it. */
+/** Runs a gateway on the hosting platform until a signal or an uncaught error stops it. */
 export async function runPlatformGateway(
   signals: ProcessSignals,
-): Promise<void> {
+): Promise<ProcessOutcome> {
   const path = readSettingsPath();
   const environment = readGatewayEnvironment(process.env);
   const logger = createRateLimitedLogger({level: environment.logLevel});
+  logOutputErrors(logger);
   logProcessStart('gateway', logger);
   const memoryWatch = watchProcessMemory({logger});
-  await signals.run(logger, stopSignal =>
-    startPlatformGateway({path, environment, logger, stopSignal}),
-  );
-  memoryWatch.stop();
-  await logger.flush(LAST_LINES_TIMEOUT_MS);
+  try {
+    return await signals.run(logger, stopSignal =>
+      startPlatformGateway({path, environment, logger, stopSignal}),
+    );
+  } finally {
+    memoryWatch.stop();
+    await logger.flush(LAST_LINES_TIMEOUT_MS);
+  }
 }
 
 interface PlatformGatewayOptions {
@@ -153,6 +162,7 @@
     },
   });
   return {
+    stopLimitMs: settings.stopGraceMs,
     reload: () => watcher.checkNow(),
     async stop(signalledAtMs) {
       isStopping = true;
