--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -1,4 +1,3 @@
-import {readFileSync} from 'node:fs';
 import {
   createConfigurationFeed,
   createDutyCalls,
@@ -8,10 +7,8 @@
   createUpstreamFeed,
   createUpstreamScaler,
   createUsageReceiver,
-  parseSettings,
   platformHeaderCodec,
   SETTINGS_PATH_VARIABLE,
-  type PlatformSettings,
 } from '@sardinestile/adapter_platform';
 import {SardinestileError} from '@sardinestile/errors';
 import {startGateway} from '@sardinestile/gateway';
@@ -22,17 +19,29 @@
   readGatewayEnvironment,
   type GatewayEnvironment,
 } from './gateway_environment.js';
+import {logOutputErrors} from './log_output_errors.js';
 import {logProcessStart} from './process_end.js';
 import {watchProcessMemory} from './process_memory.js';
-import type {ProcessSignals, StoppableProcess} from './process_signals.js';
+import type {
+  ProcessOutcome,
+  ProcessSignals,
+  StoppableProcess,
+} from './process_signals.js';
+import {waitForSettings} from './wait_for_settings.js';
 import {watchSettings} from './watch_settings.js';
 
 /** Table and partition of the store that hold the rows of this system. */
 const SYSTEM_TABLE = 'sardinestile';
 const SYSTEM_PARTITION = 'system';
 
-/** The metrics port is the peer port plus this offset. */
-const METRICS_PORT_OFFSET = 1;
+/** Time for which a start waits for a settings file that can be used, in milliseconds. */
+const SETTINGS_WAIT_LIMIT_MS = 10_000;
+
+/**
+ * Time for which the operating system may keep an address after the connection that used
+ * it was closed, with a margin, in milliseconds.
+ */
+const CLOSED_CONNECTION_MS = 65_000;
 
 /** Time limit for writing the last lines of the log, in milliseconds. */
 const LAST_LINES_TIMEOUT_MS = 100;
@@ -48,45 +57,45 @@
   });
 }
 
-/** Runs a gateway on the hosting platform until a signal stops it. */
+/** Runs a gateway on the hosting platform until a signal or an uncaught error stops it. */
 export async function runPlatformGateway(
   signals: ProcessSignals,
-): Promise<void> {
+): Promise<ProcessOutcome> {
   const path = readSettingsPath();
-  const text = readFileSync(path, 'utf8');
-  const settings = parseSettings(text, path);
   const environment = readGatewayEnvironment(process.env);
   const logger = createRateLimitedLogger({level: environment.logLevel});
+  logOutputErrors(logger);
   logProcessStart('gateway', logger);
   const memoryWatch = watchProcessMemory({logger});
-  await signals.run(logger, () =>
-    startPlatformGateway({path, text, settings, environment, logger}),
-  );
-  memoryWatch.stop();
-  await logger.flush(LAST_LINES_TIMEOUT_MS);
+  try {
+    return await signals.run(logger, stopSignal =>
+      startPlatformGateway({path, environment, logger, stopSignal}),
+    );
+  } finally {
+    memoryWatch.stop();
+    await logger.flush(LAST_LINES_TIMEOUT_MS);
+  }
 }
 
 interface PlatformGatewayOptions {
-  /** Path and content of the settings file. */
+  /** Path of the settings file. */
   path: string;
-  text: string;
-  settings: PlatformSettings;
   environment: GatewayEnvironment;
   logger: Logger;
+  /** Ends a start that still waits for something. */
+  stopSignal: AbortSignal;
 }
 
 async function startPlatformGateway(
   options: PlatformGatewayOptions,
 ): Promise<StoppableProcess> {
-  const {path, text, settings, environment, logger} = options;
-  const {callerAddress} = settings;
-  if (!callerAddress) {
-    throw new SardinestileError({
-      code: 'SETTINGS_INVALID',
-      message: 'the settings have no address for callers (listen.front)',
-      hint: 'Run the gateway in a role that serves callers.',
-    });
-  }
+  const {path, environment, logger, stopSignal} = options;
+  const {text, settings} = await waitForSettings({
+    path,
+    logger,
+    limitMs: SETTINGS_WAIT_LIMIT_MS,
+    signal: stopSignal,
+  });
   const metrics = createMetricsRegistry();
   const store = createStoreClient(
     settings.store.address,
@@ -107,13 +116,15 @@
     ...settings,
     resourceCosts: environment.resourceCosts,
     fairShares: environment.fairShares,
-    callerAddress,
     readinessAddress: settings.readinessAddress,
-    metricsAddress: {
-      host: settings.host,
-      port: settings.peerPort + METRICS_PORT_OFFSET,
-    },
+    metricsAddress:
+      settings.metricsPort === undefined
+        ? undefined
+        : {host: settings.host, port: settings.metricsPort},
     peerAddress: {host: settings.host, port: settings.peerPort},
+    // The process before may hold its addresses until the end of its grace period.
+    addressWaitLimitMs: CLOSED_CONNECTION_MS + settings.stopGraceMs,
+    startSignal: stopSignal,
     storeRestores: store.restores,
     promptCacheReader: createPromptCacheReader(),
     table: createTableService({
@@ -151,6 +162,7 @@
     },
   });
   return {
+    stopLimitMs: settings.stopGraceMs,
     reload: () => watcher.checkNow(),
     async stop(signalledAtMs) {
       isStopping = true;
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -21,6 +21,13 @@
   heapLimitMb: number;
 }
 
+/** Address of this process that is opened, as host:port. */
+interface AddressFields {
+  /** What is served there. */
+  purpose: string;
+  address: string;
+}
+
 /** All log events with their fields. API keys and prompts must not be logged. */
 export interface LogEvents {
   /** The process has begun to run and starts to listen; it serves from `process_started` on. */
@@ -36,7 +43,19 @@
     address: string;
     opsAddress: string;
     peerAddress?: string;
+    /** Time since the process started. */
+    startMs?: number;
+    /** Addresses that were not available at once, as `purpose:ms`, by commas. */
+    addressWaits?: string;
   };
+  /** The address is taken, or no interface has it; it is tried again. */
+  address_waiting: AddressFields & {reason: string};
+  address_opened: AddressFields & {waitMs: number};
+  /** An error that cannot pass keeps a server that the process does not need from listening. */
+  server_not_opened: {reason: string};
+  address_given_up: AddressFields & {reason: string; waitMs: number};
+  /** The process was asked to stop while its start waited for something. */
+  start_abandoned: {uptimeMs: number};
   process_stopping: {
     instance: string;
     openRequests: number;
@@ -51,6 +70,19 @@
     exitCode: number;
     uptimeMs: number;
   };
+  /** No code caught the error; `origin` is `uncaughtException` or `unhandledRejection`. */
+  uncaught_error: {
+    origin: string;
+    /** `failStart`, `stop`, or `none` while the process stops. */
+    effect: string;
+    sinceStartMs: number;
+    /** Stack of the error. */
+    reason: string;
+  };
+  /** The stop failed or passed its time limit; open requests may have been broken off. */
+  process_stop_failed: {reason: string};
+  /** `stream` is `stdout` or `stderr`; nobody reads it any more. */
+  output_failed: {stream: string; reason: string};
   process_heap_high: ProcessMemoryFields;
   process_heap_usual: ProcessMemoryFields;
   /** `sinceStartMs` is the time since the process started. */
@@ -203,6 +235,9 @@
   config_rejected: {reason: string};
   settings_reloaded: {path: string; changed: string};
   settings_rejected: {path: string; reason: string};
+  /** The settings file cannot be used at the start; it is read again. */
+  settings_waiting: {path: string; reason: string};
+  settings_found: {path: string; waitMs: number};
   /** The upstream cut off a response that the gateway had stopped reading for its caller. */
   response_cut_off_unread: {
     requestId: string;
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -1,7 +1,6 @@
 import {
   createServer,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
 } from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -9,6 +8,7 @@
   MANAGED_SERVER_OPTIONS,
   manageConnections,
   stopAccepting,
+  type AddressOpener,
   type ConnectionEnd,
   type InputBoundary,
 } from '@sardinestile/connections';
@@ -53,7 +53,7 @@
   response: ServerResponse,
 ) => Promise<void>;
 
-/** Options for `startCallerListener`. */
+/** Options for `createCallerListener`. */
 export interface CallerListenerOptions {
   host: string;
   port: number;
@@ -79,6 +79,8 @@
 
 /** HTTP server for callers. */
 export interface CallerListener {
+  /** Begins to serve callers; rejects if the address does not become available. */
+  open(addresses: AddressOpener): Promise<void>;
   applyLimits(limits: CallerLimits): void;
   readonly openRequests: number;
   /** Whether new requests must be refused, as they could not be finished before the stop. */
@@ -99,10 +101,10 @@
   close(): void;
 }
 
-/** Starts the HTTP server for callers; rejects if the address is in use. */
-export async function startCallerListener(
+/** Creates the HTTP server for callers, which serves none until it is opened. */
+export function createCallerListener(
   options: CallerListenerOptions,
-): Promise<CallerListener> {
+): CallerListener {
   const {heapBudget, logger, metrics} = options;
   let headerLimitBytes = options.maxHeaderBytes;
   let drainingSinceMs: number | undefined;
@@ -136,8 +138,13 @@
     metrics,
   });
   server.maxRequestsPerSocket = 0;
-  await listen(server, options);
   return {
+    open: addresses =>
+      addresses.listen('callers', server, {
+        host: options.host,
+        port: options.port,
+        backlog: ACCEPT_BACKLOG,
+      }),
     applyLimits({headerTimeoutMs, idleTimeoutMs, maxHeaderBytes}) {
       if (maxHeaderBytes > headerLimitBytes) connections.expireOpen();
       headerLimitBytes = maxHeaderBytes;
@@ -195,13 +202,3 @@
     },
   };
 }
-
-function listen(
-  server: Server,
-  {host, port}: CallerListenerOptions,
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port, backlog: ACCEPT_BACKLOG}, () => resolve());
-  });
-}
