fix(cli): signals while the code is loaded do not end a process

What callers saw: a SIGHUP or SIGTERM in the first 0.12 to 0.2 s after the start of a gateway (0.8 s of an entry or agent) ended it by the signal's default action, without a line.

Cause: the handlers were installed by the first module, but no module runs before all that it belongs to are loaded: 1.8 MB in one file, or some hundred files.

Change: the entry points load only what handles signals, and the rest of the program after it.

--- a/cli/sardinestile/src/commands/daemon_commands.ts
+++ b/cli/sardinestile/src/commands/daemon_commands.ts
@@ -6,14 +6,12 @@
   type LogLevel,
 } from '@sardinestile/logger';
 import {command, number, option, string} from 'cmd-ts';
+import {handleDaemonSignals} from '../daemon_signals.js';
 import {describeError} from '../describe_error.js';
 import {logOutputErrors} from '../log_output_errors.js';
 import {logProcessEnd, logProcessStart} from '../process_end.js';
 import {watchProcessMemory} from '../process_memory.js';
-import {
-  createProcessSignals,
-  type StoppableProcess,
-} from '../process_signals.js';
+import type {StoppableProcess} from '../process_signals.js';
 import {agentSettings, entrySettings, logLevelSetting} from '../settings.js';
 import {startAgentDaemon, startEntryDaemon} from '../start_daemon.js';
 
@@ -92,18 +90,6 @@
     }),
 });
 
-/** Subcommands that run until a signal stops them. */
-const DAEMON_COMMANDS: ReadonlySet<string | undefined> = new Set([
-  'entry',
-  'agent',
-  'dev',
-]);
-
-/** Returns whether the arguments run a daemon rather than a command that ends by itself. */
-export function isDaemonCommand([subcommand]: readonly string[]): boolean {
-  return DAEMON_COMMANDS.has(subcommand);
-}
-
 /** Runs a process without a settings file until a signal or an uncaught error stops it. */
 async function runDaemon(
   role: string,
@@ -113,11 +99,12 @@
   const logger = createRateLimitedLogger({level});
   logOutputErrors(logger);
   const processEnd = logProcessEnd();
-  const signals = createProcessSignals({hangUp: 'stop'});
   logProcessStart(role, logger);
   const memoryWatch = watchProcessMemory({logger});
   try {
-    const outcome = await signals.run(logger, () => start(logger));
+    const outcome = await handleDaemonSignals().run(logger, () =>
+      start(logger),
+    );
     processEnd.recordOutcome(outcome);
     if (outcome.cause !== 'stopped') {
       throw new Error(`${role} ended: ${outcome.cause}`, {
--- a/testing/end_to_end/test/process_ends_test.ts
+++ b/testing/end_to_end/test/process_ends_test.ts
@@ -19,8 +19,16 @@
   import.meta.url,
 ).href;
 
+const SIGNAL_WHILE_LOADING_MODULE = new URL(
+  '../../soak/src/signal_while_loading.mjs',
+  import.meta.url,
+).href;
+
 const THROWING = {NODE_OPTIONS: `--import=${THROW_ON_SIGNAL_MODULE}`};
 
+/** Exceeds each module that handles signals, and none of the libraries. */
+const MIN_MODULE_BYTES = 20_000;
+
 describe('an entry and its agents', () => {
   let cluster: TestCluster;
   beforeEach(async () => {
@@ -108,3 +116,23 @@
     expect(await dev.exited).toEqual(0);
   });
 });
+
+describe('a signal while the modules are loaded', () => {
+  for (const command of ['entry', 'agent', 'dev']) {
+    it(`ends ${command} in order`, async () => {
+      const started = startProcess([command], {
+        NODE_OPTIONS: `--import=${SIGNAL_WHILE_LOADING_MODULE}`,
+        SIGNAL_WHILE_LOADING: 'SIGTERM',
+        MIN_MODULE_BYTES: String(MIN_MODULE_BYTES),
+        SARDINESTILE_INSTANCE: 'loading',
+        SARDINESTILE_AVAILABILITY_ZONE: 'a',
+        SARDINESTILE_ADMIN_KEY: 'test',
+        SARDINESTILE_PLATFORM_URL: 'http://127.0.0.1:1',
+        SARDINESTILE_SERVICE: 'none',
+        SARDINESTILE_UPSTREAM_KIND: 'plain',
+        SARDINESTILE_UPSTREAM_URL: 'http://127.0.0.1:1',
+      });
+      await expect(started).toBeRejectedWith('exited with 0');
+    });
+  }
+});
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -4,7 +4,7 @@
 import {fileURLToPath} from 'node:url';
 
 const BUNDLE_PATH = fileURLToPath(
-  new URL('../../../target/sardinestile.mjs', import.meta.url),
+  new URL('../../../target/sardinestile.cjs', import.meta.url),
 );
 
 /** Module preloaded into each process, so that a signal can step its wall clock. */
--- a/testing/soak/test/signals_test.ts
+++ b/testing/soak/test/signals_test.ts
@@ -13,6 +13,14 @@
   import.meta.url,
 ).href;
 
+const SIGNAL_WHILE_LOADING_MODULE = new URL(
+  '../src/signal_while_loading.mjs',
+  import.meta.url,
+).href;
+
+/** Less than the code of the gateway, more than what handles signals. */
+const MIN_MODULE_BYTES = 100_000;
+
 const ORDERLY_EXIT = {code: 0, signal: null};
 
 describe('a gateway process that gets signals', () => {
@@ -28,6 +36,12 @@
       NODE_OPTIONS: `--import=${SIGNAL_WHILE_STARTING_MODULE}`,
       SIGNAL_WHILE_STARTING: signal,
     });
+  const loadWithSignal = (signal: NodeJS.Signals) =>
+    single.start({
+      NODE_OPTIONS: `--import=${SIGNAL_WHILE_LOADING_MODULE}`,
+      SIGNAL_WHILE_LOADING: signal,
+      MIN_MODULE_BYTES: String(MIN_MODULE_BYTES),
+    });
 
   describe('while it drains', () => {
     it('finishes a stream when SIGTERM comes twice', async () => {
@@ -92,6 +106,23 @@
     });
   });
 
+  describe('while its code is loaded', () => {
+    it('survives a SIGHUP', async () => {
+      loadWithSignal('SIGHUP');
+      await single.waitUntilReady();
+      await single.waitForLine('effect=reloadOnceStarted');
+      expect(single.process.exits).toEqual([]);
+    });
+
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      it(`ends in order when ${signal} comes`, async () => {
+        loadWithSignal(signal);
+        await single.waitForExit();
+        expect(single.process.exits[0]).toEqual(ORDERLY_EXIT);
+      });
+    }
+  });
+
   describe('while it starts', () => {
     it('survives a SIGHUP', async () => {
       startWithSignal('SIGHUP');
