--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -15,6 +15,8 @@
 const SOURCES = 'cli/sardinestile/src';
 const PREFIX = 'sardinestile';
 const ENTRY_FILE = `${PREFIX}.cjs`;
+/** Name of the entry point before it was CommonJS. */
+const MODULE_ENTRY_FILE = `${PREFIX}.mjs`;
 
 /** Age from which files of earlier builds are removed; processes have loaded theirs by then. */
 const MAX_UNUSED_AGE_MS = 600_000;
@@ -72,8 +74,9 @@
 mkdirSync(DIRECTORY, {recursive: true});
 replaceFile(gatewayFile, gateway);
 replaceFile(ENTRY_FILE, entry);
+replaceFile(MODULE_ENTRY_FILE, `import './${ENTRY_FILE}';\n`);
 
-const files = [gatewayFile, ENTRY_FILE];
+const files = [gatewayFile, ENTRY_FILE, MODULE_ENTRY_FILE];
 for (const name of readdirSync(DIRECTORY)) {
   if (!name.startsWith(PREFIX) || files.includes(name)) continue;
   const path = join(DIRECTORY, name);
--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -434,7 +434,7 @@
       [
         '--max-old-space-size=90',
         '--max-semi-space-size=2',
-        'target/sardinestile.cjs',
+        'target/sardinestile.mjs',
         'gateway',
       ],
       {
