test(soak): uncaught errors as a fault, and a check that no process ends by itself

The soak throws one to four exceptions in a timer of a gateway, and treats the stop that follows as planned work: no request that was run may be lost. A process that ends otherwise than by a stop, a kill or such an error fails the run; a signal may end it only while Node.js itself starts, in the first second that it was not frozen.

--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -10,6 +10,15 @@
 /** Module preloaded into each process, so that a signal can step its wall clock. */
 const CLOCK_STEPS_MODULE = new URL('./clock_steps.mjs', import.meta.url).href;
 
+/** Module preloaded into each process, so that a signal can throw an error in it. */
+const THROW_MODULE = new URL('./throw_on_signal.mjs', import.meta.url).href;
+
+/** Signal that throws an exception in a timer of the process. */
+export const THROW_SIGNAL = 'SIGWINCH';
+
+/** Time for which Node.js itself may start; a signal ends the process meanwhile. */
+const RUNTIME_START_MS = 1_000;
+
 /** Ports of every process; the processes differ by IP address. */
 const CALLER_PORT = 18_740;
 const READY_PORT = 18_749;
@@ -53,10 +62,12 @@
   readonly logPath: string;
   /** Id of the current process. */
   readonly pid: number;
-  /** Whether it received SIGTERM and has not been restarted yet. */
+  /** Whether it was made to stop and has not been restarted yet. */
   readonly isStopping: boolean;
   /** How each process before the current one ended. */
   readonly exits: readonly ProcessExit[];
+  /** The exits that nothing asked for, one text each. */
+  readonly unexpectedExits: readonly string[];
   signal(signal: NodeJS.Signals): void;
   /** Calls back once, when the process has been started again. */
   onNextStart(callback: () => void): void;
@@ -84,10 +95,21 @@
   let child: ChildProcess;
   let isEnding = false;
   let isStopping = false;
+  let hasThrown = false;
+  let startedAtMs = 0;
+  let frozenAtMs: number | undefined;
   let edits = 0;
   let {storePort} = options;
   let restartTimer: NodeJS.Timeout | undefined;
+  const trackFreeze = (signal: NodeJS.Signals) => {
+    if (signal === 'SIGSTOP') frozenAtMs ??= performance.now();
+    if (signal !== 'SIGCONT' || frozenAtMs === undefined) return;
+    // A process that was frozen while Node.js started has started that much later.
+    startedAtMs += performance.now() - frozenAtMs;
+    frozenAtMs = undefined;
+  };
   const exits: ProcessExit[] = [];
+  const unexpectedExits: string[] = [];
   let startCallbacks: Array<() => void> = [];
 
   const writeSettings = () =>
@@ -97,9 +119,17 @@
     );
   const start = () => {
     isStopping = false;
+    hasThrown = false;
+    startedAtMs = performance.now();
+    frozenAtMs = undefined;
     child = spawn(
       process.execPath,
-      ['--import', CLOCK_STEPS_MODULE, BUNDLE_PATH, 'gateway'],
+      [
+        `--import=${CLOCK_STEPS_MODULE}`,
+        `--import=${THROW_MODULE}`,
+        BUNDLE_PATH,
+        'gateway',
+      ],
       {
         env: {
           ...process.env,
@@ -113,6 +143,17 @@
     child.stderr!.pipe(log, {end: false});
     child.once('exit', (code, signal) => {
       exits.push({code, signal});
+      const uptimeMs = performance.now() - startedAtMs;
+      const isExpected =
+        code === 0 ||
+        (code === 1 && hasThrown) ||
+        signal === 'SIGKILL' ||
+        (signal !== null && uptimeMs < RUNTIME_START_MS);
+      if (!isExpected) {
+        unexpectedExits.push(
+          `${name} ended by itself after ${Math.round(uptimeMs)} ms: ${signal ?? code}`,
+        );
+      }
       if (!isEnding) restartTimer = setTimeout(start, RESTART_DELAY_MS);
     });
     const callbacks = startCallbacks;
@@ -133,8 +174,11 @@
       return isStopping;
     },
     exits,
+    unexpectedExits,
     signal(signal) {
-      if (signal === 'SIGTERM') isStopping = true;
+      trackFreeze(signal);
+      if (signal === THROW_SIGNAL) hasThrown = true;
+      if (signal === 'SIGTERM' || signal === THROW_SIGNAL) isStopping = true;
       child.kill(signal);
     },
     onNextStart: callback => void startCallbacks.push(callback),
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -147,6 +147,7 @@
       revokedKeys,
       SOAK_BOUNDS.revoke_ms,
     ),
+    ...gateways.flatMap(({unexpectedExits}) => unexpectedExits),
     ...checkLostRequests({...soak, calls, upstreams: cluster.upstreams}),
     ...checkFleetBounds({...soak, calls, upstreams: cluster.upstreams}),
   ];
--- a/testing/soak/src/stop_faults.ts
+++ b/testing/soak/src/stop_faults.ts
@@ -1,4 +1,8 @@
-import {SOAK_BOUNDS, type GatewayProcess} from './gateway_process.js';
+import {
+  SOAK_BOUNDS,
+  THROW_SIGNAL,
+  type GatewayProcess,
+} from './gateway_process.js';
 import {
   disturb,
   pickRandom,
@@ -23,6 +27,10 @@
 /** Time after the start of a process within which a signal comes, in milliseconds. */
 const STARTING_MS = 700;
 
+/** Largest number of errors that one fault throws, and the time between them, in milliseconds. */
+const MAX_ERRORS = 4;
+const ERROR_GAP_MS = 100;
+
 /** Share of the series beside which the configuration changes. */
 const CONFIGURE_SHARE = 0.5;
 
@@ -72,6 +80,15 @@
     runLater(random() * RELOAD_RANGE_MS, () => void cluster.configure());
     return `SIGTERM to ${gateway.name} among ${RELOADS + 1} SIGHUPs`;
   },
+  uncaughtErrors(soak) {
+    const gateway = pickRunning(soak);
+    const errors = 1 + Math.floor(soak.random() * MAX_ERRORS);
+    recordStop(soak, gateway);
+    for (let i = 0; i < errors; i++) {
+      soak.runLater(i * ERROR_GAP_MS, () => gateway.signal(THROW_SIGNAL));
+    }
+    return `${errors} errors in ${gateway.name}`;
+  },
   signalWhileStarting(soak) {
     const {random, runLater} = soak;
     const stopping = soak.exposedGateways.filter(g => g.isStopping);
@@ -113,15 +130,27 @@
   gateway: GatewayProcess,
   signal: 'SIGTERM' | 'SIGHUP',
 ): string {
-  const atMs = performance.now();
-  soak.plannedSignals.push({gateway: gateway.name, signal, atMs});
-  if (signal === 'SIGTERM') {
-    disturb(soak, SOAK_BOUNDS.grace_s * 1_000 + RESTART_MS, gateway, true);
-  }
+  if (signal === 'SIGTERM') recordStop(soak, gateway);
+  else recordSignal(soak, gateway, signal);
   gateway.signal(signal);
   return `${signal} to ${gateway.name}`;
 }
 
+/** Records that a gateway is made to stop now, as planned work. */
+function recordStop(soak: SoakContext, gateway: GatewayProcess): void {
+  recordSignal(soak, gateway, 'SIGTERM');
+  disturb(soak, SOAK_BOUNDS.grace_s * 1_000 + RESTART_MS, gateway, true);
+}
+
+function recordSignal(
+  soak: SoakContext,
+  gateway: GatewayProcess,
+  signal: 'SIGTERM' | 'SIGHUP',
+): void {
+  const atMs = performance.now();
+  soak.plannedSignals.push({gateway: gateway.name, signal, atMs});
+}
+
 function between(min: number, max: number, random: () => number): number {
   return min + random() * (max - min);
 }
--- a/testing/soak/test/uncaught_errors_test.ts
+++ b/testing/soak/test/uncaught_errors_test.ts
@@ -1,23 +1,16 @@
 import {after, afterEach, before, describe, it} from 'node:test';
 import {eventIds, numbersBelow, ROUTE_PATHS} from '@sardinestile/hosting_tests';
 import {expect} from 'earl';
-import {SOAK_BOUNDS} from '../src/gateway_process.js';
+import {SOAK_BOUNDS, THROW_SIGNAL} from '../src/gateway_process.js';
 import {
   createSingleGateway,
   STREAM_EVENTS,
   type SingleGateway,
 } from '../src/single_gateway.js';
 
-const THROW_ON_SIGNAL_MODULE = new URL(
-  '../src/throw_on_signal.mjs',
-  import.meta.url,
-).href;
-
 const FAILED_EXIT = {code: 1, signal: null};
 const ORDERLY_EXIT = {code: 0, signal: null};
 
-const THROWING = {NODE_OPTIONS: `--import=${THROW_ON_SIGNAL_MODULE}`};
-
 describe('a gateway process with an error that nothing catches', () => {
   let single: SingleGateway;
   let callCount = 0;
@@ -28,7 +21,7 @@
   after(() => single.close());
 
   const startReady = async () => {
-    single.start(THROWING);
+    single.start();
     await single.waitUntilReady();
   };
   const startStreams = async (count: number) => {
@@ -48,7 +41,7 @@
   };
 
   for (const {origin, signal} of [
-    {origin: 'uncaughtException', signal: 'SIGWINCH'},
+    {origin: 'uncaughtException', signal: THROW_SIGNAL},
     {origin: 'unhandledRejection', signal: 'SIGURG'},
   ] as const) {
     it(`finishes its open streams and exits with code 1 after an ${origin}`, async () => {
@@ -72,7 +65,7 @@
     await startReady();
     const streams = await startStreams(3);
     for (let i = 0; i < 20; i++) {
-      single.process.signal('SIGWINCH');
+      single.process.signal(THROW_SIGNAL);
       await new Promise(resolve => setTimeout(resolve, 50));
     }
     await expectWhole(streams);
@@ -86,7 +79,7 @@
     const streams = await startStreams(3);
     single.process.signal('SIGTERM');
     await single.waitForLine('event=process_stopping');
-    single.process.signal('SIGWINCH');
+    single.process.signal(THROW_SIGNAL);
     await expectWhole(streams);
     await single.waitForExit();
     expect(single.process.exits[0]).toEqual(ORDERLY_EXIT);
@@ -96,7 +89,7 @@
   it('goes on with its drain when SIGTERM comes after the exception', async () => {
     await startReady();
     const streams = await startStreams(3);
-    single.process.signal('SIGWINCH');
+    single.process.signal(THROW_SIGNAL);
     await single.waitForLine('event=process_stopping');
     single.process.signal('SIGTERM');
     single.process.signal('SIGTERM');
@@ -112,7 +105,7 @@
     await startReady();
     const {response} = await single.startCall(ROUTE_PATHS.once, 'silent');
     const startMs = performance.now();
-    single.process.signal('SIGWINCH');
+    single.process.signal(THROW_SIGNAL);
     expect((await response).isComplete).toEqual(true);
     await single.waitForExit();
     expect(single.process.exits[0]).toEqual(FAILED_EXIT);
@@ -122,7 +115,7 @@
   });
 
   it('fails its start with the reason if the error comes while it starts', async () => {
-    single.start({...THROWING, THROW_WHILE_STARTING: '1'});
+    single.start({THROW_WHILE_STARTING: '1'});
     await single.waitForExit();
     expect(single.process.exits[0]).toEqual(FAILED_EXIT);
     const log = single.readLog();
