--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -17,6 +17,15 @@
 /** Module preloaded into each process, so that a signal can step its wall clock. */
 const CLOCK_STEPS_MODULE = new URL('./clock_steps.mjs', import.meta.url).href;
 
+/** Module preloaded into each process, so that a signal can throw an error in it. */
+const THROW_MODULE = new URL('./throw_on_signal.mjs', import.meta.url).href;
+
+/** Signal that throws an exception in a timer of the process. */
+export const THROW_SIGNAL = 'SIGWINCH';
+
+/** Time for which Node.js itself may start; a signal ends the process meanwhile. */
+const RUNTIME_START_MS = 1_000;
+
 /** Ports of every process; the processes differ by IP address. */
 const CALLER_PORT = 18_740;
 const READY_PORT = 18_749;
@@ -76,12 +85,12 @@
   readonly logPath: string;
   /** Id of the current process. */
   readonly pid: number;
-  /** Whether it received SIGTERM and has not been restarted yet. */
+  /** Whether it was made to stop and has not been restarted yet. */
   readonly isStopping: boolean;
   /** How each process before the current one ended. */
   readonly exits: readonly ProcessExit[];
-  /** Those of them that no signal explains which was sent to the process. */
-  readonly unexpectedExits: readonly ProcessExit[];
+  /** The exits that nothing asked for, one text each. */
+  readonly unexpectedExits: readonly string[];
   signal(signal: NodeJS.Signals): void;
   /** Calls back once, when the process has been started again. */
   onNextStart(callback: () => void): void;
@@ -109,11 +118,21 @@
   let child: ChildProcess;
   let isEnding = false;
   let isStopping = false;
+  let hasThrown = false;
+  let startedAtMs = 0;
+  let frozenAtMs: number | undefined;
   let edits = 0;
   let {storePort} = options;
   let restartTimer: NodeJS.Timeout | undefined;
+  const trackFreeze = (signal: NodeJS.Signals) => {
+    if (signal === 'SIGSTOP') frozenAtMs ??= performance.now();
+    if (signal !== 'SIGCONT' || frozenAtMs === undefined) return;
+    // A process that was frozen while Node.js started has started that much later.
+    startedAtMs += performance.now() - frozenAtMs;
+    frozenAtMs = undefined;
+  };
   const exits: ProcessExit[] = [];
-  const unexpectedExits: ProcessExit[] = [];
+  const unexpectedExits: string[] = [];
   let sentSignals = new Set<NodeJS.Signals>();
   let startCallbacks: Array<() => void> = [];
 
@@ -124,10 +143,17 @@
     );
   const start = () => {
     isStopping = false;
+    hasThrown = false;
+    startedAtMs = performance.now();
+    frozenAtMs = undefined;
     const sent = (sentSignals = new Set());
     child = spawn(
       process.execPath,
-      ['--import', CLOCK_STEPS_MODULE, ...GATEWAY_ARGUMENTS],
+      [
+        `--import=${CLOCK_STEPS_MODULE}`,
+        `--import=${THROW_MODULE}`,
+        ...GATEWAY_ARGUMENTS,
+      ],
       {
         cwd: ROOT,
         env: {
@@ -142,9 +168,18 @@
     child.stderr!.pipe(log, {end: false});
     child.once('exit', (code, signal) => {
       exits.push({code, signal});
+      const uptimeMs = performance.now() - startedAtMs;
       const isExpected =
-        signal === null ? code === 0 && sent.has('SIGTERM') : sent.has(signal);
-      if (!isExpected && !isEnding) unexpectedExits.push({code, signal});
+        (code === 0 && sent.has('SIGTERM')) ||
+        (code === 1 && hasThrown) ||
+        (signal !== null &&
+          sent.has(signal) &&
+          (signal === 'SIGKILL' || uptimeMs < RUNTIME_START_MS));
+      if (!isExpected && !isEnding) {
+        unexpectedExits.push(
+          `${name} ended by itself after ${Math.round(uptimeMs)} ms: ${signal ?? code}`,
+        );
+      }
       if (!isEnding) restartTimer = setTimeout(start, RESTART_DELAY_MS);
     });
     const callbacks = startCallbacks;
@@ -170,7 +205,9 @@
     unexpectedExits,
     signal(signal) {
       sentSignals.add(signal);
-      if (signal === 'SIGTERM') isStopping = true;
+      trackFreeze(signal);
+      if (signal === THROW_SIGNAL) hasThrown = true;
+      if (signal === 'SIGTERM' || signal === THROW_SIGNAL) isStopping = true;
       child.kill(signal);
     },
     onNextStart: callback => void startCallbacks.push(callback),
