feat(entry): entries and agents count what the input boundary holds back

What operators saw: failures of an entry's or agent's handlers were logged on standard output by the default boundary, whatever the log level, and not counted.

--- a/daemons/agent/src/agent.ts
+++ b/daemons/agent/src/agent.ts
@@ -1,5 +1,6 @@
 import {OPS_DRAIN_LIMIT_MS, startOpsServer} from '@sardinestile/ops';
 import type {UpstreamAdapter} from '@sardinestile/adapters';
+import {createInputBoundary} from '@sardinestile/connections';
 import type {Logger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
 import {createConfigReplica, encodeConfigUpdate} from '@sardinestile/replica';
@@ -43,6 +44,7 @@
 export async function startAgent(options: AgentOptions): Promise<Agent> {
   const {logger, instance, upstream} = options;
   const metrics = createMetricsRegistry();
+  const boundary = createInputBoundary({logger, metrics});
   const replica = createConfigReplica();
   const sessions = new Set<Session<AgentBody>>();
   const monitor = startUpstreamMonitor({
@@ -116,6 +118,7 @@
   const server = await startSessionServer({
     host: options.host,
     port: options.port,
+    boundary,
     accept: acceptSession,
     heartbeat,
     pullConfig: since =>
@@ -142,6 +145,7 @@
     port: options.opsPort,
     adminKey: options.adminKey,
     metrics,
+    boundary,
     isReady: () => replica.version > 0 && !admissionController.isDraining,
     dumpState,
   });
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -1,4 +1,8 @@
 import {addAdminApi} from '@sardinestile/api';
+import {
+  createInputBoundary,
+  type InputBoundary,
+} from '@sardinestile/connections';
 import type {Duty} from '@sardinestile/duties';
 import {startHttpServer, type HttpServer} from '@sardinestile/http';
 import type {Logger} from '@sardinestile/logger';
@@ -83,7 +87,7 @@
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const {logger, instance, host} = options;
   const components = await startComponents(options);
-  const {context, duties, flusher} = components;
+  const {context, duties, flusher, boundary} = components;
   const {follower, pool, registry, replica} = context;
   let isShuttingDown = false;
 
@@ -91,6 +95,8 @@
     app: createCallerApi(context),
     host,
     port: options.port,
+    boundary,
+    input: 'callerRequest',
   });
   const peerServer = await startSessionServer({
     host,
@@ -142,6 +148,7 @@
   store: ConfigStore;
   flusher: UsageFlusher;
   duties: Duty;
+  boundary: InputBoundary;
 }
 
 async function startComponents(
@@ -150,7 +157,9 @@
   const {logger, instance, platform} = options;
   const {table} = platform;
   const replica = createConfigReplica();
-  const pool = createSessionPool({instance, replica, logger});
+  const metrics = createMetricsRegistry();
+  const boundary = createInputBoundary({logger, metrics});
+  const pool = createSessionPool({instance, replica, logger, boundary});
   const registry = createRequestRegistry();
   const store = createConfigStore({
     table,
@@ -187,7 +196,7 @@
     availabilityZone: options.availabilityZone,
     maxBodyBytes: options.maxBodyBytes,
     logger,
-    metrics: createMetricsRegistry(),
+    metrics,
     replica,
     follower,
     pool,
@@ -198,12 +207,12 @@
     table,
     usage: flusher.source,
   };
-  return {context, store, flusher, duties};
+  return {context, store, flusher, duties, boundary};
 }
 
 function startEntryOpsServer(
   options: EntryOptions,
-  {context, store, flusher}: EntryComponents,
+  {context, store, flusher, boundary}: EntryComponents,
   isShuttingDown: () => boolean,
 ): Promise<HttpServer> {
   const {instance, availabilityZone, adminKey} = options;
@@ -213,6 +222,7 @@
     port: options.opsPort,
     adminKey,
     metrics,
+    boundary,
     isReady: () => !isShuttingDown() && replica.version > 0,
     dumpState: () => ({
       role: 'entry',
--- a/daemons/entry/src/session_pool.ts
+++ b/daemons/entry/src/session_pool.ts
@@ -1,3 +1,4 @@
+import type {InputBoundary} from '@sardinestile/connections';
 import type {Logger} from '@sardinestile/logger';
 import {
   createCircuitBreaker,
@@ -36,6 +37,8 @@
   instance: string;
   replica: ConfigReplica;
   logger: Logger;
+  /** Reports messages that cannot be handled. */
+  boundary: InputBoundary;
 }
 
 /** The sessions of an entry to the agents of its subset. */
@@ -107,6 +110,7 @@
     const {id, address} = member.instance;
     const session: Session<EntryBody> = openSession({
       address,
+      boundary: options.boundary,
       handlers: {
         onMessage: body => handleMessage(member, session, body),
         onClose: reason => handleClose(member, session, reason),
