fix(connections): bound what a connection holds of requests that are not served

Cause: node:http keeps each request and response that the parser made until the connection ends, also dropped ones: 2,400 small requests fit into one read. Bodies of waiting requests were buffered up to 16 KB each.

Change: dropped requests give back their headers and count toward the heap; a connection is closed (reason overrun) after 32 of them, or after one while memory is short. The bodies of all requests that wait on a connection fit its buffer together.

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -14,21 +14,24 @@
 /** Requests that may wait on a connection for the responses to those before them. */
 const MAX_WAITING_REQUESTS = 8;
 
+/** Requests that may be dropped on a connection before it is closed. */
+const MAX_DROPPED_REQUESTS = 32;
+
 /** How a connection serves a request. */
 export interface ReceiveOptions {
   /** Called once all requests before it on the connection were answered. */
   serve: RequestListener;
   /** Whether its response announces the end of the connection, unless another request follows. */
   announcesEnd: boolean;
-  /** Whether it may wait behind other requests. */
+  /** Whether there is enough memory for it to wait behind other requests. */
   mayWait: boolean;
 }
 
 /** What a connection tells its server. */
 export interface ConnectionObserver {
   /**
-   * Called for each request that is taken; what it returns is called once the response was
-   * sent or the connection has ended, whatever the place of the request in the line.
+   * Called for each request that is taken or dropped; what it returns is called once the
+   * response was sent or the connection has ended, whatever its place in the line.
    */
   onTaken: (request: IncomingMessage) => () => void;
   /** Called for each request that is not served, as a response before it announces the end. */
@@ -78,6 +81,8 @@
   let announcer: ServerResponse | undefined;
   /** Requests taken behind the one that is being served, in order. */
   const waiting: Array<{response: ServerResponse; serve: RequestListener}> = [];
+  /** Gives back what dropped requests hold. */
+  const releaseDropped: Array<() => void> = [];
   /** Whether no more requests are taken, as the newest one taken announces the end. */
   let isLineClosed = false;
   let isExpired = false;
@@ -132,23 +137,45 @@
   };
   /**
    * Drops a request and all that follows. Reading goes on, so that a peer that leaves is
-   * noticed, but without the parser, which would keep each request until the end.
+   * noticed, but without the parser, which keeps each request until the connection ends. Those
+   * that had arrived with it are parsed nonetheless; the connection is closed if they are many.
    */
-  const drop = (request: IncomingMessage) => {
+  const drop = (request: IncomingMessage, isMemoryShort: boolean) => {
+    if (socket.destroyed) return;
     onUnanswerable(request);
+    request.headers = {};
+    request.rawHeaders = [];
+    releaseDropped.push(onTaken(request));
+    const limit = isMemoryShort ? 1 : MAX_DROPPED_REQUESTS;
+    if (releaseDropped.length > limit) {
+      reason = 'overrun';
+      socket.destroy();
+      return;
+    }
     request.resume();
     socket.removeAllListeners('data');
     socket.on('data', () => undefined);
     socket.resume();
   };
+  const bodyBytes = ({headers}: IncomingMessage) =>
+    headers['transfer-encoding'] === undefined
+      ? Number(headers['content-length'] ?? 0)
+      : Infinity;
   /**
    * Whether a request can wait. Node.js stops reading a connection while a body that nobody
    * reads exceeds its buffer, and would not notice that the peer left.
    */
-  const canWait = ({headers, readableHighWaterMark}: IncomingMessage) =>
-    waiting.length < MAX_WAITING_REQUESTS &&
-    headers['transfer-encoding'] === undefined &&
-    Number(headers['content-length'] ?? 0) < readableHighWaterMark;
+  const canWait = (request: IncomingMessage) => {
+    const waitingBytes = waiting.reduce(
+      (sum, {response}) => sum + bodyBytes(response.req),
+      bodyBytes(request),
+    );
+    return (
+      waiting.length < MAX_WAITING_REQUESTS &&
+      waitingBytes < request.readableHighWaterMark
+    );
+  };
+  /** Takes no more requests, unless the newest response is being sent and cannot tell. */
   const closeLine = () => {
     announceEnd();
     isLineClosed = ![...responses.keys()].at(-1)?.shouldKeepAlive;
@@ -173,7 +200,7 @@
       const isFirst = responses.size === 0;
       if (!isFirst && !(mayWait && canWait(request))) closeLine();
       if (isLineClosed || hasAnnouncedEnd()) {
-        drop(request);
+        drop(request, !mayWait);
         return;
       }
       if (announcer) announcer.shouldKeepAlive = true;
@@ -222,6 +249,7 @@
       };
       waiting.length = 0;
       [...responses.keys()].forEach(release);
+      releaseDropped.forEach(releaseOne => releaseOne());
       return held;
     },
   };
--- a/core/connections/src/connection_end.ts
+++ b/core/connections/src/connection_end.ts
@@ -8,6 +8,8 @@
   | 'idle'
   /** The server stopped waiting for it. */
   | 'drainLimit'
+  /** The peer sent more requests than may wait, and many more with them. */
+  | 'overrun'
   /** The peer closed or reset it, or a time limit of the server passed. */
   | 'other';
 
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -20,11 +20,11 @@
    */
   onUnanswerable?: (request: IncomingMessage) => void;
   /**
-   * Called for each request that is taken; what it returns is called once its response was
-   * sent or its connection has ended, whichever comes first.
+   * Called for each request that a connection holds; what it returns is called once its
+   * response was sent or its connection has ended, whichever comes first.
    */
   onTaken?: (request: IncomingMessage) => () => void;
-  /** Whether requests may wait behind others on their connection; they may if absent. */
+  /** Whether there is enough memory for requests to wait behind others; there is if absent. */
   mayWait?: () => boolean;
 }
 
--- a/core/connections/test/server_connections_test.ts
+++ b/core/connections/test/server_connections_test.ts
@@ -216,6 +216,22 @@
       expect(unanswerable).toEqual(paths(10, 40));
     });
 
+    it('close their connection if thousands arrive at once', async () => {
+      peer.write(paths(1, 1_500).map(requestOf).join(''));
+      await waitFor(() => ends.length > 0);
+      expect(ends[0].reason).toEqual('overrun');
+      expect(taken.length).toEqual(1);
+      expect(unanswerable.length).toBeLessThanOrEqual(40);
+    });
+
+    it('do not wait with bodies that together exceed the buffer', async () => {
+      const post = `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n`;
+      const body = 'b'.repeat(9_000);
+      peer.write(requestOf('/1') + post + body + post + body);
+      await waitFor(() => unanswerable.length > 0);
+      expect(connections.openResponses().length).toEqual(2);
+    });
+
     it('are not parsed beyond those, however many follow', async () => {
       peer.write(paths(1, 10).map(requestOf).join(''));
       await waitFor(() => unanswerable.length > 0);
