fix(gateway): the rest of a refused body is no part of headers

Refused uploads would have exhausted the heap's budget, and their connections would have been closed before callers had read the refusal.

Test: "does not count the rest of a body whose request was answered early" failed before.

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -44,7 +44,7 @@
   openResponses(): ServerResponse[];
   /** Whether all responses were sent, and the peer had its time to read them if it ends. */
   readonly isSettled: boolean;
-  /** Bytes of a request of which the headers have not arrived whole. */
+  /** Bytes of a request of which the headers have not arrived whole; 0 once its end was announced. */
   readonly partialRequestBytes: number;
   /**
    * Takes a request and serves it after those before it, or drops it if the peer learns
@@ -194,7 +194,8 @@
       return responses.size === 0 && reason !== 'answered';
     },
     get partialRequestBytes() {
-      return partialRequestBytes();
+      // What arrives after an announced end is dropped.
+      return reason === undefined ? partialRequestBytes() : 0;
     },
     receive(request, response, {serve, announcesEnd, mayWait}) {
       const isFirst = responses.size === 0;
--- a/daemons/gateway/test/heap_guard_test.ts
+++ b/daemons/gateway/test/heap_guard_test.ts
@@ -41,7 +41,8 @@
     server = createServer();
     budget = createHeapBudget({heapLimitBytes: HEAP_LIMIT_BYTES});
     connections = manageConnections(server, {
-      handler({url}, response) {
+      handler({url, complete}, response) {
+        if (!complete) response.shouldKeepAlive = false;
         if (url !== UNANSWERED_PATH) response.end('a');
       },
       onTaken: request => budget.openRequest(request),
@@ -63,9 +64,9 @@
     server.close();
   });
 
-  const open = async (text: string) => {
+  const open = async (text: string, allowHalfOpen = false) => {
     const {port} = server.address() as AddressInfo;
-    const socket = connect(port, HOST);
+    const socket = connect({port, host: HOST, allowHalfOpen});
     socket.on('error', () => undefined);
     await once(socket, 'connect');
     if (text) socket.write(text);
@@ -95,6 +96,24 @@
     expect(budget.heldBytes).toEqual(0);
   });
 
+  it('does not count the rest of a body whose request was answered early', async () => {
+    const socket = await open(
+      'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\n',
+      true,
+    );
+    const answer = readAnswer(socket);
+    const chunk = Buffer.alloc(500_000);
+    let peakBytes = 0;
+    for (let count = 0; count < 12; count++) {
+      socket.write(chunk);
+      await sleep(CHECKS_MS / 10);
+      peakBytes = Math.max(peakBytes, budget.heldBytes);
+    }
+    expect(await answer).toMatchRegex(/ 200 OK/);
+    expect(peakBytes < 100_000).toEqual(true);
+    socket.destroy();
+  });
+
   it('closes new connections unread while the heap is full, and serves open ones', async () => {
     const kept = await open('');
     usedBytes = HEAP_LIMIT_BYTES;
