fix(entry,agent): a port that is taken for a time no longer ends a start

What callers saw: an entry or agent whose port was taken logged command_failed at once. Change: their servers open their addresses at the same time through one opener, which waits up to 70 s, `dev` up to 2 s; its error names purpose and port.

--- a/admin/ops/src/ops_server.ts
+++ b/admin/ops/src/ops_server.ts
@@ -1,4 +1,5 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
+import type {AddressOpener} from '@sardinestile/connections';
 import {startHttpServer, type HttpServer} from '@sardinestile/http';
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import {H3, type H3Event} from 'h3';
@@ -23,6 +24,8 @@
   dumpState: () => unknown;
   /** Adds routes to the server, such as those of the administration API. */
   addRoutes?: (app: H3) => void;
+  /** Opens the address; does not wait for it by default. */
+  addresses?: AddressOpener;
 }
 
 /** Starts the HTTP server for `/live`, `/ready`, `/metrics` and `/state`. */
@@ -44,7 +47,8 @@
       return options.dumpState();
     });
   options.addRoutes?.(app);
-  return startHttpServer({app, host: options.host, port: options.port});
+  const {host, port, addresses} = options;
+  return startHttpServer({app, host, port, addresses, purpose: 'operators'});
 }
 
 /**
--- a/cli/dev/src/dev_system.ts
+++ b/cli/dev/src/dev_system.ts
@@ -33,6 +33,13 @@
   adminKey: string;
   /** Secret of the API key that the first organisation receives. */
   secret: string;
+  /**
+   * Time for which the start waits for the ports that are not available, in milliseconds;
+   * it does not wait if absent.
+   */
+  addressWaitLimitMs?: number;
+  /** Ends the start, which rejects with its reason. */
+  startSignal?: AbortSignal;
   logger: Logger;
 }
 
@@ -90,6 +97,8 @@
     keyFreshnessLimitMs: 10_000,
     leaveDelayMs: 0,
     platform: clients,
+    addressWaitLimitMs: options.addressWaitLimitMs,
+    startSignal: options.startSignal,
     logger: options.logger,
   });
   return {
--- a/cli/sardinestile/src/commands/daemon_commands.ts
+++ b/cli/sardinestile/src/commands/daemon_commands.ts
@@ -22,6 +22,9 @@
   new URL('../../../../examples/paletta_viva.yaml', import.meta.url),
 );
 
+/** Time for which `sardinestile dev` waits for its ports, in milliseconds; its user waits, too. */
+const DEV_ADDRESS_WAIT_LIMIT_MS = 2_000;
+
 /** Time limit for writing the last lines of the log, in milliseconds. */
 const LAST_LINES_TIMEOUT_MS = 100;
 
@@ -32,7 +35,9 @@
     'Run an entry: authenticate callers, place requests and stream answers.',
   args: entrySettings,
   handler: ({logLevel, ...settings}) =>
-    runDaemon('entry', logLevel, logger => startEntryDaemon(settings, logger)),
+    runDaemon('entry', logLevel, (logger, stopSignal) =>
+      startEntryDaemon(settings, logger, stopSignal),
+    ),
 });
 
 /** The command `sardinestile agent`. */
@@ -42,7 +47,9 @@
     'Run the agent of one upstream: admit, schedule and run requests.',
   args: agentSettings,
   handler: ({logLevel, ...settings}) =>
-    runDaemon('agent', logLevel, logger => startAgentDaemon(settings, logger)),
+    runDaemon('agent', logLevel, (logger, stopSignal) =>
+      startAgentDaemon(settings, logger, stopSignal),
+    ),
 });
 
 /** The command `sardinestile dev`. */
@@ -75,7 +82,7 @@
     logLevel: logLevelSetting,
   },
   handler: ({text, port, opsPort, logLevel}) =>
-    runDaemon('dev', logLevel, async logger => {
+    runDaemon('dev', logLevel, async (logger, startSignal) => {
       const {startDevSystem} = await import('@sardinestile/dev');
       const secret = 'sk-dev';
       const system = await startDevSystem({
@@ -84,6 +91,8 @@
         opsPort,
         adminKey: 'dev-admin',
         secret,
+        addressWaitLimitMs: DEV_ADDRESS_WAIT_LIMIT_MS,
+        startSignal,
         logger,
       });
       const [model] = system.models;
@@ -108,7 +117,7 @@
 async function runDaemon(
   role: string,
   level: LogLevel,
-  start: (logger: Logger) => Promise<StoppableProcess>,
+  start: (logger: Logger, stopSignal: AbortSignal) => Promise<StoppableProcess>,
 ): Promise<void> {
   const logger = createRateLimitedLogger({level});
   logOutputErrors(logger);
@@ -117,7 +126,9 @@
   logProcessStart(role, logger);
   const memoryWatch = watchProcessMemory({logger});
   try {
-    const outcome = await signals.run(logger, () => start(logger));
+    const outcome = await signals.run(logger, stopSignal =>
+      start(logger, stopSignal),
+    );
     processEnd.recordOutcome(outcome);
     if (outcome.cause !== 'stopped') {
       throw new Error(`${role} ended: ${outcome.cause}`, {
--- a/cli/sardinestile/src/start_daemon.ts
+++ b/cli/sardinestile/src/start_daemon.ts
@@ -46,13 +46,26 @@
   upstreamUrl: string;
 }
 
+/**
+ * Time for which the start of a daemon waits for its addresses, in milliseconds. A closed
+ * connection occupies its address for 60 s on Linux.
+ */
+const ADDRESS_WAIT_LIMIT_MS = 70_000;
+
 /** Starts an entry with its clients of the platform services. */
 export async function startEntryDaemon(
   settings: EntrySettings,
   logger: Logger,
+  startSignal: AbortSignal,
 ): Promise<StoppableProcess> {
   const platform = createPlatformClients({baseUrl: settings.platformUrl});
-  const entry = await startEntry({...settings, platform, logger});
+  const entry = await startEntry({
+    ...settings,
+    platform,
+    logger,
+    startSignal,
+    addressWaitLimitMs: ADDRESS_WAIT_LIMIT_MS,
+  });
   return {
     stop: async () => {
       await entry.stop();
@@ -65,9 +78,16 @@
 export async function startAgentDaemon(
   settings: AgentSettings,
   logger: Logger,
+  startSignal: AbortSignal,
 ): Promise<StoppableProcess> {
   const upstream = UPSTREAM_FACTORIES[settings.upstreamKind](
     settings.upstreamUrl,
   );
-  return startAgent({...settings, upstream, logger});
+  return startAgent({
+    ...settings,
+    upstream,
+    logger,
+    startSignal,
+    addressWaitLimitMs: ADDRESS_WAIT_LIMIT_MS,
+  });
 }
--- a/core/connections/src/address_opener.ts
+++ b/core/connections/src/address_opener.ts
@@ -12,7 +12,13 @@
 
 /** What is served at an address. */
 export type AddressPurpose =
-  'callers' | 'readiness' | 'peers' | 'peerDatagrams' | 'metrics' | 'operators';
+  | 'callers'
+  | 'readiness'
+  | 'peers'
+  | 'peerDatagrams'
+  | 'metrics'
+  | 'operators'
+  | 'sessions';
 
 /** Address to open; port 0 selects any free port. */
 export interface OpenableAddress {
--- a/daemons/agent/src/agent.ts
+++ b/daemons/agent/src/agent.ts
@@ -1,4 +1,5 @@
 import {OPS_DRAIN_LIMIT_MS, startOpsServer} from '@sardinestile/ops';
+import {createAddressOpener} from '@sardinestile/connections';
 import type {UpstreamAdapter} from '@sardinestile/adapters';
 import type {Logger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
@@ -28,6 +29,13 @@
   adminKey: string;
   service: string;
   upstream: UpstreamAdapter;
+  /**
+   * Time for which the start waits for addresses that are not available, in milliseconds;
+   * it does not wait if absent.
+   */
+  addressWaitLimitMs?: number;
+  /** Ends the start, which rejects with its reason. */
+  startSignal?: AbortSignal;
   logger: Logger;
 }
 
@@ -113,14 +121,6 @@
     };
   };
 
-  const server = await startSessionServer({
-    host: options.host,
-    port: options.port,
-    accept: acceptSession,
-    heartbeat,
-    pullConfig: since =>
-      encodeConfigUpdate(replica.createUpdateSince(since)) as ConfigPush,
-  });
   const dumpState = () => ({
     role: 'agent',
     instance,
@@ -137,14 +137,31 @@
     places: admissionController.counts(),
     classes: admissionController.dump(),
   });
-  const ops = await startOpsServer({
-    host: options.host,
-    port: options.opsPort,
-    adminKey: options.adminKey,
-    metrics,
-    isReady: () => replica.version > 0 && !admissionController.isDraining,
-    dumpState,
+  const addresses = createAddressOpener({
+    logger,
+    limitMs: options.addressWaitLimitMs,
+    signal: options.startSignal,
   });
+  const [server, ops] = await Promise.all([
+    startSessionServer({
+      host: options.host,
+      port: options.port,
+      accept: acceptSession,
+      heartbeat,
+      pullConfig: since =>
+        encodeConfigUpdate(replica.createUpdateSince(since)) as ConfigPush,
+      addresses,
+    }),
+    startOpsServer({
+      host: options.host,
+      port: options.opsPort,
+      adminKey: options.adminKey,
+      metrics,
+      isReady: () => replica.version > 0 && !admissionController.isDraining,
+      dumpState,
+      addresses,
+    }),
+  ]);
   const address = `${options.host}:${server.port}`;
   const opsAddress = `${options.host}:${ops.port}`;
   logger.info('process_started', {
@@ -152,6 +169,8 @@
     instance,
     address,
     opsAddress,
+    startMs: Math.round(performance.now()),
+    addressWaits: addresses.waits || undefined,
   });
 
   return {
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -1,4 +1,8 @@
 import {addAdminApi} from '@sardinestile/api';
+import {
+  createAddressOpener,
+  type AddressOpener,
+} from '@sardinestile/connections';
 import type {Duty} from '@sardinestile/duties';
 import {startHttpServer, type HttpServer} from '@sardinestile/http';
 import type {Logger} from '@sardinestile/logger';
@@ -60,6 +64,13 @@
    * the closing of its listener.
    */
   leaveDelayMs: number;
+  /**
+   * Time for which the start waits for addresses that are not available, in milliseconds;
+   * it does not wait if absent.
+   */
+  addressWaitLimitMs?: number;
+  /** Ends the start, which rejects with its reason. */
+  startSignal?: AbortSignal;
   platform: EntryPlatform;
   logger: Logger;
 }
@@ -87,28 +98,36 @@
   const {follower, pool, registry, replica} = context;
   let isShuttingDown = false;
 
-  const callerServer = await startHttpServer({
-    app: createCallerApi(context),
-    host,
-    port: options.port,
-  });
-  const peerServer = await startSessionServer({
-    host,
-    port: options.peerPort,
-    pullConfig: since =>
-      encodeConfigUpdate(replica.createUpdateSince(since)) as ConfigPush,
+  const addresses = createAddressOpener({
+    logger,
+    limitMs: options.addressWaitLimitMs,
+    signal: options.startSignal,
   });
-  const opsServer = await startEntryOpsServer(
-    options,
-    components,
-    () => isShuttingDown,
-  );
+  const [callerServer, peerServer, opsServer] = await Promise.all([
+    startHttpServer({
+      app: createCallerApi(context),
+      host,
+      port: options.port,
+      addresses,
+    }),
+    startSessionServer({
+      host,
+      port: options.peerPort,
+      pullConfig: since =>
+        encodeConfigUpdate(replica.createUpdateSince(since)) as ConfigPush,
+      addresses,
+      purpose: 'peers',
+    }),
+    startEntryOpsServer(options, components, addresses, () => isShuttingDown),
+  ]);
   logger.info('process_started', {
     role: 'entry',
     instance,
     address: `${host}:${callerServer.port}`,
     opsAddress: `${host}:${opsServer.port}`,
     peerAddress: `${host}:${peerServer.port}`,
+    startMs: Math.round(performance.now()),
+    addressWaits: addresses.waits || undefined,
   });
 
   return {
@@ -204,6 +223,7 @@
 function startEntryOpsServer(
   options: EntryOptions,
   {context, store, flusher}: EntryComponents,
+  addresses: AddressOpener,
   isShuttingDown: () => boolean,
 ): Promise<HttpServer> {
   const {instance, availabilityZone, adminKey} = options;
@@ -211,6 +231,7 @@
   return startOpsServer({
     host: options.host,
     port: options.opsPort,
+    addresses,
     adminKey,
     metrics,
     isReady: () => !isShuttingDown() && replica.version > 0,
--- a/protocol/session/src/session_server.ts
+++ b/protocol/session/src/session_server.ts
@@ -5,7 +5,12 @@
   type ServerUnaryCall,
   type sendUnaryData,
 } from '@grpc/grpc-js';
-import type {InputBoundary} from '@sardinestile/connections';
+import {
+  createAddressOpener,
+  type AddressOpener,
+  type AddressPurpose,
+  type InputBoundary,
+} from '@sardinestile/connections';
 import type {
   AgentFrame,
   ConfigPull,
@@ -43,6 +48,10 @@
   timeoutMs?: number;
   /** Reports failures; logs them by default. */
   boundary?: InputBoundary;
+  /** Opens the address; does not wait for it by default. */
+  addresses?: AddressOpener;
+  /** What the server serves; `sessions` by default. */
+  purpose?: AddressPurpose;
 }
 
 /** A running gRPC server. */
@@ -60,6 +69,25 @@
 export async function startSessionServer(
   options: SessionServerOptions,
 ): Promise<SessionServer> {
+  const {host, port: wantedPort, purpose = 'sessions'} = options;
+  const {addresses = createAddressOpener()} = options;
+  // A server remembers the failure of an address, so that each attempt needs its own.
+  const {server, port} = await addresses.open(
+    purpose,
+    {host, port: wantedPort},
+    async () => {
+      const candidate = createSessionServer(options);
+      return {
+        server: candidate,
+        port: await bind(candidate, `${host}:${wantedPort}`),
+      };
+    },
+  );
+  const limitMs = options.timeoutMs ?? SESSION_TIMEOUT_MS;
+  return {port, close: () => closeServer(server, limitMs)};
+}
+
+function createSessionServer(options: SessionServerOptions): Server {
   const server = new Server({
     'grpc.max_receive_message_length': -1,
     'grpc.max_send_message_length': -1,
@@ -76,9 +104,7 @@
         acceptSession(call, options),
     });
   }
-  const port = await bind(server, `${options.host}:${options.port}`);
-  const limitMs = options.timeoutMs ?? SESSION_TIMEOUT_MS;
-  return {port, close: () => closeServer(server, limitMs)};
+  return server;
 }
 
 function closeServer(server: Server, limitMs: number): Promise<void> {
