--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -3,6 +3,7 @@
 import {
   createAddressOpener,
   drainServer,
+  MANAGED_SERVER_OPTIONS,
   manageConnections,
   type AddressOpener,
   type AddressPurpose,
@@ -62,6 +63,7 @@
 ): Promise<HttpServer> {
   const handler = toNodeHandler(options.app);
   const server = createServer({
+    ...MANAGED_SERVER_OPTIONS,
     headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -2,6 +2,7 @@
 import {
   createAddressOpener,
   drainServer,
+  MANAGED_SERVER_OPTIONS,
   manageConnections,
   type AddressOpener,
   type AddressPurpose,
@@ -98,7 +99,7 @@
     });
     response.end(text);
   };
-  const server = createServer();
+  const server = createServer(MANAGED_SERVER_OPTIONS);
   const connections = manageConnections(server, {
     handler: (_request, response) => respond(response),
     boundary,
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import {
   drainServer,
+  MANAGED_SERVER_OPTIONS,
   manageConnections,
   type AddressOpener,
   type InputBoundary,
@@ -133,7 +134,7 @@
     },
   };
   let isClosing = false;
-  const server = createServer();
+  const server = createServer(MANAGED_SERVER_OPTIONS);
   const connections = manageConnections(server, {
     async handler(request, response) {
       if (isClosing) {
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -14,6 +14,7 @@
 const CALLER_PORT = 18_740;
 const READY_PORT = 18_749;
 const PEER_PORT = 18_200;
+const METRICS_PORT = PEER_PORT + 1;
 
 /** Values of the settings section `bounds` that checks depend on. */
 export const SOAK_BOUNDS = {
@@ -25,6 +26,20 @@
   report_window_s: 3,
 } as const;
 
+/** What a process may use at most. */
+export interface ProcessLimits {
+  memoryMb: number;
+  descriptors: number;
+  /** Arguments of Node.js, such as those that limit its heap. */
+  nodeArguments: readonly string[];
+}
+
+const USUAL_LIMITS: ProcessLimits = {
+  memoryMb: 200,
+  descriptors: 1_000,
+  nodeArguments: [],
+};
+
 /** Options for startGatewayProcess. */
 export interface GatewayProcessOptions {
   /** Number of the gateway; last octet of its IP address. */
@@ -35,6 +50,8 @@
   directory: string;
   storePort: number;
   dutyInterfacePort: number;
+  /** Limits of the process; its heap has the default one of Node.js if absent. */
+  limits?: ProcessLimits;
   /** Environment variables added to those of this process. */
   environment?: Readonly<Record<string, string>>;
 }
@@ -50,6 +67,9 @@
   readonly name: string;
   readonly address: string;
   readonly readinessAddress: string;
+  /** Address for other gateways, by TCP and UDP. */
+  readonly peerAddress: string;
+  readonly metricsAddress: string;
   readonly logPath: string;
   /** Id of the current process. */
   readonly pid: number;
@@ -57,6 +77,8 @@
   readonly isStopping: boolean;
   /** How each process before the current one ended. */
   readonly exits: readonly ProcessExit[];
+  /** Those of them that no signal explains which was sent to the process. */
+  readonly unexpectedExits: readonly ProcessExit[];
   signal(signal: NodeJS.Signals): void;
   /** Calls back once, when the process has been started again. */
   onNextStart(callback: () => void): void;
@@ -88,6 +110,8 @@
   let {storePort} = options;
   let restartTimer: NodeJS.Timeout | undefined;
   const exits: ProcessExit[] = [];
+  const unexpectedExits: ProcessExit[] = [];
+  let sentSignals = new Set<NodeJS.Signals>();
   let startCallbacks: Array<() => void> = [];
 
   const writeSettings = () =>
@@ -97,9 +121,16 @@
     );
   const start = () => {
     isStopping = false;
+    const sent = (sentSignals = new Set());
     child = spawn(
       process.execPath,
-      ['--import', CLOCK_STEPS_MODULE, BUNDLE_PATH, 'gateway'],
+      [
+        ...(options.limits ?? USUAL_LIMITS).nodeArguments,
+        '--import',
+        CLOCK_STEPS_MODULE,
+        BUNDLE_PATH,
+        'gateway',
+      ],
       {
         env: {
           ...process.env,
@@ -113,6 +144,9 @@
     child.stderr!.pipe(log, {end: false});
     child.once('exit', (code, signal) => {
       exits.push({code, signal});
+      const isExpected =
+        signal === null ? code === 0 && sent.has('SIGTERM') : sent.has(signal);
+      if (!isExpected && !isEnding) unexpectedExits.push({code, signal});
       if (!isEnding) restartTimer = setTimeout(start, RESTART_DELAY_MS);
     });
     const callbacks = startCallbacks;
@@ -125,6 +159,8 @@
     name,
     address: `${host}:${CALLER_PORT}`,
     readinessAddress: `${host}:${READY_PORT}`,
+    peerAddress: `${host}:${PEER_PORT}`,
+    metricsAddress: `${host}:${METRICS_PORT}`,
     logPath,
     get pid() {
       return child.pid!;
@@ -133,7 +169,9 @@
       return isStopping;
     },
     exits,
+    unexpectedExits,
     signal(signal) {
+      sentSignals.add(signal);
       if (signal === 'SIGTERM') isStopping = true;
       child.kill(signal);
     },
@@ -161,7 +199,7 @@
 function renderSettings(
   name: string,
   host: string,
-  {storePort, dutyInterfacePort}: GatewayProcessOptions,
+  {storePort, dutyInterfacePort, limits = USUAL_LIMITS}: GatewayProcessOptions,
   edits: number,
 ): string {
   const bounds = Object.entries(SOAK_BOUNDS).map(([k, v]) => `${k} = ${v}`);
@@ -178,8 +216,8 @@
 front = "${host}:${CALLER_PORT}"
 ready = "${host}:${READY_PORT}"
 [limits]
-memory_mb = 200
-max_fds = 1000
+memory_mb = ${limits.memoryMb}
+max_fds = ${limits.descriptors}
 [bounds]
 ${bounds.join('\n')}
 reuse_after_s = 2
