--- a/cli/sardinestile/test/process_end_test.ts
+++ b/cli/sardinestile/test/process_end_test.ts
@@ -1,6 +1,17 @@
-import {spawn, spawnSync} from 'node:child_process';
+import {
+  execFileSync,
+  spawn,
+  spawnSync,
+  type ChildProcess,
+} from 'node:child_process';
 import {once} from 'node:events';
-import {mkdtempSync, writeFileSync} from 'node:fs';
+import {
+  closeSync,
+  constants,
+  mkdtempSync,
+  openSync,
+  writeFileSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {text} from 'node:stream/consumers';
@@ -72,27 +83,35 @@
   }
 
   describe('whose standard output takes no line', () => {
-    for (const {name, statements, isReaderGone} of [
-      {name: 'has no reader', statements: '', isReaderGone: true},
-      {
-        name: 'is full',
-        statements: `process.stdout.fd; // Makes a pipe non-blocking.
-          try { for (;;) writeSync(1, 'x'.repeat(65_536)); } catch {}`,
-        isReaderGone: false,
-      },
-    ]) {
-      it(`keeps its exit code and has the line on standard error if it ${name}`, async () => {
-        const program = writeProgram(
-          `unread-${String(isReaderGone)}`,
-          `${statements}\nprocessEnd.record('stopped'); process.exitCode = 4;`,
-        );
-        const child = spawn(process.execPath, program);
-        if (isReaderGone) child.stdout.destroy();
-        const errorText = text(child.stderr);
-        const [exitCode] = (await once(child, 'exit')) as [number];
-        expect(exitCode).toEqual(4);
-        expect(await errorText).toInclude('event=process_ended cause=stopped');
-      });
-    }
+    const expectLineOnStderr = async (child: ChildProcess) => {
+      const errorText = text(child.stderr!);
+      const [exitCode] = (await once(child, 'exit')) as [number];
+      expect(exitCode).toEqual(4);
+      expect(await errorText).toInclude('event=process_ended cause=stopped');
+    };
+    const STOP = `processEnd.record('stopped'); process.exitCode = 4;`;
+
+    it('keeps its exit code and has the line on standard error if it has no reader', async () => {
+      const child = spawn(process.execPath, writeProgram('unread', STOP));
+      child.stdout.destroy();
+      await expectLineOnStderr(child);
+    });
+
+    it('keeps its exit code and has the line on standard error if it is full', async () => {
+      const program = writeProgram(
+        'full',
+        `process.stdout.fd; // Makes the pipe non-blocking.
+         try { for (;;) writeSync(1, 'x'.repeat(65_536)); } catch {}
+         ${STOP}`,
+      );
+      const path = join(directory, 'pipe');
+      execFileSync('mkfifo', [path]);
+      const descriptor = openSync(path, constants.O_RDWR);
+      const stdio = ['ignore', descriptor, 'pipe'] as const;
+      await expectLineOnStderr(
+        spawn(process.execPath, program, {stdio: [...stdio]}),
+      );
+      closeSync(descriptor);
+    });
   });
 });
