--- a/cli/sardinestile/test/uncaught_errors_test.ts
+++ b/cli/sardinestile/test/uncaught_errors_test.ts
@@ -21,6 +21,13 @@
     expect(failed.lines[0]).toInclude('found late');
   });
 
+  it('stops a process in order also if it has no text', async () => {
+    const failed = await startTestProcess('reload');
+    await failed.throwUncaught(Object.create(null));
+    expect(failed.calls).toEqual(['start', 'stop']);
+    expect(failed.effects()).toEqual(['stop']);
+  });
+
   it('fails a start that is under way', async () => {
     const starting = createTestProcess('reload');
     const failed = expect(starting.start()).toBeRejectedWith('found late');
