fix(soak): hostile datagrams carry the id of the fleet

Rows of the store stand-in are base64, so the datagrams of hostile clients named no fleet of the gateways and were dropped as foreign.

--- a/testing/hosting/src/index.ts
+++ b/testing/hosting/src/index.ts
@@ -1,6 +1,7 @@
 export * from './crashing_upstreams.js';
 export * from './delayed_link.js';
 export * from './gateway_cluster.js';
+export * from './hostile/read_fleet_id.js';
 export * from './hostile/run_hostile_clients.js';
 export * from './initial_configuration.js';
 export * from './kept_connection.js';
--- a/testing/soak/src/hostile_faults.ts
+++ b/testing/soak/src/hostile_faults.ts
@@ -1,5 +1,5 @@
-import {runHostileClients} from '@sardinestile/hosting_tests';
-import type {Fault, SoakContext} from './soak_context.js';
+import {readFleetId, runHostileClients} from '@sardinestile/hosting_tests';
+import type {Fault} from './soak_context.js';
 
 /** Connections of hostile clients in one fault. */
 const CONNECTIONS = 120;
@@ -11,7 +11,7 @@
 export const HOSTILE_FAULTS: Readonly<Record<string, Fault>> = {
   hostile(soak) {
     const seed = Math.floor(soak.hostileRandom() * SEED_RANGE);
-    const fleetId = readFleetId(soak);
+    const fleetId = readFleetId(soak.cluster, 'sardinestile', 'system');
     soak.hostileRuns.push(
       runHostileClients({
         seed,
@@ -31,11 +31,3 @@
     return `hostile clients, seed ${seed}`;
   },
 };
-
-/** Returns the id that datagrams carry; empty before a gateway has stored it. */
-function readFleetId({cluster}: SoakContext): string {
-  const row = cluster.store
-    .rows('sardinestile', 'system')
-    .find(({key}) => key === 'fleet/id');
-  return row?.value.toString() ?? '';
-}
--- a/testing/soak/test/hostile_clients_test.ts
+++ b/testing/soak/test/hostile_clients_test.ts
@@ -9,6 +9,7 @@
 import {
   createGatewayCluster,
   HOST,
+  readFleetId,
   runHostileClients,
   sendRawRequest,
   waitUntil,
@@ -123,10 +124,7 @@
       ]),
       datagrams: {
         addresses: gateways.map(({peerAddress}) => peerAddress),
-        fleetId: cluster.store
-          .rows('sardinestile', 'system')
-          .find(({key}) => key === 'fleet/id')!
-          .value.toString(),
+        fleetId: readFleetId(cluster, 'sardinestile', 'system'),
       },
     });
   for (let seed = FIRST_SEED; seed <= LAST_SEED; seed++) {
