--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -12,7 +12,11 @@
   type ConnectionEnd,
   type InputBoundary,
 } from '@sardinestile/connections';
+import type {Logger} from '@sardinestile/logger';
+import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {CallerLimits} from '@sardinestile/route_table';
+import {startHeapGuard} from '../memory/heap_guard.js';
+import type {HeapBudget} from '../memory/heap_budget.js';
 import {breakOff} from './response_framing.js';
 
 /** Time limit for receiving a complete request, in milliseconds. */
@@ -53,7 +57,11 @@
 export interface CallerListenerOptions {
   host: string;
   port: number;
+  /** Limit of headers until the configuration is known, in bytes. */
   maxHeaderBytes: number;
+  heapBudget: HeapBudget;
+  logger: Logger;
+  metrics: MetricsRegistry;
   handler: RequestHandler;
   /** Reports failures; logs them by default. */
   boundary?: InputBoundary;
@@ -95,6 +103,8 @@
 export async function startCallerListener(
   options: CallerListenerOptions,
 ): Promise<CallerListener> {
+  const {heapBudget, logger, metrics} = options;
+  let headerLimitBytes = options.maxHeaderBytes;
   let drainingSinceMs: number | undefined;
   const sinceStopMs = () =>
     drainingSinceMs === undefined
@@ -115,11 +125,24 @@
     input: 'callerRequest',
     onEnded: end => options.onConnectionEnded(end, sinceStopMs()),
     onUnanswerable: request => options.onUnanswerable(request, sinceStopMs()),
+    onTaken: request => heapBudget.openRequest(request),
+    mayWait: () => heapBudget.step() === 'none',
+  });
+  const stopHeapGuard = startHeapGuard({
+    server,
+    connections,
+    budget: heapBudget,
+    logger,
+    metrics,
   });
   server.maxRequestsPerSocket = 0;
   await listen(server, options);
   return {
-    applyLimits({headerTimeoutMs, idleTimeoutMs}) {
+    applyLimits({headerTimeoutMs, idleTimeoutMs, maxHeaderBytes}) {
+      if (maxHeaderBytes > headerLimitBytes) connections.expireOpen();
+      headerLimitBytes = maxHeaderBytes;
+      // Node.js reads it for each connection that it accepts.
+      Object.assign(server, {maxHeaderSize: maxHeaderBytes});
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs + IDLE_TIMEOUT_SLACK_MS;
     },
@@ -141,6 +164,7 @@
       }
     },
     close() {
+      stopHeapGuard();
       connections.openResponses().forEach(breakOff);
       connections.destroyAll();
       stopAccepting(server);
