test(hosting): starts wait for the log line rather than for a fixed time

In a run of all tests at load 25 the process began to listen only after the datagram address had been released, 1.5 s after its start, so that no wait was logged. The test now holds what is missing until the process says that it waits for it, and 1 s longer.

--- a/testing/hosting/test/process_start_test.ts
+++ b/testing/hosting/test/process_start_test.ts
@@ -23,8 +23,8 @@
   type GatewayProcessOptions,
 } from '../src/index.js';
 
-/** Time for which what a start needs is missing, in milliseconds. */
-const MISSING_MS = 1_500;
+/** Time for which a process waits for what is missing, in milliseconds. */
+const MISSING_MS = 1_000;
 
 /** Time within which a process that was asked to stop ends, in milliseconds. */
 const STOP_LIMIT_MS = 2_000;
@@ -137,13 +137,22 @@
   const logged = (event: string) =>
     gateway.lines.filter(line => line.includes(`event=${event} `));
 
+  /** Checks that the process logs that something is missing, and goes on. */
+  const expectToWait = async (event: string) => {
+    await waitUntil(
+      `${event} or an end of the process`,
+      () => logged(event).length > 0 || gateway.exitCode !== undefined,
+    );
+    await sleep(MISSING_MS);
+    expect(gateway.exitCode).toEqual(undefined);
+  };
+
   for (const [what, holder] of Object.entries(HOLDERS)) {
     it(`waits for the ${what} while it is taken`, async () => {
       prepare();
       const release = await hold(holder);
       gateway.start();
-      await sleep(MISSING_MS);
-      expect(gateway.exitCode).toEqual(undefined);
+      await expectToWait('address_waiting');
       await release();
       await expectToServe();
       expect(logged('address_waiting').length).toEqual(1);
@@ -159,9 +168,7 @@
     await hold(() => Promise.resolve(close));
     prepare({host, callerPort: localPort});
     gateway.start();
-    await sleep(MISSING_MS);
-    expect(gateway.exitCode).toEqual(undefined);
-    expect(logged('address_waiting').length).toEqual(1);
+    await expectToWait('address_waiting');
   });
 
   it('serves callers while the address of the metrics is taken, and opens it later', async () => {
@@ -185,7 +192,7 @@
     prepare();
     await hold(address => holdPort(address, PROCESS_PORTS.callers));
     gateway.start();
-    await sleep(MISSING_MS);
+    await expectToWait('address_waiting');
     gateway.signal('SIGTERM');
     const code = await Promise.race([gateway.exited, sleep(STOP_LIMIT_MS)]);
     expect(code).toEqual(0);
@@ -196,8 +203,7 @@
       prepare();
       gateway.writeSettings(spoil(gateway.settings));
       gateway.start();
-      await sleep(MISSING_MS);
-      expect(gateway.exitCode).toEqual(undefined);
+      await expectToWait('settings_waiting');
       gateway.writeSettings(gateway.settings);
       await expectToServe();
     });
@@ -207,7 +213,7 @@
     prepare();
     gateway.writeSettings('');
     gateway.start();
-    await sleep(MISSING_MS);
+    await expectToWait('settings_waiting');
     gateway.signal('SIGTERM');
     const code = await Promise.race([gateway.exited, sleep(STOP_LIMIT_MS)]);
     expect(code).toEqual(0);
@@ -223,8 +229,7 @@
     prepare();
     store.mode = 'reset';
     gateway.start();
-    await sleep(MISSING_MS);
-    expect(gateway.exitCode).toEqual(undefined);
+    await expectToWait('store_failed');
     store.mode = 'up';
     await expectToServe();
   });
