--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -1,11 +1,18 @@
 import {spawn, type ChildProcess} from 'node:child_process';
-import {createWriteStream, writeFileSync, type WriteStream} from 'node:fs';
+import {
+  createWriteStream,
+  readFileSync,
+  writeFileSync,
+  type WriteStream,
+} from 'node:fs';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {parse} from 'smol-toml';
 
-const BUNDLE_PATH = fileURLToPath(
-  new URL('../../../target/sardinestile.cjs', import.meta.url),
-);
+const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
+
+/** Arguments with which the hosting platform starts a gateway. */
+const GATEWAY_ARGUMENTS = readGatewayArguments();
 
 /** Module preloaded into each process, so that a signal can step its wall clock. */
 const CLOCK_STEPS_MODULE = new URL('./clock_steps.mjs', import.meta.url).href;
@@ -30,14 +37,11 @@
 export interface ProcessLimits {
   memoryMb: number;
   descriptors: number;
-  /** Arguments of Node.js, such as those that limit its heap. */
-  nodeArguments: readonly string[];
 }
 
 const USUAL_LIMITS: ProcessLimits = {
   memoryMb: 200,
   descriptors: 1_000,
-  nodeArguments: [],
 };
 
 /** Options for startGatewayProcess. */
@@ -50,7 +54,6 @@
   directory: string;
   storePort: number;
   dutyInterfacePort: number;
-  /** Limits of the process; its heap has the default one of Node.js if absent. */
   limits?: ProcessLimits;
   /** Environment variables added to those of this process. */
   environment?: Readonly<Record<string, string>>;
@@ -124,14 +127,9 @@
     const sent = (sentSignals = new Set());
     child = spawn(
       process.execPath,
-      [
-        ...(options.limits ?? USUAL_LIMITS).nodeArguments,
-        '--import',
-        CLOCK_STEPS_MODULE,
-        BUNDLE_PATH,
-        'gateway',
-      ],
+      ['--import', CLOCK_STEPS_MODULE, ...GATEWAY_ARGUMENTS],
       {
+        cwd: ROOT,
         env: {
           ...process.env,
           ...options.environment,
@@ -196,6 +194,12 @@
   };
 }
 
+function readGatewayArguments(): string[] {
+  const text = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
+  const {roles} = parse(text) as {roles: {gateway: {run: string}}};
+  return roles.gateway.run.split(' ').slice(1);
+}
+
 function renderSettings(
   name: string,
   host: string,
--- a/testing/soak/test/crowded_gateway_test.ts
+++ b/testing/soak/test/crowded_gateway_test.ts
@@ -22,9 +22,6 @@
 
 const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
 
-/** Heap that deployments give a gateway; see `run` in deploy/system.toml. */
-const HEAP_ARGUMENTS = ['--max-old-space-size=90', '--max-semi-space-size=2'];
-
 /** Limits of the smallest deployment, and of one with usual machines. */
 const MEMORY_LIMITS_MB = [202, 350];
 
@@ -120,7 +117,6 @@
         limits: {
           memoryMb,
           descriptors: MAX_DESCRIPTORS,
-          nodeArguments: HEAP_ARGUMENTS,
         },
       });
       await waitUntil(
