fix(gateway): no duty, registration or lease before the address for datagrams is there

While a process before this one still has the addresses, it may have duties in the name of the same instance. The wait for addresses had moved behind the registration and the duties, so that two processes could act under one name; the address for datagrams is bound first again, as before the starts waited. Readiness and metrics are opened after the address for callers, which they could take if the settings name one address twice.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -178,6 +178,19 @@
     },
     status: () => ({isStopping, hasSeenDutyHeld: usage?.isDutyHeld() ?? false}),
   });
+  const addresses = createAddressOpener({
+    logger,
+    limitMs: options.addressWaitLimitMs ?? 0,
+    signal: options.startSignal,
+  });
+  try {
+    // Opened first: while a process before this one has the address, it may also have
+    // duties in the name of this instance.
+    await link.open(addresses);
+  } catch (error) {
+    link.close();
+    throw error;
+  }
   const configLimitMs = Math.min(
     options.keyWithdrawalLimitMs,
     options.zoneOutOfServiceLimitMs ?? DEFAULT_ZONE_OUT_OF_SERVICE_LIMIT_MS,
@@ -557,16 +570,11 @@
     context.connections.close();
     logger.info('process_stopped', {instance});
   };
-  const addresses = createAddressOpener({
-    logger,
-    limitMs: options.addressWaitLimitMs ?? 0,
-    signal: options.startSignal,
-  });
-  openInBackground(textServers, logger, closing.signal);
   try {
-    await Promise.all([link.open(addresses), peerServer.open(addresses)]);
+    await peerServer.open(addresses);
     // Opened last, since serving requests needs all other parts.
     await listener.open(addresses);
+    openInBackground(textServers, logger, closing.signal);
   } catch (error) {
     void registry.deregister();
     await Promise.race([close(), sleep(LAST_WRITE_TIMEOUT_MS)]);
