fix(gateway): callers keep half of the descriptors of a process that has few

What callers would see: with 328 descriptors or fewer a gateway accepted one connection at a time, as that many were set aside for other purposes. Half of them are for callers now.

Evidence: heap_budget_test fails without the change (1 instead of 60).

--- a/daemons/gateway/src/memory/heap_budget.ts
+++ b/daemons/gateway/src/memory/heap_budget.ts
@@ -33,6 +33,9 @@
 /** Descriptors that are not for callers: files, upstreams, peers and the store. */
 const OTHER_DESCRIPTORS = 328;
 
+/** Share of the descriptors that callers have at least, also where there are few. */
+const MIN_CALLER_SHARE = 0.5;
+
 /** Steps that keep the heap within its limit, in the order in which they are taken. */
 export const HEAP_STEPS = [
   'none',
@@ -102,7 +105,10 @@
     maxConnections: Math.max(
       1,
       Math.min(
-        maxDescriptors - OTHER_DESCRIPTORS,
+        Math.max(
+          maxDescriptors - OTHER_DESCRIPTORS,
+          Math.floor(MIN_CALLER_SHARE * maxDescriptors),
+        ),
         Math.floor(limitBytes / CONNECTION_BYTES),
       ),
     ),
--- a/daemons/gateway/test/heap_budget_test.ts
+++ b/daemons/gateway/test/heap_budget_test.ts
@@ -93,6 +93,14 @@
     expect(budget.maxConnections < 3_700).toEqual(true);
   });
 
+  it('leaves callers half of the descriptors where there are few', () => {
+    const budget = createHeapBudget({
+      heapLimitBytes: 100_663_296,
+      maxDescriptors: 120,
+    });
+    expect(budget.maxConnections).toEqual(60);
+  });
+
   it('has no limit of connections without limits', () => {
     const budget = createHeapBudget({heapLimitBytes: Infinity});
     expect(budget.maxConnections).toEqual(Infinity);
