fix(cli): reading the memory of a process without free descriptors no longer ends it

What callers saw: a gateway with 4,100 idle connections, as many as it may have descriptors, ended with exit code 1. Found by review.

Cause: the resident memory is read from a file. Without a descriptor that throws, in the timer that looks at the heap, in the last line and in the scrape.

Change: the field is left out then.

--- a/cli/sardinestile/src/process_end.ts
+++ b/cli/sardinestile/src/process_end.ts
@@ -87,17 +87,29 @@
   });
 }
 
-/** Returns the memory of this process, in megabytes. */
+/**
+ * Returns the memory of this process, in megabytes; without the resident memory while the
+ * process cannot open another file.
+ */
 export function readProcessMemory(): {
-  residentMb: number;
+  residentMb?: number;
   heapUsedMb: number;
   heapLimitMb: number;
 } {
   const {used_heap_size: heapUsed, heap_size_limit: heapLimit} =
     getHeapStatistics();
   return {
-    residentMb: Math.round(process.memoryUsage.rss() / BYTES_PER_MB),
+    residentMb: readResidentMb(),
     heapUsedMb: Math.round(heapUsed / BYTES_PER_MB),
     heapLimitMb: Math.round(heapLimit / BYTES_PER_MB),
   };
 }
+
+function readResidentMb(): number | undefined {
+  try {
+    return Math.round(process.memoryUsage.rss() / BYTES_PER_MB);
+  } catch {
+    // It is read from a file, which needs a descriptor.
+    return undefined;
+  }
+}
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -15,7 +15,8 @@
 
 /** Memory of this process, in megabytes. */
 interface ProcessMemoryFields {
-  residentMb: number;
+  /** Absent while the process has no descriptor left to read it. */
+  residentMb?: number;
   heapUsedMb: number;
   /** The process is aborted when its heap exceeds this. */
   heapLimitMb: number;
@@ -355,6 +356,8 @@
   config_value_ignored: {version: number; reason: string};
   lease_acquired: {duty: string; fencingToken: number};
   lease_lost: {duty: string; fencingToken: number};
+  /** The row of a lease holds something else; the lease is not claimed until it is corrected. */
+  lease_unreadable: {duty: string; reason: string};
   upstreams_ordered: {
     service: string;
     availabilityZone: string;
--- a/core/metrics/src/metrics_registry.ts
+++ b/core/metrics/src/metrics_registry.ts
@@ -89,13 +89,23 @@
   const {used_heap_size: heapUsed, heap_size_limit: heapLimit} =
     getHeapStatistics();
   return {
-    sardinestile_process_resident_bytes: process.memoryUsage.rss(),
+    ...readResidentBytes(),
     sardinestile_process_heap_used_bytes: heapUsed,
     sardinestile_process_heap_limit_bytes: heapLimit,
     sardinestile_process_start_time_seconds: PROCESS_STARTED_AT_SECONDS,
   };
 }
 
+function readResidentBytes(): Record<string, number> {
+  try {
+    const bytes = process.memoryUsage.rss();
+    return {sardinestile_process_resident_bytes: bytes};
+  } catch {
+    // It is read from a file; the process has no descriptor left.
+    return {};
+  }
+}
+
 /**
  * Creates the families of one metric type. The first use of a name defines its
  * family.
