fix(lease,gateway): an unreadable row of the store no longer ends every gateway

What callers saw: all gateways end with exit code 1 within 4 s of each start while the row of a lease holds something else, and none finds its peers while the row of a gateway does. What would write such a row is not known.

Cause: the row was parsed where a failed read is no longer caught, in a promise that nobody awaits; and one row that is no JSON failed the reading of all.

Change: an unreadable lease counts as not read and is logged (lease_unreadable); it is not claimed, as the fencing token that the row held is not known. Each row of a gateway is decoded by itself.

--- a/daemons/duties/src/lease_options.ts
+++ b/daemons/duties/src/lease_options.ts
@@ -21,6 +21,8 @@
     durationMs: LEASE_DURATION_MS,
     operationTimeoutMs: OPERATION_TIMEOUT_MS,
     nextWriterToken: () => randomUUID(),
+    onUnreadable: (reason: string) =>
+      logger.warn('lease_unreadable', {duty, reason}),
     onAcquired: (fencingToken: number) =>
       logger.info('lease_acquired', {duty, fencingToken}),
     onLost: (fencingToken: number) =>
--- a/daemons/gateway/src/shared/peer_registry.ts
+++ b/daemons/gateway/src/shared/peer_registry.ts
@@ -112,7 +112,7 @@
     );
     const gateways: RegisteredGateway[] = [];
     for (const row of rows) {
-      const decoded = rowSchema.safeParse(JSON.parse(row.value));
+      const decoded = rowSchema.safeParse(parseJson(row.value));
       if (!decoded.success) {
         logger.warn('peer_link_failed', {
           reason: `row ${row.key} does not match the schema`,
@@ -203,3 +203,13 @@
   const {committed} = await table.transact([write]);
   return committed ? value : readFleetId(table, knownId);
 }
+
+/** Returns a JSON value, or undefined if the text is none. */
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // The caller logs a row that has no valid value.
+    return undefined;
+  }
+}
--- a/state/lease/src/run_lease.ts
+++ b/state/lease/src/run_lease.ts
@@ -1,5 +1,6 @@
 import {
   NO_RESTORES,
+  type Row,
   type StoreRestores,
   type TableService,
 } from '@sardinestile/ports';
@@ -34,6 +35,8 @@
   checkIntervalMs?: number;
   /** Restores of the store behind the table; none by default. */
   restores?: StoreRestores;
+  /** Called for each read of a row that is no lease; the lease is not claimed then. */
+  onUnreadable?: (reason: string) => void;
   onAcquired: (fencingToken: number) => void;
   onLost: (fencingToken: number) => void;
 }
@@ -92,16 +95,22 @@
   const isHeld = () =>
     heldToken !== undefined ||
     clock.monotonicMs() - versionChangedAtMs < options.durationMs;
+  /** The fencing token that a row held before it became unreadable is not known. */
+  const readRow = (row: Row | undefined): LeaseEvent => {
+    recordVersion(row?.version);
+    try {
+      return {kind: 'read', lease: row && parseRow(row)};
+    } catch (error) {
+      options.onUnreadable?.((error as Error).message);
+      return {kind: 'readFailed'};
+    }
+  };
   const perform = async (command: LeaseCommand) => {
     if (command.kind === 'read') {
       handleEvent(
-        await table.get(key).then(
-          row => {
-            recordVersion(row?.version);
-            return {kind: 'read' as const, lease: row && parseRow(row)};
-          },
-          () => ({kind: 'readFailed' as const}),
-        ),
+        await table.get(key).then(readRow, () => ({
+          kind: 'readFailed' as const,
+        })),
       );
       return;
     }
@@ -136,7 +145,7 @@
   };
 }
 
-function parseRow(row: {value: string; version: number}): StoredLease {
+function parseRow(row: Row): StoredLease {
   return {
     row: leaseRowSchema.parse(JSON.parse(row.value)),
     version: row.version,
