fix(gateway): bound connections and headers at the ports for peers, readiness and metrics

What callers saw: 3,000 connections that each send 13 KB of unfinished headers to one of these ports ended the process with SIGABRT after 2 s. Found by review.

Cause: only the port for callers had a limit.

Change: 512 connections of peers and 100 each for readiness and metrics, headers of 4 and 8 KB, 5 s to send them. More connections are closed unread.

Evidence: real processes with the heap of the deploy file.

--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -82,6 +82,15 @@
   }
 }
 
+/** Connections of balancers and scrapers; more are closed unread. */
+const MAX_CONNECTIONS = 100;
+
+/** Largest size of a request's headers, in bytes. */
+const MAX_HEADER_BYTES = 8_192;
+
+/** Time limit for receiving the headers of a request, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 5_000;
+
 interface TextServerOptions {
   purpose: AddressPurpose;
   address: ListenAddress;
@@ -99,7 +108,13 @@
     });
     response.end(text);
   };
-  const server = createServer(MANAGED_SERVER_OPTIONS);
+  const server = createServer({
+    ...MANAGED_SERVER_OPTIONS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    connectionsCheckingInterval: HEADERS_TIMEOUT_MS,
+  });
+  server.maxConnections = MAX_CONNECTIONS;
   const connections = manageConnections(server, {
     handler: (_request, response) => respond(response),
     boundary,
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -30,6 +30,15 @@
   type UpstreamChanges,
 } from './peer_messages.js';
 
+/** Connections of other gateways, which keep few each; more are closed unread. */
+const MAX_CONNECTIONS = 512;
+
+/** Largest size of a request's headers, in bytes. */
+const MAX_HEADER_BYTES = 4_096;
+
+/** Time limit for receiving the headers of a request, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 5_000;
+
 /** Limit of a request body. */
 const MAX_MESSAGE_BYTES = 1_048_576;
 
@@ -134,7 +143,13 @@
     },
   };
   let isClosing = false;
-  const server = createServer(MANAGED_SERVER_OPTIONS);
+  const server = createServer({
+    ...MANAGED_SERVER_OPTIONS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    connectionsCheckingInterval: HEADERS_TIMEOUT_MS,
+  });
+  server.maxConnections = MAX_CONNECTIONS;
   const connections = manageConnections(server, {
     async handler(request, response) {
       if (isClosing) {
