fix(entry,agent): open the address for callers or sessions last

What callers saw: an entry answered callers while its start waited for another address, and cut them off when the start was abandoned.

--- a/daemons/agent/src/agent.ts
+++ b/daemons/agent/src/agent.ts
@@ -146,28 +146,27 @@
     limitMs: options.addressWaitLimitMs,
     signal: options.startSignal,
   });
-  const [server, ops] = await Promise.all([
-    startSessionServer({
-      host: options.host,
-      port: options.port,
-      boundary,
-      accept: acceptSession,
-      heartbeat,
-      pullConfig: since =>
-        encodeConfigUpdate(replica.createUpdateSince(since)) as ConfigPush,
-      addresses,
-    }),
-    startOpsServer({
-      host: options.host,
-      port: options.opsPort,
-      adminKey: options.adminKey,
-      metrics,
-      boundary,
-      isReady: () => replica.version > 0 && !admissionController.isDraining,
-      dumpState,
-      addresses,
-    }),
-  ]);
+  const ops = await startOpsServer({
+    host: options.host,
+    port: options.opsPort,
+    adminKey: options.adminKey,
+    metrics,
+    boundary,
+    isReady: () => replica.version > 0 && !admissionController.isDraining,
+    dumpState,
+    addresses,
+  });
+  // Opened last: a start that ends while it waits drops what it has taken.
+  const server = await startSessionServer({
+    host: options.host,
+    port: options.port,
+    boundary,
+    accept: acceptSession,
+    heartbeat,
+    pullConfig: since =>
+      encodeConfigUpdate(replica.createUpdateSince(since)) as ConfigPush,
+    addresses,
+  });
   const address = `${options.host}:${server.port}`;
   const opsAddress = `${options.host}:${ops.port}`;
   logger.info('process_started', {
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -105,15 +105,7 @@
     limitMs: options.addressWaitLimitMs,
     signal: options.startSignal,
   });
-  const [callerServer, peerServer, opsServer] = await Promise.all([
-    startHttpServer({
-      app: createCallerApi(context),
-      host,
-      port: options.port,
-      addresses,
-      boundary,
-      input: 'callerRequest',
-    }),
+  const [peerServer, opsServer] = await Promise.all([
     startSessionServer({
       host,
       port: options.peerPort,
@@ -125,6 +117,15 @@
     }),
     startEntryOpsServer(options, components, addresses, () => isShuttingDown),
   ]);
+  // Opened last: a start that ends while it waits drops what it has taken.
+  const callerServer = await startHttpServer({
+    app: createCallerApi(context),
+    host,
+    port: options.port,
+    addresses,
+    boundary,
+    input: 'callerRequest',
+  });
   logger.info('process_started', {
     role: 'entry',
     instance,
