test(soak): report uncaught errors in a drain, and ends by signals after the first line

A process that had written a line was excused when a signal ended it within a second of its start, and an uncaught error during a stop was not looked for. Found by review.

--- a/testing/soak/src/check_processes.ts
+++ b/testing/soak/src/check_processes.ts
@@ -2,7 +2,8 @@
 import type {GatewayProcess} from './gateway_process.js';
 
 /** Lines that a sound process never writes. */
-const FAULT_LINE = /event=input_failed|cause=(uncaught|unhandled)/;
+const FAULT_LINE =
+  /event=(input_failed|uncaught_error)|cause=(uncaught|unhandled)/;
 
 /** Errors that `throw_on_signal.mjs` throws, as a fault of the soak. */
 const INJECTED_ERROR = /thrown in a timer|rejected by nobody/;
--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -164,6 +164,8 @@
         stdio: ['ignore', 'pipe', 'pipe'],
       },
     );
+    let hasRun = false;
+    child.stdout!.once('data', () => (hasRun = true));
     child.stdout!.pipe(log, {end: false});
     child.stderr!.pipe(log, {end: false});
     child.once('exit', (code, signal) => {
@@ -174,7 +176,7 @@
         (code === 1 && hasThrown) ||
         (signal !== null &&
           sent.has(signal) &&
-          (signal === 'SIGKILL' || uptimeMs < RUNTIME_START_MS));
+          (signal === 'SIGKILL' || (!hasRun && uptimeMs < RUNTIME_START_MS)));
       if (!isExpected && !isEnding) {
         unexpectedExits.push(
           `${name} ended by itself after ${Math.round(uptimeMs)} ms: ${signal ?? code}`,
