--- a/daemons/gateway/src/memory/heap_budget.ts
+++ b/daemons/gateway/src/memory/heap_budget.ts
@@ -6,13 +6,13 @@
 /** Share of the heap's limit that may be in use; the rest is for garbage. */
 const USABLE_SHARE = 0.75;
 
-/** Heap of a connection that carries no request; 4.9 KB were measured. */
+/** Heap of a connection that carries no request. */
 const CONNECTION_BYTES = 5_120;
 
-/** Heap of a request with few headers, its response and its call; 10 KB were measured. */
+/** Heap of a request with few headers, its response and its call. */
 const REQUEST_BYTES = 12_288;
 
-/** Heap of a header field beside its text; 114 bytes were measured. */
+/** Heap of a header field beside its text. */
 const HEADER_FIELD_BYTES = 128;
 
 /** Heap of a byte of the text of headers, of which names are held twice. */
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -1,8 +1,8 @@
-import {createServer, type ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {
+  createBoundedServer,
   createAddressOpener,
   drainServer,
-  MANAGED_SERVER_OPTIONS,
   manageConnections,
   type AddressOpener,
   type AddressPurpose,
@@ -88,9 +88,6 @@
 /** Largest size of a request's headers, in bytes. */
 const MAX_HEADER_BYTES = 8_192;
 
-/** Time limit for receiving the headers of a request, in milliseconds. */
-const HEADERS_TIMEOUT_MS = 5_000;
-
 interface TextServerOptions {
   purpose: AddressPurpose;
   address: ListenAddress;
@@ -108,13 +105,10 @@
     });
     response.end(text);
   };
-  const server = createServer({
-    ...MANAGED_SERVER_OPTIONS,
-    maxHeaderSize: MAX_HEADER_BYTES,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    connectionsCheckingInterval: HEADERS_TIMEOUT_MS,
+  const server = createBoundedServer({
+    maxConnections: MAX_CONNECTIONS,
+    maxHeaderBytes: MAX_HEADER_BYTES,
   });
-  server.maxConnections = MAX_CONNECTIONS;
   const connections = manageConnections(server, {
     handler: (_request, response) => respond(response),
     boundary,
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -1,11 +1,7 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
-import {
+  createBoundedServer,
   drainServer,
-  MANAGED_SERVER_OPTIONS,
   manageConnections,
   type AddressOpener,
   type InputBoundary,
@@ -36,9 +32,6 @@
 /** Largest size of a request's headers, in bytes. */
 const MAX_HEADER_BYTES = 4_096;
 
-/** Time limit for receiving the headers of a request, in milliseconds. */
-const HEADERS_TIMEOUT_MS = 5_000;
-
 /** Limit of a request body. */
 const MAX_MESSAGE_BYTES = 1_048_576;
 
@@ -143,13 +136,10 @@
     },
   };
   let isClosing = false;
-  const server = createServer({
-    ...MANAGED_SERVER_OPTIONS,
-    maxHeaderSize: MAX_HEADER_BYTES,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    connectionsCheckingInterval: HEADERS_TIMEOUT_MS,
+  const server = createBoundedServer({
+    maxConnections: MAX_CONNECTIONS,
+    maxHeaderBytes: MAX_HEADER_BYTES,
   });
-  server.maxConnections = MAX_CONNECTIONS;
   const connections = manageConnections(server, {
     async handler(request, response) {
       if (isClosing) {
