test(soak): the hostile clients' memory check collects garbage again

Cause: the processes were started without the module that collects their garbage since the arguments of the deploy file were used for all of them; tests are not type-checked, so that an option that no longer exists passed unnoticed. The check compared heaps that included garbage.

--- a/testing/soak/src/gateway_process.ts
+++ b/testing/soak/src/gateway_process.ts
@@ -64,6 +64,8 @@
   storePort: number;
   dutyInterfacePort: number;
   limits?: ProcessLimits;
+  /** URLs of modules that are loaded before the gateway. */
+  preload?: readonly string[];
   /** Environment variables added to those of this process. */
   environment?: Readonly<Record<string, string>>;
 }
@@ -109,7 +111,7 @@
 export function startGatewayProcess(
   options: GatewayProcessOptions,
 ): GatewayProcess {
-  const {index, directory, network} = options;
+  const {index, directory, network, preload = []} = options;
   const name = `front-${index}`;
   const host = `127.0.${network}.${index}`;
   const settingsPath = join(directory, `${name}.toml`);
@@ -152,6 +154,7 @@
       [
         `--import=${CLOCK_STEPS_MODULE}`,
         `--import=${THROW_MODULE}`,
+        ...preload.map(url => `--import=${url}`),
         ...GATEWAY_ARGUMENTS,
       ],
       {
--- a/testing/soak/test/hostile_clients_test.ts
+++ b/testing/soak/test/hostile_clients_test.ts
@@ -34,11 +34,6 @@
 const LIMITS: ProcessLimits = {
   memoryMb: 350,
   descriptors: 1_000,
-  nodeArguments: [
-    '--max-old-space-size=90',
-    '--max-semi-space-size=2',
-    `--import=${COLLECT_GARBAGE_MODULE}`,
-  ],
 };
 
 /** Seeds that run in CI; HOSTILE_SEEDS, such as `1-20`, replaces them for runs by hand. */
@@ -98,6 +93,7 @@
           storePort: store.port,
           dutyInterfacePort: cluster.duties.listener.port,
           limits: LIMITS,
+          preload: [COLLECT_GARBAGE_MODULE],
         }),
       );
     }
