fix(connections): answer what was taken before a caller sent too many requests

Callers that sent more than 40 requests on a connection without waiting lost the connection with the request that was being served, which may have run, and with the eight that waited.

Cause: more than 32 dropped requests (more than one while memory is short) destroyed the connection at once, since node:http keeps all requests of one read until the connection ends. Its parser is stopped anyway by then, so that nothing more is kept: the destruction only cut off the requests that were taken.

Change: the parser is stopped, the requests that were taken are served, the last of them announces the end, and the connection ends as after any announced end; `overrun` names it as before. It is destroyed as before only if a request arrives although the parser was stopped.

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -14,7 +14,7 @@
 /** Requests that may wait on a connection for the responses to those before them. */
 const MAX_WAITING_REQUESTS = 8;
 
-/** Requests that may be dropped on a connection before it is closed. */
+/** Requests that may be dropped on a connection before its parser is stopped. */
 const MAX_DROPPED_REQUESTS = 32;
 
 /** How a connection serves a request. */
@@ -85,6 +85,7 @@
   const releaseDropped: Array<() => void> = [];
   /** Whether no more requests are taken, as the newest one taken announces the end. */
   let isLineClosed = false;
+  let isOverrun = false;
   let isExpired = false;
   let reason: ConnectionEndReason | undefined;
   let isDrainLimitPassed = false;
@@ -138,7 +139,7 @@
   /**
    * Drops a request and all that follows. Reading goes on, so that a peer that leaves is
    * noticed, but without the parser, which keeps each request until the connection ends. Those
-   * that had arrived with it are parsed nonetheless; the connection is closed if they are many.
+   * that had arrived with it are parsed nonetheless, until they are too many to be kept.
    */
   const drop = (request: IncomingMessage, isMemoryShort: boolean) => {
     if (socket.destroyed) return;
@@ -146,12 +147,15 @@
     request.headers = {};
     request.rawHeaders = [];
     releaseDropped.push(onTaken(request));
+    if (isOverrun) {
+      // The parser was not stopped.
+      socket.destroy();
+      return;
+    }
     const limit = isMemoryShort ? 1 : MAX_DROPPED_REQUESTS;
     if (releaseDropped.length > limit) {
-      reason = 'overrun';
+      isOverrun = true;
       stopParsing(socket);
-      socket.destroy();
-      return;
     }
     request.resume();
     socket.removeAllListeners('data');
@@ -185,6 +189,10 @@
     const next = waiting.shift();
     if (next && !socket.destroyed) next.serve(next.response.req, next.response);
   };
+  const findReason = () => {
+    if (reason === 'answered' && isOverrun) return 'overrun';
+    return reason ?? (isDrainLimitPassed ? 'drainLimit' : 'other');
+  };
   // node:http calls this after a response that announced the end. Its own way closes the
   // connection at once, and bytes that the peer still sends would then reset it before
   // the peer has read its response.
@@ -241,7 +249,7 @@
     },
     close() {
       const held: ConnectionEnd = {
-        reason: reason ?? (isDrainLimitPassed ? 'drainLimit' : 'other'),
+        reason: findReason(),
         peer,
         openRequests: [...responses.keys()].map(({req}) => req),
         isResponseCut: [...responses.keys()].some(r => r.headersSent),
@@ -262,8 +270,7 @@
 
 /**
  * Keeps the parser of a connection from making more requests of what it has read: node:http
- * holds them until the connection has closed, which is after all other connections were read.
- * It has no documented way to stop its parser; where this one has no effect, they are held.
+ * holds them until the connection has closed. It has no documented way to stop its parser.
  */
 function stopParsing(socket: Socket & {parser?: {onIncoming?: unknown}}): void {
   if (socket.parser) socket.parser.onIncoming = () => STOP_PARSING;
--- a/core/connections/src/connection_end.ts
+++ b/core/connections/src/connection_end.ts
@@ -8,7 +8,7 @@
   | 'idle'
   /** The server stopped waiting for it. */
   | 'drainLimit'
-  /** The peer sent more requests than may wait, and many more with them. */
+  /** As `answered`, after the peer sent many more requests than may wait. */
   | 'overrun'
   /** The peer closed or reset it, or a time limit of the server passed. */
   | 'other';
