fix(connections): run nothing that node:http misreads behind a request that asks for an upgrade

Of requests sent without waiting, one with `Connection: upgrade` left the next one unanswered on a connection that stayed open. If the next one arrived in parts, its rest was parsed as the start of a request: the caller got 400 before the response, or a request that its body held was served.

Cause: without a listener for upgrades, node:http serves such a request as any other, but its parser stops behind it, the rest of the bytes that were read with it is lost, and the next bytes start a new request.

Change: the response to such a request announces the end, and nothing behind it is parsed or served, unless its size shows that no byte came with it. So callers that wait for their response keep the connection, also with a body that arrives in parts. The size is known with a Content-Length and one space after each colon; otherwise the end is announced. `announceEnd` of a connection was the same as `expire` to its server and is gone.

Ruled out: a listener for upgrades (the bytes would have to be parsed again while earlier responses are open).

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -1,6 +1,8 @@
 import type {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ConnectionEnd, ConnectionEndReason} from './connection_end.js';
+import {bodyBytes, messageBytes} from './message_size.js';
+import {skipInput, stopParsing} from './stop_parsing.js';
 
 /** Time for which a peer may read its last response and close, in milliseconds. */
 const LINGER_MS = 1_000;
@@ -55,8 +57,6 @@
     response: ServerResponse,
     options: ReceiveOptions,
   ): void;
-  /** Lets the newest response that has not begun announce the end. */
-  announceEnd(): void;
   /** Lets the newest response from now on announce the end. */
   expire(): void;
   /** Ends it without reading on, unless something is open or arriving on it. */
@@ -158,14 +158,8 @@
       stopParsing(socket);
     }
     request.resume();
-    socket.removeAllListeners('data');
-    socket.on('data', () => undefined);
-    socket.resume();
+    skipInput(socket);
   };
-  const bodyBytes = ({headers}: IncomingMessage) =>
-    headers['transfer-encoding'] === undefined
-      ? Number(headers['content-length'] ?? 0)
-      : Infinity;
   /**
    * Whether a request can wait. Node.js stops reading a connection while a body that nobody
    * reads exceeds its buffer, and would not notice that the peer left.
@@ -185,6 +179,31 @@
     announceEnd();
     isLineClosed = ![...responses.keys()].at(-1)?.shouldKeepAlive;
   };
+  /**
+   * Takes no more requests behind one that asks for an upgrade: node:http loses what it has
+   * read behind it, and takes what follows for a request. Goes on if nothing came with it, as
+   * its end among the bytes that were read tells.
+   */
+  const closeLineAfterUpgrade = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    endBytes: number,
+  ) => {
+    announceEnd();
+    isLineClosed = true;
+    if (bodyBytes(request) === 0) skipInput(socket);
+    else {
+      request.once('end', () => {
+        if (socket.bytesRead !== endBytes) skipInput(socket);
+        else if (!response.headersSent && releaseDropped.length === 0) {
+          isLineClosed = false;
+          if (isExpired || announcer !== response) return;
+          announcer = undefined;
+          response.shouldKeepAlive = true;
+        }
+      });
+    }
+  };
   const serveNext = () => {
     const next = waiting.shift();
     if (next && !socket.destroyed) next.serve(next.response.req, next.response);
@@ -215,6 +234,7 @@
       }
       if (announcer) announcer.shouldKeepAlive = true;
       announcer = undefined;
+      const endBytes = bytesReadAtLastUse + messageBytes(request);
       recordUse();
       responses.set(response, onTaken(request));
       // node:http may end such a connection without a change of shouldKeepAlive.
@@ -225,11 +245,15 @@
         recordUse();
         serveNext();
       });
-      if (announcesEnd || isExpired) announceEnd();
+      if (announcesEnd) isExpired = true;
+      if (isExpired) announceEnd();
+      const isAlone = isFirst && socket.bytesRead === endBytes;
+      if (request.headers.upgrade !== undefined && !isAlone) {
+        closeLineAfterUpgrade(request, response, endBytes);
+      }
       if (isFirst) serve(request, response);
       else waiting.push({response, serve});
     },
-    announceEnd,
     expire() {
       isExpired = true;
       announceEnd();
@@ -264,14 +288,3 @@
     },
   };
 }
-
-/** Result by which the handler of parsed headers tells the parser to stop. */
-const STOP_PARSING = 2;
-
-/**
- * Keeps the parser of a connection from making more requests of what it has read: node:http
- * holds them until the connection has closed. It has no documented way to stop its parser.
- */
-function stopParsing(socket: Socket & {parser?: {onIncoming?: unknown}}): void {
-  if (socket.parser) socket.parser.onIncoming = () => STOP_PARSING;
-}
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -167,7 +167,7 @@
     },
     disableKeepAlive() {
       isKeepAliveDisabled = true;
-      all().forEach(connection => connection.announceEnd());
+      all().forEach(connection => connection.expire());
     },
     expireOpen: () => all().forEach(connection => connection.expire()),
     endIdle: () => all().forEach(connection => connection.endIfIdle()),
