fix(gateway): equal addresses in the settings end a start at once

Cause: the addresses are opened one by one, and one that is taken is waited for, whoever has it.

Change: after the settings are read, the start fails with SETTINGS_INVALID and exit code 2, and names both settings and the address; `sardinestile settings check` says the same. Not for the port of metrics, which follows from the port range and is needed for nothing: the gateway serves without them, as before. Not at a reload, as addresses need a restart.

Evidence: process_start_test, three pairs; before, each process was still running after the limit (exit code undefined instead of 2).

--- a/cli/sardinestile/src/commands/settings_command.ts
+++ b/cli/sardinestile/src/commands/settings_command.ts
@@ -1,5 +1,5 @@
 import {readFile} from 'node:fs/promises';
-import {parseSettings} from '@sardinestile/adapter_platform';
+import {checkOwnAddresses, parseSettings} from '@sardinestile/adapter_platform';
 import {command, positional, string, subcommands} from 'cmd-ts';
 
 const checkCommand = command({
@@ -7,7 +7,7 @@
   description: 'Validate the settings file of a gateway without starting it.',
   args: {file: positional({type: string, displayName: 'file'})},
   handler: async ({file}) => {
-    parseSettings(await readFile(file, 'utf8'), file);
+    checkOwnAddresses(parseSettings(await readFile(file, 'utf8'), file), file);
     process.stdout.write(`${file}: no findings\n`);
   },
 });
--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -1,4 +1,5 @@
 import {
+  checkOwnAddresses,
   createConfigurationFeed,
   createDutyCalls,
   createPromptCacheReader,
@@ -96,6 +97,8 @@
     limitMs: SETTINGS_WAIT_LIMIT_MS,
     signal: stopSignal,
   });
+  // The process would wait for an address that it has itself.
+  checkOwnAddresses(settings, path);
   const metrics = createMetricsRegistry();
   const store = createStoreClient(
     settings.store.address,
--- a/testing/hosting/test/process_start_test.ts
+++ b/testing/hosting/test/process_start_test.ts
@@ -29,6 +29,9 @@
 /** Time within which a process that was asked to stop ends, in milliseconds. */
 const STOP_LIMIT_MS = 2_000;
 
+/** Time within which a process that cannot start ends; it waits longer for what may come, in milliseconds. */
+const FAILED_START_LIMIT_MS = 5_000;
+
 type Release = () => Promise<unknown>;
 
 /** Listens on an address over TCP, like the process that had it before. */
@@ -75,6 +78,27 @@
   invalid: text => text.replace('18740', 'port'),
 };
 
+/** Settings that name one address twice, with the names of both. */
+const EQUAL_ADDRESSES: Readonly<
+  Record<string, {from: number; to: number; names: string[]}>
+> = {
+  'for callers and peers': {
+    from: PROCESS_PORTS.callers,
+    to: PROCESS_PORTS.peers,
+    names: ['listen.front', 'port_range'],
+  },
+  'for callers and readiness': {
+    from: PROCESS_PORTS.readiness,
+    to: PROCESS_PORTS.callers,
+    names: ['listen.front', 'listen.ready'],
+  },
+  'for readiness and peers': {
+    from: PROCESS_PORTS.readiness,
+    to: PROCESS_PORTS.peers,
+    names: ['listen.ready', 'port_range'],
+  },
+};
+
 describe('a gateway process that starts', () => {
   const state = createStoreState();
   let store: StandInListener;
@@ -114,9 +138,9 @@
       ...options,
     });
   };
-  const call = async () => {
+  const call = async (port: number = PROCESS_PORTS.callers) => {
     const {status} = await sendRawRequest({
-      address: `${host}:${PROCESS_PORTS.callers}`,
+      address: `${host}:${port}`,
       path: ROUTE_PATHS.open,
       host: ROUTE_HOST,
       headers: {'Request-Id': 'r1', 'Deadline-Ms': '4000'},
@@ -130,9 +154,9 @@
     releases.push(releaseOnce);
     return releaseOnce;
   };
-  const expectToServe = async () => {
+  const expectToServe = async (port?: number) => {
     await waitUntil('the gateway to be ready', () => gateway.isReady());
-    expect(await call()).toEqual(200);
+    expect(await call(port)).toEqual(200);
   };
   const logged = (event: string) =>
     gateway.lines.filter(line => line.includes(`event=${event} `));
@@ -188,6 +212,14 @@
     );
   });
 
+  it('serves callers at the port of the metrics, which then wait', async () => {
+    prepare({callerPort: PROCESS_PORTS.metrics});
+    gateway.start();
+    await expectToServe(PROCESS_PORTS.metrics);
+    const [line] = logged('address_waiting');
+    expect(line).toMatchRegex(/purpose=metrics/);
+  });
+
   it('ends in order at SIGTERM while it waits for an address', async () => {
     prepare();
     await hold(address => holdPort(address, PROCESS_PORTS.callers));
@@ -209,6 +241,22 @@
     });
   }
 
+  for (const [purposes, {from, to, names}] of Object.entries(EQUAL_ADDRESSES)) {
+    it(`ends at once when the addresses ${purposes} are equal, and names both`, async () => {
+      prepare();
+      gateway.writeSettings(gateway.settings.replace(`:${from}`, `:${to}`));
+      gateway.start();
+      const limit = sleep(FAILED_START_LIMIT_MS);
+      const code = await Promise.race([gateway.exited, limit]);
+      expect(code).toEqual(2);
+      const [line] = gateway.lines.filter(text =>
+        text.includes('code=SETTINGS_INVALID'),
+      );
+      expect(names.filter(name => !line?.includes(name))).toEqual([]);
+      expect(line).toMatchRegex(new RegExp(`${host}:${to}`));
+    });
+  }
+
   it('ends in order at SIGTERM while it waits for its settings', async () => {
     prepare();
     gateway.writeSettings('');
