fix(gateway): a request fails at once if handling the end of its upstream's response fails

A request whose upstream had answered waited until its deadline and got 504, without a line of the log, if the code that handles the end of the response threw. If the code that handles a lost connection threw, the process ended.

Cause: the client of upstreams (undici) turns what the handler of the end throws into an error of the request, which an attempt ignores once it has ended; what the handler of an error throws is caught by nobody.

Change: an attempt passes on what its last handler throws. The promise of the request rejects, the fleet model learns that the request is over at its upstream, and the input boundary logs it and answers 500 or breaks the response off. No outside input that makes these handlers throw is known.

--- a/daemons/gateway/src/calls/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -37,6 +37,8 @@
   onData(chunk: Buffer): void;
   onEnd(): void;
   onFailure(failure: AttemptFailure): void;
+  /** Called if `onEnd` or `onFailure` throws; the attempt is over. */
+  onError(error: unknown): void;
 }
 
 /** A request in progress. */
@@ -63,6 +65,14 @@
     isFinished = true;
     return true;
   };
+  /** The client would drop what the last handler throws, as the response has ended. */
+  const conclude = (handler: () => void) => {
+    try {
+      handler();
+    } catch (error) {
+      handlers.onError(error);
+    }
+  };
   connection.client.dispatch(
     {
       method: request.method as Dispatcher.HttpMethod,
@@ -91,16 +101,18 @@
         if (!finish()) return;
         if (connection.wasReset()) {
           const reason = 'the connection was reset during the response';
-          handlers.onFailure({
-            isSent,
-            isBlocked: false,
-            isConnectionLost: true,
-            reason,
-          });
+          conclude(() =>
+            handlers.onFailure({
+              isSent,
+              isBlocked: false,
+              isConnectionLost: true,
+              reason,
+            }),
+          );
           return;
         }
         connection.release();
-        handlers.onEnd();
+        conclude(() => handlers.onEnd());
       },
       onResponseError(_controller, error) {
         connection.destroy();
@@ -110,7 +122,9 @@
         );
         const reason = error.message;
         const isBlocked = blocker !== undefined;
-        handlers.onFailure({isSent, isBlocked, isConnectionLost, reason});
+        conclude(() =>
+          handlers.onFailure({isSent, isBlocked, isConnectionLost, reason}),
+        );
       },
     },
   );
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -22,6 +22,7 @@
 /**
  * Sends a call whose response is not a stream. Returns the complete response;
  * a successful one that exceeds the buffer is forwarded to the caller instead.
+ * Rejects if handling the end of the response fails.
  */
 export function relayResponse(
   context: GatewayContext,
@@ -29,7 +30,7 @@
   prepared: PreparedAttempt,
 ): Promise<AttemptOutcome> {
   const {headerCodec} = context;
-  return new Promise(resolve => {
+  return new Promise((resolve, reject) => {
     let status = 0;
     let headers: IncomingHttpHeaders = {};
     let chunks: Buffer[] = [];
@@ -38,10 +39,13 @@
     let timer: NodeJS.Timeout | undefined;
     let isSettled = false;
 
-    const settle = (outcome: AttemptOutcome) => {
+    const finish = () => {
       isSettled = true;
       clearTimeout(timer);
       call.onInterrupt = undefined;
+    };
+    const settle = (outcome: AttemptOutcome) => {
+      finish();
       resolve(outcome);
     };
     const forwardHeld = () => {
@@ -126,6 +130,10 @@
             : undefined;
           settle({kind: 'unknown', reason, lostConnection});
         },
+        onError(error) {
+          finish();
+          reject(error as Error);
+        },
       },
     );
     const readingPause = createReadingPause(
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -35,7 +35,8 @@
  * in order. The headers are sent to the caller with the first event, so that
  * another upstream can be tried until then. If the upstream's stream ends
  * early, the response to the caller stays unfinished, so that another attempt
- * can resume it where the route allows that.
+ * can resume it where the route allows that. Rejects if handling the end of the
+ * response fails.
  */
 export function relayStream(
   context: GatewayContext,
@@ -45,7 +46,7 @@
 ): Promise<AttemptOutcome> {
   const {headerCodec, clock} = context;
   const {response, route, output} = call;
-  return new Promise(resolve => {
+  return new Promise((resolve, reject) => {
     const splitter = createEventSplitter();
     let status = 0;
     let headers: IncomingHttpHeaders = {};
@@ -59,10 +60,13 @@
     let timer: NodeJS.Timeout | undefined;
     let isSettled = false;
 
-    const settle = (outcome: AttemptOutcome) => {
+    const finish = () => {
       isSettled = true;
       clearTimeout(timer);
       call.onInterrupt = undefined;
+    };
+    const settle = (outcome: AttemptOutcome) => {
+      finish();
       resolve(outcome);
     };
     const failAttempt = (reason: string) => {
@@ -213,6 +217,10 @@
             : undefined;
           settle({kind: 'unknown', reason, lostConnection});
         },
+        onError(error) {
+          finish();
+          reject(error as Error);
+        },
       },
     );
     const readingPause = createReadingPause(context, call, attempt, () => {
--- a/daemons/gateway/src/calls/run_attempt.ts
+++ b/daemons/gateway/src/calls/run_attempt.ts
@@ -47,9 +47,9 @@
   recordAttemptStart(context, call, prepared);
   let firstEventMs: number | undefined;
   let isHarmless = false;
-  const outcome =
+  const relay = () =>
     call.route.kind === 'stream'
-      ? await relayStream(context, call, prepared, {
+      ? relayStream(context, call, prepared, {
           onFirstEvent(nowMs) {
             firstEventMs = nowMs - startedAtMs;
             call.lastEventAtMs = nowMs;
@@ -65,7 +65,12 @@
             if (isHarmless) context.quarantine.recordAnswer(call.profile);
           },
         })
-      : await relayResponse(context, call, prepared);
+      : relayResponse(context, call, prepared);
+  const outcome = await relay().catch((error: unknown) => {
+    // Its response has ended or failed, so that the upstream no longer works on it.
+    reporter.recordEnd(upstreamId, requestId, undefined, clock.monotonicMs());
+    throw error;
+  });
   const endedAtMs = clock.monotonicMs();
   context.coldWatch.observe(outcome, placement.upstream);
   // While this process was paused, delays and lost connections were its own
--- a/daemons/gateway/test/send_blocker_test.ts
+++ b/daemons/gateway/test/send_blocker_test.ts
@@ -20,7 +20,7 @@
 
   /** Starts an attempt; `blocker` is read when the request is about to be sent. */
   const run = (blocker: {reason?: string}) =>
-    new Promise<AttemptFailure | 'ended'>(resolve => {
+    new Promise<AttemptFailure | 'ended'>((resolve, reject) => {
       const {port} = server.address() as AddressInfo;
       const pool = createConnectionPool(createSystemClock(), () => undefined);
       const connection = pool.acquire(`127.0.0.1:${port}`, 1, true)!;
@@ -39,6 +39,7 @@
           resolve('ended');
         },
         onFailure: resolve,
+        onError: reject,
       });
     });
 
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -92,7 +92,10 @@
   setZoneOutOfService(zone: string, isOutOfService: boolean): void;
   /** Writes the next version of the configuration and returns its number. */
   configure(change?: (config: StoredConfiguration) => void): number;
-  startGateway(clock?: Clock): Promise<TestGateway>;
+  startGateway(
+    clock?: Clock,
+    headerCodec?: typeof platformHeaderCodec,
+  ): Promise<TestGateway>;
   close(): Promise<void>;
 }
 
@@ -147,7 +150,10 @@
       store.putJson('op', 'config', config);
       return config.version;
     },
-    async startGateway(clock = createSystemClock()) {
+    async startGateway(
+      clock = createSystemClock(),
+      headerCodec = platformHeaderCodec,
+    ) {
       const testGateway = await startTestGateway(
         store,
         duties,
@@ -156,6 +162,7 @@
           instance: `front-${++startedGateways}`,
           isFirstStart: startedGateways === 1,
           clock,
+          headerCodec,
         },
       );
       gateways.push(testGateway);
@@ -176,13 +183,14 @@
   instance: string;
   isFirstStart: boolean;
   clock: Clock;
+  headerCodec: typeof platformHeaderCodec;
 }
 
 async function startTestGateway(
   state: StoreState,
   duties: DutyStandIn,
   limits: TestLimits,
-  {instance, isFirstStart, clock}: TestGatewayOptions,
+  {instance, isFirstStart, clock, headerCodec}: TestGatewayOptions,
 ): Promise<TestGateway> {
   const listener = await startStoreListener(state);
   const store = createStoreClient({host: '127.0.0.1', port: listener.port});
@@ -200,7 +208,7 @@
     readinessAddress: {host, port: readyPort},
     metricsAddress: {host, port: metricsPort},
     peerAddress: {host, port: peerPort},
-    headerCodec: platformHeaderCodec,
+    headerCodec,
     configuration: createConfigurationFeed(store),
     upstreams: createUpstreamFeed(store),
     storeRestores: store.restores,
