--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -234,7 +234,7 @@
       }
       if (announcer) announcer.shouldKeepAlive = true;
       announcer = undefined;
-      const endBytes = bytesReadAtLastUse + messageBytes(request);
+      const startBytes = bytesReadAtLastUse;
       recordUse();
       responses.set(response, onTaken(request));
       // node:http may end such a connection without a change of shouldKeepAlive.
@@ -247,9 +247,10 @@
       });
       if (announcesEnd) isExpired = true;
       if (isExpired) announceEnd();
-      const isAlone = isFirst && socket.bytesRead === endBytes;
-      if (request.headers.upgrade !== undefined && !isAlone) {
-        closeLineAfterUpgrade(request, response, endBytes);
+      if (request.headers.upgrade !== undefined) {
+        const endBytes = startBytes + messageBytes(request);
+        const isAlone = isFirst && socket.bytesRead === endBytes;
+        if (!isAlone) closeLineAfterUpgrade(request, response, endBytes);
       }
       if (isFirst) serve(request, response);
       else waiting.push({response, serve});
