test(soak): judge lost requests by when gateways had them, not by the soak's own delays

Cause: the soak's process is held up for 50 ms or more at a time, 22 of 29 s in one run. The link that delays every other kept connection ran in it. 26 reports were traced through every hop in five runs: 21 requests had waited in the link, which handed their last byte to the gateway at most 91 ms before it saw the end, or after it; 3 more were written 637 ms after their connection had opened, and their end was noticed late; of 2 the link's record was lost. By the gateways' lines nothing had been read on these connections when they were ended. Ruled out for the traced ones: a gateway that held a request that had arrived. Event loops of draining gateways were held up for at most 297 ms, the soak's freezes and starts aside.

Change: callers delay their connections themselves, so that the last byte counts as sent when the system has taken it for the gateway. The soak knows until when its event loop has reported everything, and a request that was not run is lost if its connection was then still open more than 200 ms after its last byte. Nothing else is judged differently; requests that ran are lost with any end, as before. Slow callers with a delay are slow for the gateway too, which the link hid.

--- a/testing/hosting/src/index.ts
+++ b/testing/hosting/src/index.ts
@@ -6,6 +6,7 @@
 export * from './hostile/run_hostile_clients.js';
 export * from './initial_configuration.js';
 export * from './kept_connection.js';
+export * from './loop_polls.js';
 export * from './raw_request.js';
 export * from './slow_caller.js';
 export * from './stepped_clock.js';
--- a/testing/hosting/src/kept_connection.ts
+++ b/testing/hosting/src/kept_connection.ts
@@ -1,5 +1,6 @@
 import {connect, type Socket} from 'node:net';
 import {HOST} from './initial_configuration.js';
+import type {LoopPolls} from './loop_polls.js';
 import {parseResponse, type RawResponse} from './raw_request.js';
 
 /** A request on a connection that stays open. */
@@ -14,6 +15,14 @@
   pauseMs?: number;
 }
 
+/** Options for openKeptConnection. */
+export interface KeptConnectionOptions {
+  /** Delay of bytes and closes in each direction, in milliseconds; none if absent. */
+  delayMs?: number;
+  /** Tells how late its end is noticed. */
+  loopPolls?: LoopPolls;
+}
+
 /** Connection of a caller that stays open between requests. */
 export interface KeptConnection {
   /** Whether the gateway has closed it. */
@@ -24,6 +33,11 @@
   readonly opened: Promise<boolean>;
   /** Time by performance.now() at which the last request was sent whole; undefined before. */
   readonly sentWholeAtMs: number | undefined;
+  /**
+   * Time by performance.now() at which the gateway had not closed it yet; it did so between
+   * then and `isClosed`. Undefined until it has, and without `loopPolls`.
+   */
+  readonly openUntilMs: number | undefined;
   /** Sends a request; resolves when its response is complete or the connection has ended. */
   send(request: KeptRequest): Promise<RawResponse>;
   /** Stops reading until `resume` is called. */
@@ -33,7 +47,10 @@
 }
 
 /** Opens a connection to an address of the form host:port. */
-export function openKeptConnection(address: string): KeptConnection {
+export function openKeptConnection(
+  address: string,
+  {delayMs = 0, loopPolls}: KeptConnectionOptions = {},
+): KeptConnection {
   const [host, port] = address.split(':');
   const socket: Socket = connect({
     host,
@@ -45,25 +62,37 @@
   let isClosed = false;
   let wasReset = false;
   let sentWholeAtMs: number | undefined;
+  let openUntilMs: number | undefined;
+  const later = (action: () => void) => {
+    if (delayMs === 0) action();
+    else setTimeout(action, delayMs);
+  };
   let notify: (() => void) | undefined;
   const opened = new Promise<boolean>(resolve => {
     socket.once('connect', () => resolve(true));
     socket.once('close', () => resolve(false));
   });
-  socket.on('data', (chunk: Buffer) => {
-    received = Buffer.concat([received, chunk]);
-    notify?.();
-  });
+  socket.on('data', (chunk: Buffer) =>
+    later(() => {
+      received = Buffer.concat([received, chunk]);
+      notify?.();
+    }),
+  );
   socket.on('error', (error: NodeJS.ErrnoException) => {
     wasReset ||= error.code === 'ECONNRESET' || error.code === 'EPIPE';
   });
   const onEnd = () => {
-    isClosed = true;
-    notify?.();
+    openUntilMs ??= loopPolls?.reportedUntilMs();
+    later(() => {
+      isClosed = true;
+      notify?.();
+    });
   };
   socket.on('end', onEnd);
   socket.on('close', onEnd);
-  const write = async (request: KeptRequest) => {
+  const write = (text: string, onWritten?: (error?: Error | null) => void) =>
+    later(() => socket.write(text, onWritten));
+  const sendWhole = async (request: KeptRequest) => {
     const {method = 'POST', path, headers, body = '', chunks} = request;
     const lines = [
       `${method} ${path} HTTP/1.1`,
@@ -77,15 +106,15 @@
       if (!error) sentWholeAtMs = performance.now();
     };
     const head = `${lines.join('\r\n')}\r\n\r\n`;
-    if (chunks) socket.write(head);
-    else socket.write(head + body, onWritten);
+    if (chunks) write(head);
+    else write(head + body, onWritten);
     for (const chunk of chunks ?? []) {
       await delay(request.pauseMs ?? 0);
-      socket.write(`${chunk.length.toString(16)}\r\n${chunk}\r\n`);
+      write(`${chunk.length.toString(16)}\r\n${chunk}\r\n`);
     }
     if (chunks) {
       await delay(request.pauseMs ?? 0);
-      socket.write('0\r\n\r\n', onWritten);
+      write('0\r\n\r\n', onWritten);
     }
   };
   return {
@@ -99,6 +128,9 @@
     get sentWholeAtMs() {
       return sentWholeAtMs;
     },
+    get openUntilMs() {
+      return openUntilMs;
+    },
     send(request) {
       received = Buffer.alloc(0);
       sentWholeAtMs = undefined;
@@ -110,12 +142,12 @@
           resolve({...response, wasReset});
         };
         if (isClosed) notify();
-        else void write(request);
+        else void sendWhole(request);
       });
     },
     pause: () => void socket.pause(),
     resume: () => void socket.resume(),
-    close: () => void socket.destroy(),
+    close: () => later(() => void socket.destroy()),
   };
 }
 
--- a/testing/soak/src/calls.ts
+++ b/testing/soak/src/calls.ts
@@ -89,16 +89,18 @@
   clearTimeout(timer);
   call.endedAtMs = performance.now();
   call.sentWholeAtMs = connection.sentWholeAtMs;
+  call.openUntilMs = connection.openUntilMs;
   // After a timeout there is no response to check.
   if (!call.hasTimedOut) call.response = response;
 }
 
 /** Sends a call on a connection of its own. */
 export async function sendSingleCall(
+  {loopPolls}: SoakContext,
   call: SoakCall,
   address: string,
 ): Promise<void> {
-  const connection = openKeptConnection(address);
+  const connection = openKeptConnection(address, {loopPolls});
   await sendCall(call, connection);
   connection.close();
 }
--- a/testing/soak/src/guarantees.ts
+++ b/testing/soak/src/guarantees.ts
@@ -35,6 +35,11 @@
   hasTimedOut?: boolean;
   /** Time by performance.now() at which the response ended or the call timed out. */
   endedAtMs?: number;
+  /**
+   * Time by performance.now() at which the gateway had not closed its connection yet;
+   * missing if it did not. The soak, busy itself, notices a close up to `endedAtMs`.
+   */
+  openUntilMs?: number;
 }
 
 /** Time by performance.now() at which the store acknowledged the revocation, by key. */
--- a/testing/soak/src/kept_callers.ts
+++ b/testing/soak/src/kept_callers.ts
@@ -1,6 +1,5 @@
 import {
   openKeptConnection,
-  startDelayedLink,
   type KeptConnection,
 } from '@sardinestile/hosting_tests';
 import {createSeededRandom} from '@sardinestile/types';
@@ -20,10 +19,10 @@
 const REFUSAL_DELAY_MS = 50;
 
 /**
- * Delay of the link of every other caller in each direction, in milliseconds. On it the
- * close of a connection and the next request on it cross.
+ * Delay of the connections of every other caller in each direction, in milliseconds. On
+ * them a close and the next request cross.
  */
-const LINK_DELAY_MS = 3;
+const CONNECTION_DELAY_MS = 3;
 
 /** One caller of so many waits between its requests, up to so many milliseconds. */
 const CALLERS_PER_THINKING = 3;
@@ -55,18 +54,15 @@
   calls: SoakCall[],
   endMs: number,
 ): Promise<void> {
-  const links = await Promise.all(
-    soak.gateways.map(({address}) => startDelayedLink(address, LINK_DELAY_MS)),
-  );
-  const callers = soak.gateways.flatMap((gateway, index) =>
+  const callers = soak.gateways.flatMap(gateway =>
     Array.from({length: keptCallers}, (_, number) => ({
       gateway,
       number,
-      address: number % 2 === 0 ? gateway.address : links[index].address,
+      delayMs: number % 2 === 0 ? 0 : CONNECTION_DELAY_MS,
     })),
   );
   await Promise.all(
-    callers.map(({gateway, number, address}, i) => {
+    callers.map(({gateway, number, delayMs}, i) => {
       const {next: random} = createSeededRandom(seed * 10_007 + i);
       const isThinking = number % CALLERS_PER_THINKING === 0;
       const kinds = number % CALLERS_PER_UNARY === 1 ? UNARY_KINDS : undefined;
@@ -74,7 +70,7 @@
         soak,
         calls,
         gateway,
-        address,
+        delayMs,
         random,
         isThinking,
         kinds,
@@ -82,15 +78,14 @@
       return runCaller(caller, endMs);
     }),
   );
-  links.forEach(link => link.close());
 }
 
 interface KeptCaller {
   soak: SoakContext;
   calls: SoakCall[];
   gateway: GatewayProcess;
-  /** Address of the gateway or of the link to it. */
-  address: string;
+  /** Delay of its connections in each direction, in milliseconds. */
+  delayMs: number;
   random: () => number;
   isThinking: boolean;
   /** Kinds of its requests; all if absent. */
@@ -98,16 +93,20 @@
 }
 
 async function runCaller(caller: KeptCaller, endMs: number): Promise<void> {
+  const {
+    soak: {loopPolls},
+    gateway,
+    delayMs,
+  } = caller;
   while (performance.now() < endMs) {
-    // A link accepts connections even while the port of the gateway is closed.
-    const probe = openKeptConnection(caller.gateway.address);
-    const isListening = await probe.opened;
-    probe.close();
-    if (isListening) {
-      const connection = openKeptConnection(caller.address);
+    const connection = openKeptConnection(gateway.address, {
+      delayMs,
+      loopPolls,
+    });
+    if (await connection.opened) {
       await useConnection(caller, connection, endMs);
-      connection.close();
     }
+    connection.close();
     await delay(RECONNECT_DELAY_MS);
   }
 }
--- a/testing/soak/src/lost_requests.ts
+++ b/testing/soak/src/lost_requests.ts
@@ -126,7 +126,7 @@
 
 /** Whether a call that got no whole answer was not lost by its gateway. */
 function isAllowedEnd(
-  {sentAtMs, sentWholeAtMs, readFromMs = 0, hasTimedOut}: SoakCall,
+  {sentAtMs, sentWholeAtMs, readFromMs = 0, hasTimedOut, openUntilMs}: SoakCall,
   endedAtMs: number,
   runs: readonly Run[],
   signals: readonly PlannedSignal[],
@@ -137,7 +137,7 @@
     if (sentWholeAtMs === undefined) return true;
     // A caller that does not read sees the end of its connection late.
     const knownFromMs = Math.max(sentWholeAtMs, readFromMs);
-    return endedAtMs - knownFromMs <= LOSS_SLACK_MS;
+    return (openUntilMs ?? endedAtMs) - knownFromMs <= LOSS_SLACK_MS;
   }
   return runs.some(
     ({upstream, request}) =>
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -2,7 +2,10 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {startStoreListener} from '@sardinestile/hosting_stand_ins';
-import {createGatewayCluster} from '@sardinestile/hosting_tests';
+import {
+  createGatewayCluster,
+  startLoopPolls,
+} from '@sardinestile/hosting_tests';
 import {createSeededRandom} from '@sardinestile/types';
 import {checkProcesses} from './check_processes.js';
 import {FAULTS} from './faults.js';
@@ -113,6 +116,7 @@
     sentHarmfulBodies: new Set(),
     newestVersion: 1,
     limits: [],
+    loopPolls: startLoopPolls(),
     runLater: (delayMs, action) =>
       void timers.push(setTimeout(action, delayMs)),
   };
@@ -160,6 +164,7 @@
   for (const upstream of cluster.upstreams) upstream.onCrash = () => undefined;
   await Promise.all(gateways.map(gateway => gateway.stop()));
   await Promise.all(storeProxies.map(proxy => proxy.close()));
+  soak.loopPolls.stop();
   release();
   await store.close();
   await cluster.close();
--- a/testing/soak/src/send_calls.ts
+++ b/testing/soak/src/send_calls.ts
@@ -28,11 +28,11 @@
     makeHarmful(call, soak, random);
     const other = pickRandom(soak.gateways, random);
     open.push(
-      sendSingleCall(call, gateway.address).then(async () => {
+      sendSingleCall(soak, call, gateway.address).then(async () => {
         const next = createResume(call, other.name);
         if (!next) return;
         calls.push(next);
-        await sendSingleCall(next, other.address);
+        await sendSingleCall(soak, next, other.address);
       }),
     );
     await delay(1_000 / callsPerSecond);
@@ -68,5 +68,6 @@
     response: undefined,
     endedAtMs: undefined,
     sentWholeAtMs: undefined,
+    openUntilMs: undefined,
   };
 }
--- a/testing/soak/src/soak_context.ts
+++ b/testing/soak/src/soak_context.ts
@@ -1,4 +1,4 @@
-import type {GatewayCluster} from '@sardinestile/hosting_tests';
+import type {GatewayCluster, LoopPolls} from '@sardinestile/hosting_tests';
 import type {Disturbance} from './disturbances.js';
 import type {StatedLimit} from './fleet_bounds.js';
 import type {GatewayProcess} from './gateway_process.js';
@@ -46,6 +46,8 @@
   /** Number of the newest software version of the upstreams. */
   newestVersion: number;
   limits: StatedLimit[];
+  /** Tells how late the soak notices what happens. */
+  loopPolls: LoopPolls;
   runLater: (delayMs: number, action: () => void) => void;
 }
 
--- a/testing/soak/test/lost_requests_test.ts
+++ b/testing/soak/test/lost_requests_test.ts
@@ -67,6 +67,12 @@
   calls: [callWith({endedAtMs: SIGTERM_AT_MS - 100 + cutOffAfterMs})],
 });
 
+/** A request that was not run, whose connection was last known to be open so long after it was sent. */
+const notRunOpenFor = (openMs: number) => ({
+  upstreams: [],
+  calls: [callWith({openUntilMs: SIGTERM_AT_MS - 100 + openMs})],
+});
+
 /** A request that is cut off 7.5 s after SIGTERM, which an upstream ran until `untilMs`. */
 const cutAtEnd = (sentAfterMs: number, untilMs: number) => ({
   calls: [
@@ -86,6 +92,10 @@
   ],
   ['was run by two upstreams', {upstreams: [upstreamWith(), upstreamWith()]}],
   ['was not run and cut off late', notRun(300)],
+  [
+    'was not run and cut off late, which was noticed later still',
+    notRunOpenFor(210),
+  ],
   [
     'was not run and never answered',
     {
@@ -165,6 +175,10 @@
     {calls: [callWith({sentAtMs: 5_000, endedAtMs: SIGTERM_AT_MS + 10})]},
   ],
   ['crossed the close and was not run', notRun(150)],
+  [
+    'crossed the close, which was noticed late, and was not run',
+    notRunOpenFor(190),
+  ],
   [
     'crossed the close, was not run and read its end late',
     {
