test(soak): count a stop by uncaught errors from when the first one is sent

Cause: the time of the stop was recorded before the timer that throws the first error. The gateway had admitted the request 2,894 ms after its stop began, within its 3 s.

Change: the first error is thrown at once, when the stop is recorded.

--- a/testing/soak/src/stop_faults.ts
+++ b/testing/soak/src/stop_faults.ts
@@ -83,9 +83,11 @@
   uncaughtErrors(soak) {
     const gateway = pickRunning(soak);
     const errors = 1 + Math.floor(soak.random() * MAX_ERRORS);
+    const throwError = () => gateway.signal(THROW_SIGNAL);
     recordStop(soak, gateway);
-    for (let i = 0; i < errors; i++) {
-      soak.runLater(i * ERROR_GAP_MS, () => gateway.signal(THROW_SIGNAL));
+    throwError();
+    for (let i = 1; i < errors; i++) {
+      soak.runLater(i * ERROR_GAP_MS, throwError);
     }
     return `${errors} errors in ${gateway.name}`;
   },
