refactor(connections): the account of the heap is in core/connections

heap_budget and heap_guard were the gateway's own. Entries need the same account; what they count are connections and requests of an HTTP server, whoever serves them. The files and their tests are moved, with changes of import paths only; the gateway does what it did.

--- a/daemons/gateway/src/memory/heap_guard.ts
+++ b/core/connections/src/heap_guard.ts
@@ -1,9 +1,9 @@
 import type {Server} from 'node:http';
 import {getHeapStatistics} from 'node:v8';
-import type {ServerConnections} from '@sardinestile/connections';
 import type {Logger} from '@sardinestile/logger';
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {HeapBudget, HeapStep} from './heap_budget.js';
+import type {ServerConnections} from './server_connections.js';
 
 /** Interval of the checks, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
--- a/daemons/gateway/test/heap_budget_test.ts
+++ b/core/connections/test/heap_budget_test.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {createHeapBudget} from '../src/memory/heap_budget.js';
+import {createHeapBudget} from '../src/heap_budget.js';
 
 /** Limit of the heap that deployments set, in bytes. */
 const HEAP_LIMIT_BYTES = 100_663_296;
--- a/daemons/gateway/test/heap_guard_test.ts
+++ b/core/connections/test/heap_guard_test.ts
@@ -3,15 +3,15 @@
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {
-  manageConnections,
-  type ServerConnections,
-} from '@sardinestile/connections';
 import {createLogger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
 import {expect} from 'earl';
-import {createHeapBudget, type HeapBudget} from '../src/memory/heap_budget.js';
-import {startHeapGuard} from '../src/memory/heap_guard.js';
+import {createHeapBudget, type HeapBudget} from '../src/heap_budget.js';
+import {startHeapGuard} from '../src/heap_guard.js';
+import {
+  manageConnections,
+  type ServerConnections,
+} from '../src/server_connections.js';
 
 const HOST = '127.0.0.1';
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -7,16 +7,16 @@
 import {
   MANAGED_SERVER_OPTIONS,
   manageConnections,
+  startHeapGuard,
   stopAccepting,
   type AddressOpener,
   type ConnectionEnd,
+  type HeapBudget,
   type InputBoundary,
 } from '@sardinestile/connections';
 import type {Logger} from '@sardinestile/logger';
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {CallerLimits} from '@sardinestile/route_table';
-import {startHeapGuard} from '../memory/heap_guard.js';
-import type {HeapBudget} from '../memory/heap_budget.js';
 import {breakOff} from './response_framing.js';
 
 /** Time limit for receiving a complete request, in milliseconds. */
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import {createReturnSchedule} from '@sardinestile/admission';
 import {
   createAddressOpener,
+  createHeapBudget,
   createInputBoundary,
 } from '@sardinestile/connections';
 import {
@@ -29,7 +30,6 @@
 import {createColdWatch} from './upstreams/cold_watch.js';
 import {createConnectionPool} from './upstreams/connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
-import {createHeapBudget} from './memory/heap_budget.js';
 import {createMemoryBudget, heldBytesLimit} from './memory/memory_budget.js';
 import {createMemoryWatch} from './memory/memory_watch.js';
 import {
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -1,4 +1,5 @@
 import type {ReturnSchedule} from '@sardinestile/admission';
+import type {HeapBudget} from '@sardinestile/connections';
 import type {UpstreamFleet} from '@sardinestile/fleet';
 import type {LivePeer} from '@sardinestile/ledger';
 import type {Logger} from '@sardinestile/logger';
@@ -11,7 +12,6 @@
 import type {CrashWatch} from './upstreams/crash_watch.js';
 import type {ConnectionPool} from './upstreams/connection_pool.js';
 import type {RetryBudgets} from './calls/retry_budgets.js';
-import type {HeapBudget} from './memory/heap_budget.js';
 import type {MemoryBudget} from './memory/memory_budget.js';
 import type {ResponseTimes} from './calls/response_times.js';
 import type {GatewayCount} from './shared/gateway_count.js';
--- a/daemons/gateway/test/caller_listener_test.ts
+++ b/daemons/gateway/test/caller_listener_test.ts
@@ -2,12 +2,11 @@
 import {connect, createServer, type AddressInfo} from 'node:net';
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createAddressOpener} from '@sardinestile/connections';
+import {createAddressOpener, createHeapBudget} from '@sardinestile/connections';
 import {expect} from 'earl';
 import {createLogger} from '@sardinestile/logger';
 import {createMetricsRegistry} from '@sardinestile/metrics';
 import {createCallerListener} from '../src/calls/caller_listener.js';
-import {createHeapBudget} from '../src/memory/heap_budget.js';
 
 const HOST = '127.0.0.1';
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
