--- a/testing/soak/src/crowd.ts
+++ b/testing/hosting/src/crowd.ts
@@ -5,7 +5,7 @@
 const BATCH_SIZE = 30;
 const BATCH_GAP_MS = 5;
 
-/** Many connections of callers to one gateway. */
+/** Many connections of callers to one process. */
 export interface Crowd {
   /** Number of connections by the status of their first response; 0 for those that ended without one. */
   readonly outcomes: ReadonlyMap<number, number>;
--- a/testing/hosting/src/index.ts
+++ b/testing/hosting/src/index.ts
@@ -1,4 +1,5 @@
 export * from './crashing_upstreams.js';
+export * from './crowd.js';
 export * from './delayed_link.js';
 export * from './gateway_cluster.js';
 export * from './gateway_process.js';
--- a/testing/soak/test/crowded_gateway_test.ts
+++ b/testing/soak/test/crowded_gateway_test.ts
@@ -10,13 +10,13 @@
   createGatewayCluster,
   createKeyedHeaders,
   HOST,
+  openCrowd,
   ROUTE_PATHS,
   sendRawRequest,
   waitUntil,
   type GatewayCluster,
 } from '@sardinestile/hosting_tests';
 import {expect} from 'earl';
-import {openCrowd} from '../src/crowd.js';
 import {startGatewayProcess, type GatewayProcess} from '../src/index.js';
 import {reserveNetwork, type ReservedNetwork} from '../src/reserve_network.js';
 
