--- a/core/connections/src/index.ts
+++ b/core/connections/src/index.ts
@@ -2,6 +2,7 @@
 export * from './connection_end.js';
 export * from './create_bounded_server.js';
 export * from './drain_server.js';
+export * from './early_response.js';
 export {breakOff} from './fail_request.js';
 export * from './heap_budget.js';
 export * from './heap_guard.js';
--- a/daemons/gateway/src/calls/refuse.ts
+++ b/daemons/gateway/src/calls/refuse.ts
@@ -1,4 +1,4 @@
-import type {IncomingMessage} from 'node:http';
+import {endAfterEarlyResponse} from '@sardinestile/connections';
 import type {Call} from './call.js';
 import type {GatewayContext} from '../gateway_context.js';
 
@@ -108,11 +108,7 @@
     configVersion: context.routes()?.table.version,
   });
   if (response.destroyed || response.headersSent) return;
-  // The unread rest of a body must not be parsed as the next request.
-  if (!request.complete) {
-    response.shouldKeepAlive = false;
-    response.once('finish', () => dropHeaders(request));
-  }
+  endAfterEarlyResponse(request, response);
   const body = `${JSON.stringify({error: {code, message}})}\n`;
   response.writeHead(status, {
     ...context.headerCodec.refusalHeaders(requestId, retryAfterMs),
@@ -121,9 +117,3 @@
   });
   response.end(body);
 }
-
-/** Drops the headers of a request that node:http keeps until its connection has closed. */
-function dropHeaders(request: IncomingMessage): void {
-  request.headers = {};
-  request.rawHeaders = [];
-}
