fix(entry): keep connections and headers of callers within the heap's limit

What callers saw: an entry process ended with SIGABRT, heap out of memory, with all its requests, within seconds of 3,700 connections with 8 KB or more of headers and a part of a body, or with headers that do not end.

Cause: connections, headers and the objects of requests of an entry were bounded by nothing but descriptors. Only gateways had an account of the heap. A request that was refused before its body had arrived kept its headers until the rest of the body came, up to 120 s.

Change: core/http takes a heap budget and asks it before h3 sees a request; beyond it the entry answers memory_short, 503, not run, with Retry-After, unread. A guard closes connections with parts of headers and limits the number of connections, as in the gateway. A response to a request that has not arrived whole announces the end of its connection and gives back the headers. The limit of the heap leaves out V8's semi-spaces, which the gateway's command makes small; descriptors are those of the process.

--- a/cli/sardinestile/src/start_daemon.ts
+++ b/cli/sardinestile/src/start_daemon.ts
@@ -8,6 +8,7 @@
 import {startEntry} from '@sardinestile/entry';
 import type {Logger} from '@sardinestile/logger';
 import type {StoppableProcess} from './process_signals.js';
+import {readProcessLimits} from './read_process_limits.js';
 
 /** Kinds of upstream. */
 export type UpstreamKind = 'engine' | 'plain';
@@ -58,9 +59,11 @@
   logger: Logger,
   startSignal: AbortSignal,
 ): Promise<StoppableProcess> {
+  const limits = readProcessLimits();
   const platform = createPlatformClients({baseUrl: settings.platformUrl});
   const entry = await startEntry({
     ...settings,
+    ...limits,
     platform,
     logger,
     startSignal,
--- a/core/connections/src/heap_budget.ts
+++ b/core/connections/src/heap_budget.ts
@@ -74,16 +74,22 @@
   heapLimitBytes: number;
   /** Descriptors that the process may have open; absent for no limit. */
   maxDescriptors?: number;
+  /** Heap of the process without callers, in bytes; 24 MB by default. */
+  processBytes?: number;
+  /** Heap of a request with few headers, its response and its call, in bytes; 12 KB by default. */
+  requestBytes?: number;
 }
 
 /** Creates a budget of which nothing is used. */
 export function createHeapBudget({
   heapLimitBytes,
   maxDescriptors = Infinity,
+  processBytes = PROCESS_HEAP_BYTES,
+  requestBytes = REQUEST_BYTES,
 }: HeapLimits): HeapBudget {
   const limitBytes = Math.max(
-    CONNECTION_BYTES + REQUEST_BYTES,
-    USABLE_SHARE * heapLimitBytes - PROCESS_HEAP_BYTES,
+    CONNECTION_BYTES + requestBytes,
+    USABLE_SHARE * heapLimitBytes - processBytes,
   );
   let openBytes = 0;
   let partialBytes = 0;
@@ -117,7 +123,7 @@
       return heldBytes() > limitBytes ? 'refuseRequests' : 'none';
     },
     openConnection: () => open(CONNECTION_BYTES),
-    openRequest: request => open(requestHeapBytes(request)),
+    openRequest: request => open(requestBytes + headerHeapBytes(request)),
     setPartialBytes(bytes) {
       partialBytes = PARTIAL_BYTE_FACTOR * bytes;
     },
@@ -128,14 +134,13 @@
   };
 }
 
-/** Returns the heap that a request takes until its response was sent, in bytes. */
-export function requestHeapBytes({url = '', rawHeaders}: IncomingMessage) {
+/** Returns the heap that the headers of a request take until its response was sent, in bytes. */
+function headerHeapBytes({url = '', rawHeaders}: IncomingMessage) {
   const textBytes = rawHeaders.reduce(
     (sum, text) => sum + text.length,
     url.length,
   );
   return (
-    REQUEST_BYTES +
     HEADER_BYTE_FACTOR * textBytes +
     HEADER_FIELD_BYTES * (rawHeaders.length / 2)
   );
--- a/core/connections/test/heap_budget_test.ts
+++ b/core/connections/test/heap_budget_test.ts
@@ -101,6 +101,26 @@
     expect(budget.maxConnections).toEqual(60);
   });
 
+  it('leaves less to callers of a process that takes more itself', () => {
+    const usual = createUsualBudget();
+    const large = createHeapBudget({
+      heapLimitBytes: HEAP_LIMIT_BYTES,
+      processBytes: 37_748_736,
+    });
+    expect(large.limitBytes).toEqual(usual.limitBytes - 12_582_912);
+  });
+
+  it('counts requests with what their process takes for each', () => {
+    const budget = createHeapBudget({
+      heapLimitBytes: HEAP_LIMIT_BYTES,
+      requestBytes: 36_864,
+    });
+    const usual = createUsualBudget();
+    budget.openRequest(createRequest(8, 64));
+    usual.openRequest(createRequest(8, 64));
+    expect(budget.heldBytes).toEqual(usual.heldBytes + 24_576);
+  });
+
   it('has no limit of connections without limits', () => {
     const budget = createHeapBudget({heapLimitBytes: Infinity});
     expect(budget.maxConnections).toEqual(Infinity);
--- a/core/errors/src/refusal.ts
+++ b/core/errors/src/refusal.ts
@@ -98,6 +98,11 @@
     type: 'server_error',
     message: 'This instance has no configuration yet.',
   },
+  memory_short: {
+    status: 503,
+    type: 'overloaded_error',
+    message: 'This instance holds too much to take the request.',
+  },
   shutting_down: {
     status: 503,
     type: 'server_error',
--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -1,15 +1,22 @@
-import {createServer} from 'node:http';
+import {createServer, type IncomingMessage} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
   createAddressOpener,
+  dropHeaders,
   drainServer,
+  endAfterEarlyResponse,
   MANAGED_SERVER_OPTIONS,
   manageConnections,
+  startHeapGuard,
   type AddressOpener,
   type AddressPurpose,
+  type HeapBudget,
   type InputBoundary,
   type InputName,
+  type RequestHandler,
 } from '@sardinestile/connections';
+import type {Logger} from '@sardinestile/logger';
+import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {H3} from 'h3';
 import {toNodeHandler} from 'h3/node';
 
@@ -25,6 +32,15 @@
 /** Time for which an idle connection is kept open. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
+/** How a server keeps the heap that its connections and requests take within a budget. */
+export interface HeapProtection {
+  budget: HeapBudget;
+  /** Answers the requests for which there is no room; must not read their bodies. */
+  refusalApp: H3;
+  logger: Logger;
+  metrics: MetricsRegistry;
+}
+
 /** Options for startHttpServer. */
 export interface HttpServerOptions {
   app: H3;
@@ -40,6 +56,8 @@
   boundary?: InputBoundary;
   /** What the server receives; `request` by default. */
   input?: InputName;
+  /** Bounds the heap that clients take; it has no bound if absent. */
+  heap?: HeapProtection;
 }
 
 /** A running HTTP server. */
@@ -61,7 +79,7 @@
 export async function startHttpServer(
   options: HttpServerOptions,
 ): Promise<HttpServer> {
-  const handler = toNodeHandler(options.app);
+  const {heap} = options;
   const server = createServer({
     ...MANAGED_SERVER_OPTIONS,
     headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
@@ -71,12 +89,14 @@
     noDelay: true,
   });
   const connections = manageConnections(server, {
-    handler: async (request, response) => {
-      await handler(request, response);
-    },
+    handler: createHandler(options),
     boundary: options.boundary,
     input: options.input,
+    onTaken: heap && (request => heap.budget.openRequest(request)),
+    mayWait: heap && (() => heap.budget.step() === 'none'),
   });
+  const stopHeapGuard = heap && startHeapGuard({server, connections, ...heap});
+  server.once('close', () => stopHeapGuard?.());
   const {host, port, purpose = 'callers'} = options;
   const {addresses = createAddressOpener()} = options;
   await addresses.listen(purpose, server, {host, port});
@@ -90,3 +110,33 @@
     },
   };
 }
+
+function createHandler({app, heap}: HttpServerOptions): RequestHandler {
+  const handle = toNodeHandler(app);
+  if (!heap) {
+    return async (request, response) => {
+      await handle(request, response);
+    };
+  }
+  const {budget, refusalApp} = heap;
+  const refuse = toNodeHandler(refusalApp);
+  return async (request, response) => {
+    response.once('finish', () => endIncomplete(request));
+    if (budget.step() === 'none') {
+      await handle(request, response);
+      return;
+    }
+    endAfterEarlyResponse(request, response);
+    await refuse(request, response);
+  };
+}
+
+/**
+ * Ends the connection of a request that was answered before it had arrived whole, also where
+ * the response did not announce it: the request would hold heap that is no longer counted.
+ */
+function endIncomplete(request: IncomingMessage): void {
+  if (request.complete) return;
+  dropHeaders(request);
+  request.socket.destroySoon();
+}
--- a/daemons/entry/src/admit_request.ts
+++ b/daemons/entry/src/admit_request.ts
@@ -42,10 +42,10 @@
 ) => Result<ClassifiedRequest, ClassificationError>;
 
 /**
- * Retry delay sent to callers while this entry lacks a current configuration;
- * another entry may have one. It is the shortest that `Retry-After` can say.
+ * Retry delay sent to callers that another entry may serve, as this one lacks a current
+ * configuration or memory. It is the shortest that `Retry-After` can say.
  */
-const NOT_READY_RETRY_AFTER_MS = 1_000;
+export const OTHER_ENTRY_RETRY_AFTER_MS = 1_000;
 
 /**
  * Authenticates, reads and classifies a request and applies its organisation's
@@ -63,7 +63,7 @@
     Err({code, requestId, ...details});
   const serviceText = context.replica.serviceText;
   if (!serviceText) {
-    const retryAfterMs = NOT_READY_RETRY_AFTER_MS;
+    const retryAfterMs = OTHER_ENTRY_RETRY_AFTER_MS;
     return refuse('not_ready', {retryAfterMs});
   }
   const secret = readBearerToken(request.headers);
@@ -80,7 +80,7 @@
   if (!classified.value.isOpenToAll) {
     if (!key) return refuse('missing_key');
     if (!context.follower.areKeysFresh) {
-      const retryAfterMs = NOT_READY_RETRY_AFTER_MS;
+      const retryAfterMs = OTHER_ENTRY_RETRY_AFTER_MS;
       return refuse('keys_stale', {retryAfterMs});
     }
   }
--- a/daemons/entry/src/caller_api.ts
+++ b/daemons/entry/src/caller_api.ts
@@ -1,6 +1,10 @@
+import {randomUUID} from 'node:crypto';
+import {ServerResponse} from 'node:http';
+import {endAfterEarlyResponse} from '@sardinestile/connections';
 import {H3, type H3Event} from 'h3';
 import {
   admitRequest,
+  OTHER_ENTRY_RETRY_AFTER_MS,
   type AdmissionRefusal,
   type AdmittedRequest,
   type RequestClassifier,
@@ -29,7 +33,7 @@
     const admitted = await admitRequest(context, event.req, (text, body) =>
       classifyEngineCall(text, call, body, className),
     );
-    if (admitted.isErr()) return refuse(context, admitted.error);
+    if (admitted.isErr()) return refuse(context, event, admitted.error);
     const {requestId, request} = admitted.value;
     const createWriter = createEngineWriterFactory(requestId, request);
     return serveRequest(context, admitted.value, event.req, createWriter);
@@ -39,7 +43,7 @@
     const classify: RequestClassifier = text =>
       classifyPlainCall(text, method, event.url.pathname);
     const admitted = await admitRequest(context, event.req, classify);
-    if (admitted.isErr()) return refuse(context, admitted.error);
+    if (admitted.isErr()) return refuse(context, event, admitted.error);
     return servePlainAdmitted(event, admitted.value);
   };
   const servePlainAdmitted = (event: H3Event, admitted: AdmittedRequest) => {
@@ -57,12 +61,23 @@
     .all('/**', servePlain);
 }
 
+/** Creates the HTTP application that answers callers while the heap has no room for more. */
+export function createMemoryRefusalApi(context: EntryContext): H3 {
+  return new H3().all('/**', event =>
+    refuse(context, event, {
+      code: 'memory_short',
+      requestId: randomUUID(),
+      retryAfterMs: OTHER_ENTRY_RETRY_AFTER_MS,
+    }),
+  );
+}
+
 function listModels(context: EntryContext, event: H3Event): Response {
   const secret = readBearerToken(event.req.headers);
   const key = secret ? authenticate(context.replica, secret) : undefined;
   if (!key) {
     const code = secret ? 'invalid_key' : 'missing_key';
-    return refuse(context, {code, requestId: 'models'});
+    return refuse(context, event, {code, requestId: 'models'});
   }
   const models = (context.replica.serviceText?.services ?? []).flatMap(
     service =>
@@ -76,7 +91,12 @@
   return Response.json({object: 'list', data: models});
 }
 
-function refuse(context: EntryContext, refusal: AdmissionRefusal): Response {
+function refuse(
+  context: EntryContext,
+  event: H3Event,
+  refusal: AdmissionRefusal,
+): Response {
+  endIfIncomplete(event);
   const {code, requestId, organisation, detail, retryAfterMs} = refusal;
   const outcome = 'not_run';
   context.logger.info('request_refused', {
@@ -89,3 +109,11 @@
   context.metrics.increment('sardinestile_refused_total', {code});
   return refusalResponse({code, outcome, detail, retryAfterMs, requestId});
 }
+
+/** Lets the connection end after the response if the request has not arrived whole. */
+function endIfIncomplete({runtime}: H3Event): void {
+  const response = runtime?.node?.res;
+  if (response instanceof ServerResponse) {
+    endAfterEarlyResponse(response.req, response);
+  }
+}
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -1,6 +1,8 @@
+import {getHeapStatistics} from 'node:v8';
 import {addAdminApi} from '@sardinestile/api';
 import {
   createAddressOpener,
+  createHeapBudget,
   createInputBoundary,
   type AddressOpener,
   type InputBoundary,
@@ -24,7 +26,7 @@
 import {createConfigStore, type ConfigStore} from '@sardinestile/store';
 import {createSystemRandom} from '@sardinestile/types';
 import {readSealedUsage} from '@sardinestile/usage';
-import {createCallerApi} from './caller_api.js';
+import {createCallerApi, createMemoryRefusalApi} from './caller_api.js';
 import {startConfigFollower} from './config_follower.js';
 import {startDuties} from './duties.js';
 import type {EntryContext} from './entry_context.js';
@@ -66,6 +68,10 @@
    * the closing of its listener.
    */
   leaveDelayMs: number;
+  /** Heap for objects that live long, in bytes; the limit of the whole heap by default. */
+  heapLimitBytes?: number;
+  /** Descriptors that the process may have open; absent for no limit. */
+  maxDescriptors?: number;
   /**
    * Time for which the start waits for addresses that are not available, in milliseconds;
    * it does not wait if absent.
@@ -92,6 +98,12 @@
  */
 const MIN_OTHER_ZONE_AGENTS = 2;
 
+/** Heap of an entry without callers: its code, configuration and sessions to agents. */
+const PROCESS_HEAP_BYTES = 31_457_280;
+
+/** Heap of a request with few headers, its attempts and its response. */
+const REQUEST_HEAP_BYTES = 36_864;
+
 /** Starts an entry: its listeners, its sessions to agents and its duties. */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const {logger, instance, host} = options;
@@ -125,6 +137,12 @@
     addresses,
     boundary,
     input: 'callerRequest',
+    heap: {
+      budget: context.heapBudget,
+      refusalApp: createMemoryRefusalApi(context),
+      logger,
+      metrics: context.metrics,
+    },
   });
   logger.info('process_started', {
     role: 'entry',
@@ -216,6 +234,13 @@
     maxBodyBytes: options.maxBodyBytes,
     logger,
     metrics,
+    heapBudget: createHeapBudget({
+      heapLimitBytes:
+        options.heapLimitBytes ?? getHeapStatistics().heap_size_limit,
+      maxDescriptors: options.maxDescriptors,
+      processBytes: PROCESS_HEAP_BYTES,
+      requestBytes: REQUEST_HEAP_BYTES,
+    }),
     replica,
     follower,
     pool,
@@ -242,7 +267,13 @@
     port: options.opsPort,
     addresses,
     adminKey,
-    metrics,
+    metrics: {
+      ...metrics,
+      render() {
+        recordHeldHeap(context);
+        return metrics.render();
+      },
+    },
     boundary,
     isReady: () => !isShuttingDown() && replica.version > 0,
     dumpState: () => ({
@@ -267,6 +298,12 @@
   });
 }
 
+function recordHeldHeap({metrics, heapBudget}: EntryContext): void {
+  const {heldBytes, limitBytes} = heapBudget;
+  metrics.setGauge('sardinestile_held_heap_bytes', {}, heldBytes);
+  metrics.setGauge('sardinestile_held_heap_bytes_limit', {}, limitBytes);
+}
+
 /**
  * Chooses the agents that an entry connects to: one subset for each service.
  */
--- a/daemons/entry/src/entry_context.ts
+++ b/daemons/entry/src/entry_context.ts
@@ -1,3 +1,4 @@
+import type {HeapBudget} from '@sardinestile/connections';
 import type {Logger} from '@sardinestile/logger';
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {EntryRetryBudget} from '@sardinestile/placement';
@@ -24,6 +25,8 @@
   maxBodyBytes: number;
   logger: Logger;
   metrics: MetricsRegistry;
+  /** Heap that callers' connections and requests take. */
+  heapBudget: HeapBudget;
   replica: ConfigReplica;
   follower: ConfigFollower;
   pool: SessionPool;
