fix(connections): answer whole requests before what follows them is refused

Junk behind a request in progress, or a part of a request that did not go on, ended the connection with the request. Its caller got 400 or 408 in the place of the response: 408 says that the request has not run, though an upstream worked on it.

Cause: node:http answers input that it refuses at once and destroys the connection, whatever responses are owed on it.

Change: the owner of the connections decides. If requests that arrived whole are open, no more is read as requests, one that waits and has not arrived whole is dropped, all others are answered, the last response announces the end unless it has begun, and the connection ends after it. Otherwise the answer is that of node:http (400, 408, 413, 431). A half-close counts as leaving as before. CONNECT is not covered.

Evidence: input_errors_test. Before, ten of its cases failed (responses 400 or 408 instead of 200, or a response cut off); the four of refused input alone passed before as well.

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {canWait} from './can_wait.js';
 import type {ConnectionEnd, ConnectionEndReason} from './connection_end.js';
 import {bodyBytes, messageBytes} from './message_size.js';
 import {skipInput, stopParsing} from './stop_parsing.js';
@@ -13,9 +14,6 @@
 /** Time without new bytes from which a request that has not arrived whole is given up, in milliseconds. */
 const MAX_PARTIAL_IDLE_MS = 3_000;
 
-/** Requests that may wait on a connection for the responses to those before them. */
-const MAX_WAITING_REQUESTS = 8;
-
 /** Requests that may be dropped on a connection before its parser is stopped. */
 const MAX_DROPPED_REQUESTS = 32;
 
@@ -57,6 +55,12 @@
     response: ServerResponse,
     options: ReceiveOptions,
   ): void;
+  /**
+   * Gives up what arrives from now on, as it cannot be parsed or does not go on; the requests
+   * that have arrived whole are answered, then the connection ends. Returns false, and does
+   * nothing, if there is none.
+   */
+  giveUpInput(): boolean;
   /** Lets the newest response from now on announce the end. */
   expire(): void;
   /** Ends it without reading on, unless something is open or arriving on it. */
@@ -95,6 +99,7 @@
   let lastBytesRead = 0;
   let lastBytesAtMs = lastUsedAtMs;
 
+  const waitingRequests = () => waiting.map(({response}) => response.req);
   const recordUse = () => {
     bytesReadAtLastUse = socket.bytesRead;
     lastUsedAtMs = performance.now();
@@ -160,20 +165,6 @@
     request.resume();
     skipInput(socket);
   };
-  /**
-   * Whether a request can wait. Node.js stops reading a connection while a body that nobody
-   * reads exceeds its buffer, and would not notice that the peer left.
-   */
-  const canWait = (request: IncomingMessage) => {
-    const waitingBytes = waiting.reduce(
-      (sum, {response}) => sum + bodyBytes(response.req),
-      bodyBytes(request),
-    );
-    return (
-      waiting.length < MAX_WAITING_REQUESTS &&
-      waitingBytes < request.readableHighWaterMark
-    );
-  };
   /** Takes no more requests, unless the newest response is being sent and cannot tell. */
   const closeLine = () => {
     announceEnd();
@@ -227,7 +218,9 @@
     },
     receive(request, response, {serve, announcesEnd, mayWait}) {
       const isFirst = responses.size === 0;
-      if (!isFirst && !(mayWait && canWait(request))) closeLine();
+      if (!isFirst && !(mayWait && canWait(request, waitingRequests()))) {
+        closeLine();
+      }
       if (isLineClosed || hasAnnouncedEnd()) {
         drop(request, !mayWait);
         return;
@@ -244,6 +237,8 @@
         release(response);
         recordUse();
         serveNext();
+        // A response that had begun could not announce the end.
+        if (isLineClosed && responses.size === 0) end('answered');
       });
       if (announcesEnd) isExpired = true;
       if (isExpired) announceEnd();
@@ -255,6 +250,20 @@
       if (isFirst) serve(request, response);
       else waiting.push({response, serve});
     },
+    giveUpInput() {
+      const [first] = responses.keys();
+      if (!first?.req.complete) return false;
+      const newest = waiting.at(-1);
+      if (newest && !newest.response.req.complete) {
+        waiting.pop();
+        release(newest.response);
+        onUnanswerable(newest.response.req);
+      }
+      announceEnd();
+      isLineClosed = true;
+      skipInput(socket);
+      return true;
+    },
     expire() {
       isExpired = true;
       announceEnd();
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -7,6 +7,7 @@
 import type {Socket} from 'node:net';
 import type {ConnectionEnd} from './connection_end.js';
 import {createConnection, type Connection} from './connection.js';
+import {isInputError, refuseInput} from './refuse_input.js';
 import {failRequest} from './fail_request.js';
 import {
   createInputBoundary,
@@ -148,6 +149,16 @@
   server.on('checkExpectation', (request, response) =>
     receive(request, response, refuseExpectation),
   );
+  const handleInputError = (error: Error, socket: Socket) => {
+    const connection = connections.get(socket);
+    if (isInputError(error) && connection?.giveUpInput()) return;
+    refuseInput(error, socket, connection);
+  };
+  const destroy = (_error: Error, socket: Socket) => void socket.destroy();
+  const receiveError = boundary.guard(input, handleInputError, destroy);
+  server.on('clientError', (error, socket) =>
+    receiveError(error, socket as Socket),
+  );
   server.on('error', error => {
     // Until the server listens, its errors concern whoever starts it.
     if (server.listening) boundary.report({input, error});
