fix(core, platform, peer): answers with many values do not fill the heap

What callers saw: a gateway ended with SIGABRT, the JavaScript heap out of memory, and its open requests with it.

Cause: what clients of the store and of peers read is limited in bytes, not in what the bytes become. A value such as {} takes some twenty times the memory of its text: 4 MB of them fill the heap of 90 MB. A list of invalid elements takes more again, as the validation reports each: a row of 300 KB whose routes are empty objects does it.

Change: parseJson counts values before it parses, with a limit at each client; listOf validates element by element and stops after 20 invalid ones.

--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -1,6 +1,6 @@
 import {SardinestileError} from '@sardinestile/errors';
 import type {LogPosition} from '@sardinestile/shared_feed';
-import {withTimeout} from '@sardinestile/types';
+import {parseJson, withTimeout} from '@sardinestile/types';
 import {Agent, request} from 'undici';
 import {
   CACHED_PARTS_PATH,
@@ -34,6 +34,9 @@
 /** Largest response that is read: the whole configuration or list of upstreams. */
 const MAX_RESPONSE_BYTES = 16_777_216;
 
+/** Most values in a response; the record of an upstream has some ten. */
+const MAX_RESPONSE_VALUES = 400_000;
+
 /**
  * HTTP client for the peer API of other gateways. A call makes one attempt and
  * rejects if it fails.
@@ -130,7 +133,7 @@
         message: `peer ${address} answered ${method} ${path} with ${response.statusCode}`,
       });
     }
-    return JSON.parse(text);
+    return parseJson(text, MAX_RESPONSE_VALUES);
   };
   return {
     async fetchConfig(address, knownVersion, waitMs) {
--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -1,6 +1,7 @@
 import {upstreamRecordSchema} from '@sardinestile/fleet';
 import {routeTableSchema, zoneListSchema} from '@sardinestile/route_table';
 import {usageReportSchema} from '@sardinestile/shares';
+import {listOf} from '@sardinestile/types';
 import {usageSumsSchema} from '@sardinestile/usage';
 import {z} from 'zod';
 
@@ -67,8 +68,8 @@
   version: z.number().int(),
   /** Whether `changed` lists all upstreams rather than only those that changed. */
   isWhole: z.boolean(),
-  changed: z.array(upstreamRecordSchema).readonly(),
-  removedKeys: z.array(z.string()).readonly(),
+  changed: listOf(upstreamRecordSchema).readonly(),
+  removedKeys: listOf(z.string()).readonly(),
   /** Whether the serving gateway keeps upstreams that the store no longer has. */
   hasLapsed: z.boolean(),
   /**
@@ -86,11 +87,11 @@
 
 /** Prompt parts that engines have in their caches, as a gateway knows them. */
 export const cachedPartsSchema = z.object({
-  upstreams: z.array(
+  upstreams: listOf(
     z.object({
       upstreamId: z.string(),
       /** Id and tokens of each part; arrays, since traffic is billed by the byte. */
-      parts: z.array(z.tuple([z.string(), z.number()])),
+      parts: listOf(z.tuple([z.string(), z.number()])),
     }),
   ),
 });
@@ -108,7 +109,7 @@
 export const groupUsageSchema = z.object({
   /** Number of the group. */
   group: z.number().int().nonnegative(),
-  reports: z.array(usageReportSchema),
+  reports: listOf(usageReportSchema),
 });
 
 /** What organisations asked for and were given at the gateways of one group. */
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -7,6 +7,7 @@
   type InputBoundary,
 } from '@sardinestile/connections';
 import type {LogPosition} from '@sardinestile/shared_feed';
+import {parseJson} from '@sardinestile/types';
 import {
   CACHED_PARTS_PATH,
   cachedPartsSchema,
@@ -35,6 +36,9 @@
 /** Limit of a request body. */
 const MAX_MESSAGE_BYTES = 1_048_576;
 
+/** Most values in a request body. */
+const MAX_MESSAGE_VALUES = 100_000;
+
 /** Base of the targets of requests, which are paths. */
 const BASE_URL = 'http://peer';
 
@@ -209,7 +213,7 @@
     if (size > MAX_MESSAGE_BYTES) throw new Error('the message is too large');
     chunks.push(chunk as Buffer);
   }
-  return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+  return parseJson(Buffer.concat(chunks).toString('utf8'), MAX_MESSAGE_VALUES);
 }
 
 /** Sends a response unless one was sent already. */
--- a/routing/route_table/src/operator_records.ts
+++ b/routing/route_table/src/operator_records.ts
@@ -1,3 +1,4 @@
+import {listOf} from '@sardinestile/types';
 import {z} from 'zod';
 import type {RouteTable} from './route_table_schema.js';
 
@@ -18,9 +19,9 @@
   /** Version of the store up to which the list is complete. */
   storeVersion: z.number().int(),
   /** States of all zones that operators took out of service; others are in service. */
-  states: z.array(zoneStateSchema).readonly(),
+  states: listOf(zoneStateSchema).readonly(),
   /** Zones whose rows are invalid; nothing is known of them. */
-  unreadableZones: z.array(z.string()).readonly().default([]),
+  unreadableZones: listOf(z.string()).readonly().default([]),
 });
 
 /** States of all availability zones at a version of the store. */
--- a/routing/route_table/src/route_table_schema.ts
+++ b/routing/route_table/src/route_table_schema.ts
@@ -1,3 +1,4 @@
+import {listOf} from '@sardinestile/types';
 import {z} from 'zod';
 
 /** Schema of RouteKind. */
@@ -27,7 +28,7 @@
   /** Begins and ends with a slash. */
   pathPrefix: z.string(),
   kind: routeKindSchema,
-  targets: z.array(routeTargetSchema).min(1),
+  targets: listOf(routeTargetSchema).refine(targets => targets.length > 0),
   /** Maximum time until the response is complete. */
   timeoutMs: z.number().positive(),
   /** Target time to the response, or to the first event of a stream. */
@@ -113,7 +114,7 @@
 /** Schema of KeyHolder. */
 export const keyHolderSchema = z.object({
   name: z.string(),
-  keys: z.array(z.string()),
+  keys: listOf(z.string()),
   /** Takes precedence over the priority of the route. */
   priority: z.number().int().nonnegative().optional(),
 });
@@ -135,11 +136,11 @@
 /** Schema of RouteTable. */
 export const routeTableSchema = z.object({
   version: z.number().int().nonnegative(),
-  routes: z.array(routeSchema),
-  services: z.array(routedServiceSchema),
+  routes: listOf(routeSchema),
+  services: listOf(routedServiceSchema),
   limits: callerLimitsSchema,
   /** Absent if no route needs a key. */
-  keyHolders: z.array(keyHolderSchema).optional(),
+  keyHolders: listOf(keyHolderSchema).optional(),
 });
 
 /** One complete version of the routes, services, limits and keys. */
