fix(fleet, platform): an upstream whose address cannot be used names no upstream

What callers saw: status 500 for 30 of 40 requests, at every gateway, while the store had registrations with addresses such as 127.0.0.1:99999 beside a sound one.

Cause: the registration of an upstream from the store was checked for a colon and up to five digits, that of a peer not at all. Opening a connection to such an address throws, which fails the request instead of the attempt.

Change: one schema of an address in the form host:port, with a port from 1 to 65535 and a host that the URL parser takes, for the records of the store and of peers. A row without one is rejected like other invalid rows.

--- a/routing/fleet/src/fleet_types.ts
+++ b/routing/fleet/src/fleet_types.ts
@@ -1,13 +1,22 @@
 import type {PromptPart} from '@sardinestile/ports';
 import {z} from 'zod';
 
+/** An address of a host name or an IPv4 address, with the port as a group. */
+const ADDRESS_PATTERN = /^[\w.-]+:(\d{1,5})$/;
+
+/** Schema of an address in the form `host:port` to which a connection can be opened. */
+export const upstreamAddressSchema = z.string().refine(address => {
+  const port = Number(ADDRESS_PATTERN.exec(address)?.[1]);
+  return port >= 1 && port <= 65_535 && URL.canParse(`http://${address}`);
+}, 'not an address in the form host:port');
+
 /** Schema of UpstreamRecord. */
 export const upstreamRecordSchema = z.object({
   /** Usually unique for each start of the upstream. */
   id: z.string(),
   service: z.string(),
   /** In the form `host:port`. */
-  address: z.string(),
+  address: upstreamAddressSchema,
   availabilityZone: z.string(),
   /** Number of slots: requests that the upstream runs concurrently. */
   places: z.number(),
