fix(deploy): a failed assertion of a package does not hold up the process

What callers saw: a gateway that stood still for five to seven seconds (process_stood_still), was not ready meanwhile and was lost to its peers; requests at it ended with 504.

Cause: the HTTP client asserts what it takes for impossible, such as a status of 000, and handles the error as that of the connection. Node.js composes the message of an assertion without one from its source text, which it reads and parses: in the long lines of the bundle that takes seconds, in which nothing else runs. One answer of an upstream, the store or a peer brings it about, once for each place.

Ruled out: the size of the answers; clients of the store that are not bundled were never held up for more than 60 ms by 250 such answers (trial).

Change: the bundle gives assertions without a message a plain one.

Evidence: failed_assertions_test: the gateway was not ready for five seconds after one answer with the status 000 before; it answers at once now.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -21,8 +21,32 @@
 /** Age from which files of earlier builds are removed; processes have loaded theirs by then. */
 const MAX_UNUSED_AGE_MS = 600_000;
 
+/**
+ * Lets the assertions of packages fail with a plain message. Node.js would compose one from
+ * the source, and takes seconds for the long lines of a bundle.
+ */
+const plainAssertions = {
+  name: 'plain-assertions',
+  setup({onResolve, onLoad}) {
+    onResolve({filter: /^(node:)?assert$/}, ({namespace}) =>
+      namespace === 'plain-assertions'
+        ? undefined
+        : {path: 'assert', namespace: 'plain-assertions'},
+    );
+    onLoad({filter: /.*/, namespace: 'plain-assertions'}, () => ({
+      contents: `
+        const assert = require('node:assert');
+        const ok = (value, message = 'an assertion failed') =>
+          assert.ok(value, message);
+        module.exports = Object.assign(
+          (value, message) => ok(value, message), assert, {ok});`,
+      resolveDir: '.',
+    }));
+  },
+};
+
 /** Bundles a module and returns its code. */
-async function bundle(source, options) {
+async function bundle(source, {plugins = [], ...options}) {
   const {outputFiles} = await build({
     entryPoints: [join(SOURCES, source)],
     write: false,
@@ -33,6 +57,7 @@
     minifySyntax: true,
     minifyWhitespace: true,
     legalComments: 'none',
+    plugins: [plainAssertions, ...plugins],
     ...options,
   });
   return outputFiles[0].text;
