fix(gateway): a configuration or a zone that could not be read is read again

What callers would see: a gateway that serves an older configuration, or sends requests to a zone that operators took out of service, and counts as up to date.

Cause: the store takes valid configurations only, so that a row that cannot be read was spoilt in the answer. It was logged, and the feed went on after its version: the row is only read again when it changes or the gateway restarts.

Change: after a page with such a row all rows are read again, after 0.5 s at first and 10 s at most, as long as the fault lasts.

--- a/daemons/gateway/src/shared/config_view.ts
+++ b/daemons/gateway/src/shared/config_view.ts
@@ -5,7 +5,7 @@
 } from '@sardinestile/freshness';
 import type {Logger} from '@sardinestile/logger';
 import type {ConfirmedConfig} from '@sardinestile/peer';
-import type {FeedPage, RecordFeed} from '@sardinestile/ports';
+import type {FeedEntry, FeedPage, RecordFeed} from '@sardinestile/ports';
 import {
   createRouteIndex,
   type OperatorRecord,
@@ -29,6 +29,13 @@
  */
 export const REWRITE_TIME_MS = 2_500;
 
+/**
+ * First and longest delay before all rows are read again because one could not be read, in
+ * milliseconds: the fault may have been that of a response, and the row changes seldom.
+ */
+const MIN_REREAD_DELAY_MS = 500;
+const MAX_REREAD_DELAY_MS = 10_000;
+
 /** The newest configuration that this gateway knows. */
 export interface ConfigView {
   /** Returns the configuration; undefined until the first version is loaded. */
@@ -97,6 +104,8 @@
   let isSyncing = false;
   let versionAtRestore = -1;
   let distrustedUntilMs = -Infinity;
+  let rereadDelayMs = MIN_REREAD_DELAY_MS;
+  let rereadTimer: NodeJS.Timeout | undefined;
 
   const wakePeers = () => [...wakeCallbacks].forEach(wake => wake());
   const apply = (table: RouteTable, source: string) => {
@@ -122,13 +131,21 @@
       const timer = setTimeout(wake, waitMs);
       wakeCallbacks.add(wake);
     });
+  const scheduleReread = () => {
+    if (rereadTimer) return;
+    rereadTimer = setTimeout(() => {
+      rereadTimer = undefined;
+      feed.restart();
+    }, rereadDelayMs);
+    rereadDelayMs = Math.min(MAX_REREAD_DELAY_MS, 2 * rereadDelayMs);
+  };
   const feed = followFeed({
     feed: options.feed,
     clock,
     waitMs: options.waitMs,
     minIntervalMs: options.minIntervalMs,
     observer: {
-      onPage(page) {
+      onPage(page, isSnapshot) {
         for (const {value, findings} of page.entries) {
           const reason = findings.join('; ');
           if (!value) logger.warn('config_rejected', {reason});
@@ -139,6 +156,8 @@
             logger.warn('config_value_ignored', {version, reason});
           }
         }
+        if (page.entries.some(isUnreadable)) scheduleReread();
+        else if (isSnapshot) rereadDelayMs = MIN_REREAD_DELAY_MS;
       },
       onUpToDate(sentAt, page) {
         zones.confirm(page.version, sentAt.monotonicMs, sourceOf(page));
@@ -227,12 +246,19 @@
     },
     reread: () => feed.restart(),
     stop() {
+      clearTimeout(rereadTimer);
       feed.stop();
       wakePeers();
     },
   };
 }
 
+/** Whether a row, or that of a zone in a list, could not be read. */
+function isUnreadable({value}: FeedEntry<OperatorRecord>): boolean {
+  if (!value || value.kind === 'invalidZone') return true;
+  return value.kind === 'zoneList' && value.list.unreadableZones.length > 0;
+}
+
 /** Only pages from the store itself state no age. */
 function sourceOf({ageMs}: FeedPage<OperatorRecord>): ReportSource {
   return ageMs === undefined ? 'store' : 'peer';
