fix(gateway): a text that is no fleet id does not cut a gateway off from its peers

What callers would see: nothing at once; the gateway hears no peer, places requests without knowing theirs and cannot go on from their proof while the store is away.

Cause: the row fleet/id was read once, and whatever it held was the id until the process ended. A spoilt answer gave the gateway an id of its own.

Change: eight hexadecimal digits, as every gateway writes, are an id. Anything else is a failed read, which is logged and repeated.

Evidence: unreadable_responses_test: the spoilt text was taken before.

--- a/daemons/gateway/src/shared/peer_registry.ts
+++ b/daemons/gateway/src/shared/peer_registry.ts
@@ -11,6 +11,9 @@
 /** Length of a fleet id in characters; short, as each datagram contains it. */
 const FLEET_ID_LENGTH = 8;
 
+/** Ids that earlier builds have written are of this form, too. */
+const FLEET_ID_PATTERN = /^[0-9a-f]{8}$/;
+
 /** Prefix of the keys of the gateways' rows, and the first key after that range. */
 const GATEWAY_KEY_PREFIX = 'gateway/';
 const GATEWAY_KEY_END = 'gateway0';
@@ -197,7 +200,9 @@
   knownId: string | undefined,
 ): Promise<string> {
   const stored = await table.get(FLEET_KEY);
-  if (stored) return stored.value;
+  if (stored && FLEET_ID_PATTERN.test(stored.value)) return stored.value;
+  // Another id than that of the others would cut this gateway off from them.
+  if (stored) throw new Error(`row ${FLEET_KEY} holds no id`);
   const value = knownId ?? randomUUID().slice(0, FLEET_ID_LENGTH);
   const write = {key: FLEET_KEY, value, expectedVersion: 0};
   const {committed} = await table.transact([write]);
--- a/daemons/gateway/test/unreadable_responses_test.ts
+++ b/daemons/gateway/test/unreadable_responses_test.ts
@@ -2,11 +2,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createUpstreamFleet} from '@sardinestile/fleet';
 import {createLogger} from '@sardinestile/logger';
-import type {FeedEntry} from '@sardinestile/ports';
+import type {FeedEntry, Row, TableService} from '@sardinestile/ports';
 import type {OperatorRecord, RouteTable} from '@sardinestile/route_table';
 import {createSystemClock} from '@sardinestile/types';
 import {expect} from 'earl';
 import {createConfigView} from '../src/shared/config_view.js';
+import {startPeerRegistry} from '../src/shared/peer_registry.js';
 import {createZoneView} from '../src/shared/zone_view.js';
 
 const clock = createSystemClock();
@@ -91,4 +92,27 @@
       expect(view.routes()?.table.version).toEqual(2);
     });
   }
+
+  it('do not make a gateway take a text for the id of its fleet', async () => {
+    const fleetIds: string[] = [];
+    let reads = 0;
+    const row = (value: string): Row => ({key: 'fleet/id', value, version: 1});
+    const service: TableService = {
+      get: async () => row(reads++ === 0 ? 'spoilt\n' : '1c5b42fe'),
+      scan: async () => [],
+      transact: async () => ({committed: true}),
+    };
+    const registry = startPeerRegistry({
+      instance: 'one',
+      address: {host: '127.0.0.1', port: 1},
+      table: service,
+      clock,
+      logger,
+      onFleetId: id => fleetIds.push(id),
+      onGateways: () => undefined,
+    });
+    await sleep(REREAD_MS);
+    registry.stop();
+    expect(fleetIds).toEqual(['1c5b42fe']);
+  });
 });
