fix(peer, fleet, platform): sizes that cannot be are refused in answers of peers and engines

What callers would see: requests placed badly, at all gateways, until they restart.

Cause: a cached prompt part of a negative number of tokens lowers what counts as used of an engine's cache, without end; an upstream with no places, or a part of one, is taken as it is. The store's rows were checked for the latter, answers of peers were not.

Change: tokens of cached parts are not negative, places are whole and positive.

Evidence: peer_messages_test: six cases were accepted before.

--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -91,7 +91,7 @@
     z.object({
       upstreamId: z.string(),
       /** Id and tokens of each part; arrays, since traffic is billed by the byte. */
-      parts: listOf(z.tuple([z.string(), z.number()])),
+      parts: listOf(z.tuple([z.string(), z.number().nonnegative()])),
     }),
   ),
 });
--- a/routing/fleet/src/fleet_types.ts
+++ b/routing/fleet/src/fleet_types.ts
@@ -19,7 +19,7 @@
   address: upstreamAddressSchema,
   availabilityZone: z.string(),
   /** Number of slots: requests that the upstream runs concurrently. */
-  places: z.number(),
+  places: z.number().int().positive(),
   /** Whether it is draining, so that it takes no new requests. */
   isLeaving: z.boolean(),
   /**
