--- a/testing/hosting/src/hostile/hostile_answers.ts
+++ b/testing/hosting/src/hostile/hostile_answers.ts
@@ -36,7 +36,8 @@
   'b'.repeat(EXCESSIVE_LENGTH),
 ];
 
-const STATUS_LINES = [
+/** Status lines, sound ones and others. */
+export const STATUS_LINES = [
   ...['HTTP/1.1 200 OK', 'HTTP/1.0 200 OK', 'HTTP/1.1 204 No', 'HTTP/1.1 304'],
   ...['HTTP/1.1 100 Continue', 'HTTP/1.1 101 Switching', 'HTTP/1.1 103 Hints'],
   ...['HTTP/1.1 99 x', 'HTTP/1.1 999 x', 'HTTP/1.1 000 x', 'HTTP/1.1 1000 x'],
@@ -49,7 +50,8 @@
   ...['HTTP/2.0 200 OK', 'HTTP/1.1  ', 'ICY 200 OK', '', 'HTTP/1.1 600 x'],
 ];
 
-const oddHeaderLine = fc
+/** A header line that a gateway may stumble over, with its end. */
+export const oddHeaderLine = fc
   .constantFrom(...Object.keys(ODD_HEADERS))
   .chain(name =>
     fc.constantFrom(...ODD_HEADERS[name]).map(value => `${name}: ${value}\r\n`),
--- a/testing/hosting/src/index.ts
+++ b/testing/hosting/src/index.ts
@@ -3,6 +3,8 @@
 export * from './delayed_link.js';
 export * from './gateway_cluster.js';
 export * from './gateway_process.js';
+export * from './hostile/hostile_peer.js';
+export * from './hostile/hostile_relay.js';
 export * from './hostile/read_fleet_id.js';
 export * from './hostile/run_hostile_clients.js';
 export * from './initial_configuration.js';
