fix(entry): a caller that leaves while its body arrives is a line of the log

What operators saw: a stack of 18 lines on standard error for each caller that left before the end of its body, as of an unexpected error, written synchronously: 90,915 lines of output in the seven cases of crowded_entry_test.

Cause: the error with which node:http ends such a body was nobody's; h3 writes those out.

--- a/daemons/entry/src/admit_request.ts
+++ b/daemons/entry/src/admit_request.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import type {RefusalCode} from '@sardinestile/errors';
 import type {Organisation, ServiceText} from '@sardinestile/service_text';
+import {HTTPError} from 'h3';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {
   ClassifiedRequest,
@@ -70,7 +71,14 @@
   const key = secret ? authenticate(context.replica, secret) : undefined;
   if (secret && !key) return refuse('invalid_key');
 
-  const body = await readLimitedBody(request, context.maxBodyBytes);
+  const body = await readLimitedBody(request, context.maxBodyBytes).catch(
+    (error: unknown) => {
+      if (HTTPError.isError(error)) {
+        context.logger.info('call_abandoned', {requestId});
+      }
+      throw error;
+    },
+  );
   if (!body) return refuse('body_too_large');
   const classified = classify(serviceText, body);
   if (classified.isErr()) {
