fix(ops): the operators' port of entries and agents takes few connections

What callers saw: an agent process ended with SIGABRT, heap out of memory, and a sound call through an entry failed, while 3,700 connections with 12 KB of headers that do not end were open at the port for operators.

Cause: its HTTP server took any number of connections and 16 KB of headers on each; gateways' servers for readiness and metrics are bounded since.

--- a/admin/ops/src/ops_server.ts
+++ b/admin/ops/src/ops_server.ts
@@ -10,6 +10,12 @@
 /** Time limit for answering the open requests of operators at a stop, in milliseconds. */
 export const OPS_DRAIN_LIMIT_MS = 2_000;
 
+/** Connections of operators, balancers and scrapers; more are closed unread. */
+const MAX_CONNECTIONS = 100;
+
+/** Largest size of a request's headers, in bytes. */
+const MAX_HEADER_BYTES = 8_192;
+
 /** Options for startOpsServer. */
 export interface OpsServerOptions {
   host: string;
@@ -58,6 +64,7 @@
     purpose: 'operators',
     boundary,
     input: 'operatorRequest',
+    bounds: {maxConnections: MAX_CONNECTIONS, maxHeaderBytes: MAX_HEADER_BYTES},
   });
 }
 
--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -2,6 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {
   createAddressOpener,
+  createBoundedServer,
   dropHeaders,
   drainServer,
   endAfterEarlyResponse,
@@ -10,6 +11,7 @@
   startHeapGuard,
   type AddressOpener,
   type AddressPurpose,
+  type BoundedServerOptions,
   type HeapBudget,
   type InputBoundary,
   type InputName,
@@ -58,6 +60,8 @@
   input?: InputName;
   /** Bounds the heap that clients take; it has no bound if absent. */
   heap?: HeapProtection;
+  /** Bounds of a server for few known clients; it has none if absent. */
+  bounds?: BoundedServerOptions;
 }
 
 /** A running HTTP server. */
@@ -79,15 +83,17 @@
 export async function startHttpServer(
   options: HttpServerOptions,
 ): Promise<HttpServer> {
-  const {heap} = options;
-  const server = createServer({
-    ...MANAGED_SERVER_OPTIONS,
-    headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
-    requestTimeout: REQUEST_TIMEOUT_MS,
-    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    noDelay: true,
-  });
+  const {heap, bounds} = options;
+  const server = bounds
+    ? createBoundedServer(bounds)
+    : createServer({
+        ...MANAGED_SERVER_OPTIONS,
+        headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+        noDelay: true,
+      });
+  server.requestTimeout = REQUEST_TIMEOUT_MS;
+  server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   const connections = manageConnections(server, {
     handler: createHandler(options),
     boundary: options.boundary,
