fix(session): the ports of sessions and peers take few connections and calls

What callers saw: an entry process ended with SIGABRT, heap out of memory, with all its requests, while 200 connections at its port for peers had 300 pulls each open that never end (a trial with a heap of 90 MB).

Cause: gRPC's listener takes any number of connections, with any number of calls on each.

Change: a listener of our own passes at most 512 connections on, the others are closed unread; ten calls are open on a connection at once; one without a call for 60 s is closed. The address opener waits for the listener itself, as for the other servers.

--- a/protocol/session/src/session_server.ts
+++ b/protocol/session/src/session_server.ts
@@ -1,3 +1,4 @@
+import {createServer, type AddressInfo} from 'node:net';
 import {
   Server,
   ServerCredentials,
@@ -7,6 +8,7 @@
 } from '@grpc/grpc-js';
 import {
   createAddressOpener,
+  createInputBoundary,
   type AddressOpener,
   type AddressPurpose,
   type InputBoundary,
@@ -28,6 +30,15 @@
 } from './session.js';
 import {PEER_SERVICE, SESSION_SERVICE} from './session_service.js';
 
+/** Connections of entries, which keep one each; more are closed unread. */
+const MAX_CONNECTIONS = 512;
+
+/** Calls that are open on a connection at once; an entry has one session and few pulls. */
+const MAX_CALLS_PER_CONNECTION = 10;
+
+/** Time without a call after which a connection is closed, in milliseconds. */
+const MAX_IDLE_MS = 60_000;
+
 /** Body of a message that an agent receives. */
 export type ReceivedEntryBody = EntryMessage['body'];
 
@@ -70,27 +81,36 @@
   options: SessionServerOptions,
 ): Promise<SessionServer> {
   const {host, port: wantedPort, purpose = 'sessions'} = options;
-  const {addresses = createAddressOpener()} = options;
-  // A server remembers the failure of an address, so that each attempt needs its own.
-  const {server, port} = await addresses.open(
-    purpose,
-    {host, port: wantedPort},
-    async () => {
-      const candidate = createSessionServer(options);
-      return {
-        server: candidate,
-        port: await bind(candidate, `${host}:${wantedPort}`),
-      };
-    },
+  const {addresses = createAddressOpener(), boundary = createInputBoundary()} =
+    options;
+  const server = createSessionServer(options);
+  const {injectConnection} = server.createConnectionInjector(
+    ServerCredentials.createInsecure(),
   );
+  // The server's own listener has no limit of connections.
+  const listener = createServer(socket => injectConnection(socket));
+  listener.maxConnections = MAX_CONNECTIONS;
+  listener.on('error', error => {
+    // Until it listens, its errors concern whoever starts it.
+    if (listener.listening) boundary.report({input: 'sessionFrame', error});
+  });
+  await addresses.listen(purpose, listener, {host, port: wantedPort});
   const limitMs = options.timeoutMs ?? SESSION_TIMEOUT_MS;
-  return {port, close: () => closeServer(server, limitMs)};
+  return {
+    port: (listener.address() as AddressInfo).port,
+    close: () => {
+      listener.close();
+      return closeServer(server, limitMs);
+    },
+  };
 }
 
 function createSessionServer(options: SessionServerOptions): Server {
   const server = new Server({
     'grpc.max_receive_message_length': -1,
     'grpc.max_send_message_length': -1,
+    'grpc.max_concurrent_streams': MAX_CALLS_PER_CONNECTION,
+    'grpc.max_connection_idle_ms': MAX_IDLE_MS,
   });
   server.addService(PEER_SERVICE as never, {
     pullConfig: (
@@ -150,13 +170,3 @@
     },
   };
 }
-
-function bind(server: Server, address: string): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const credentials = ServerCredentials.createInsecure();
-    server.bindAsync(address, credentials, (error, port) => {
-      if (error) reject(error);
-      else resolve(port);
-    });
-  });
-}
--- a/testing/hosting/src/crowd.ts
+++ b/testing/hosting/src/crowd.ts
@@ -17,7 +17,7 @@
 export async function openCrowd(
   address: string,
   size: number,
-  text: string,
+  text: string | Uint8Array,
 ): Promise<Crowd> {
   const [host, port] = address.split(':');
   const outcomes = new Map<number, number>();
