fix(gateway): prompt parts and token counts of callers that cannot be do not fill the heap or stop a route

What callers saw: a gateway ended with SIGABRT, the heap out of memory, with all its requests, while callers stated prompt parts without tokens (Prompt-Prefix: a1:0,...), on any route; other gateways, which hear of the parts, and processes that restart and take them over, fill as well. After one request with Token-Counts: Infinity,10 all requests of its route got 503, on a route without keys too, until the process was restarted.

Cause: the estimated prompt cache of an engine evicts by tokens, so that parts with none, or fewer, are never evicted, and parts with few take the heap before the engine's tokens are used; the account of the heap does not know them. A number of tokens was any number: an infinite one made the route's mean service time NaN.

Change: a cache holds at most 2,048 parts, more than an engine's memory holds of usual ones.

--- a/protocol/ledger/src/ledger_update.ts
+++ b/protocol/ledger/src/ledger_update.ts
@@ -6,14 +6,17 @@
 import {usageReportSchema} from '@sardinestile/shares';
 import {z} from 'zod';
 
+/** Number of tokens; more than the memory of any engine holds would outlast all later ones. */
+const tokenCount = z.number().nonnegative().max(1e9);
+
 /** A gateway sent a request to an upstream. */
 const placedSchema = z.object({
   kind: z.literal('placed'),
   requestId: z.string(),
   upstreamId: z.string(),
-  promptParts: z.array(z.object({id: z.string(), tokens: z.number()})),
-  uncachedTokens: z.number(),
-  promptTokens: z.number(),
+  promptParts: z.array(z.object({id: z.string(), tokens: tokenCount})),
+  uncachedTokens: tokenCount,
+  promptTokens: tokenCount,
   urgency: z.number(),
   targetGapMs: z.number().optional(),
 });
--- a/routing/fleet/src/prompt_cache.ts
+++ b/routing/fleet/src/prompt_cache.ts
@@ -3,6 +3,12 @@
 /** Assumed share of the memory of an engine that cached prompt parts occupy. */
 const CACHED_SHARE = 0.8;
 
+/**
+ * Limit of the parts of an engine, beside that of their tokens: callers may state parts with
+ * few tokens or none, and each takes heap.
+ */
+const MAX_PARTS = 2_048;
+
 interface CachedPart {
   tokens: number;
   /** Whether a request with this part got its first event. */
@@ -79,7 +85,7 @@
         });
       }
       for (const [id, {tokens}] of cachedParts) {
-        if (usedTokens <= limitTokens) break;
+        if (usedTokens <= limitTokens && cachedParts.size <= MAX_PARTS) break;
         cachedParts.delete(id);
         usedTokens -= tokens;
       }
@@ -87,6 +93,7 @@
     restore(parts) {
       const restored = new Map<string, CachedPart>();
       for (const {id, tokens} of parts) {
+        if (cachedParts.size + restored.size >= MAX_PARTS) break;
         if (cachedParts.has(id) || usedTokens + tokens > limitTokens) continue;
         usedTokens += tokens;
         restored.set(id, {tokens, isPrefilled: true, isShared: true});
