--- a/core/http/src/http_server.ts
+++ b/core/http/src/http_server.ts
@@ -3,8 +3,8 @@
 import {
   createAddressOpener,
   createBoundedServer,
-  dropHeaders,
   drainServer,
+  dropHeaders,
   endAfterEarlyResponse,
   MANAGED_SERVER_OPTIONS,
   manageConnections,
--- a/daemons/gateway/src/text_server.ts
+++ b/daemons/gateway/src/text_server.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import {
-  createBoundedServer,
   createAddressOpener,
+  createBoundedServer,
   drainServer,
   manageConnections,
   type AddressOpener,
--- a/testing/end_to_end/test/crowded_entry_test.ts
+++ b/testing/end_to_end/test/crowded_entry_test.ts
@@ -1,6 +1,6 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {openCrowd} from '@sardinestile/hosting_tests';
+import {createLargeHeaders, openCrowd} from '@sardinestile/hosting_tests';
 import {expect} from 'earl';
 import {request} from 'undici';
 import {
@@ -54,16 +54,6 @@
   return `${method} /v1/chat/completions HTTP/1.1\r\nHost: h\r\n${lines.join('\r\n')}\r\n\r\n${body}`;
 }
 
-/** Returns header fields of a size in sum. */
-function createLargeHeaders(bytes: number, count: number) {
-  const value = 'v'.repeat(
-    Math.floor(bytes / count) - 'Large-1234: \r\n'.length,
-  );
-  return Object.fromEntries(
-    Array.from({length: count}, (_, i) => [`Large-${1_000 + i}`, value]),
-  );
-}
-
 /** Whether a sound call was served whole, or was refused as not run. */
 function isTrueAnswer({status, isComplete, outcome}: ChatResponse): boolean {
   return isComplete || (status === 503 && outcome === 'not_run');
--- a/testing/hosting/src/crowd.ts
+++ b/testing/hosting/src/crowd.ts
@@ -46,3 +46,13 @@
     leave: () => sockets.forEach(socket => socket.resetAndDestroy()),
   };
 }
+
+/** Returns header fields of a size in sum. */
+export function createLargeHeaders(bytes: number, count: number) {
+  const value = 'v'.repeat(
+    Math.floor(bytes / count) - 'Large-1234: \r\n'.length,
+  );
+  return Object.fromEntries(
+    Array.from({length: count}, (_, i) => [`Large-${1_000 + i}`, value]),
+  );
+}
--- a/testing/soak/test/crowded_gateway_test.ts
+++ b/testing/soak/test/crowded_gateway_test.ts
@@ -7,14 +7,15 @@
 import {fileURLToPath} from 'node:url';
 import {startStoreListener} from '@sardinestile/hosting_stand_ins';
 import {
+  type GatewayCluster,
+  HOST,
+  ROUTE_PATHS,
   createGatewayCluster,
   createKeyedHeaders,
-  HOST,
+  createLargeHeaders,
   openCrowd,
-  ROUTE_PATHS,
   sendRawRequest,
   waitUntil,
-  type GatewayCluster,
 } from '@sardinestile/hosting_tests';
 import {expect} from 'earl';
 import {startGatewayProcess, type GatewayProcess} from '../src/index.js';
@@ -58,16 +59,6 @@
   return `${method} ${ROUTE_PATHS.once} HTTP/1.1\r\nHost: ${HOST}\r\n${lines.join('\r\n')}\r\n\r\n${body}`;
 }
 
-/** Returns header fields of a size in sum. */
-function createLargeHeaders(bytes: number, count: number) {
-  const value = 'v'.repeat(
-    Math.floor(bytes / count) - 'Large-1234: \r\n'.length,
-  );
-  return Object.fromEntries(
-    Array.from({length: count}, (_, i) => [`Large-${1_000 + i}`, value]),
-  );
-}
-
 for (const memoryMb of MEMORY_LIMITS_MB) {
   describe(`a gateway process of ${memoryMb} MB with a crowd of callers`, () => {
     const directory = mkdtempSync(join(tmpdir(), 'crowd-'));
