--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -22,7 +22,7 @@
 } from './gateway_environment.js';
 import {logOutputErrors} from './log_output_errors.js';
 import {logProcessStart} from './process_end.js';
-import {watchProcessMemory} from './process_memory.js';
+import {watchProcessMemory, type ProcessMemoryWatch} from './process_memory.js';
 import type {
   ProcessOutcome,
   ProcessSignals,
@@ -70,7 +70,13 @@
   const memoryWatch = watchProcessMemory({logger});
   try {
     return await signals.run(logger, stopSignal =>
-      startPlatformGateway({path, environment, logger, stopSignal}),
+      startPlatformGateway({
+        path,
+        environment,
+        logger,
+        memoryWatch,
+        stopSignal,
+      }),
     );
   } finally {
     memoryWatch.stop();
@@ -83,6 +89,7 @@
   path: string;
   environment: GatewayEnvironment;
   logger: Logger;
+  memoryWatch: ProcessMemoryWatch;
   /** Ends a start that still waits for something. */
   stopSignal: AbortSignal;
 }
@@ -97,6 +104,7 @@
     limitMs: SETTINGS_WAIT_LIMIT_MS,
     signal: stopSignal,
   });
+  options.memoryWatch.setLimitMb(settings.memoryLimitMb);
   // The process would wait for an address that it has itself.
   checkOwnAddresses(settings, path);
   const metrics = createMetricsRegistry();
--- a/cli/sardinestile/src/process_end.ts
+++ b/cli/sardinestile/src/process_end.ts
@@ -87,29 +87,43 @@
   });
 }
 
-/**
- * Returns the memory of this process, in megabytes; without the resident memory while the
- * process cannot open another file.
- */
-export function readProcessMemory(): {
+/** Memory of a process, in megabytes; fields that cannot be read are undefined. */
+export interface ProcessMemory {
   residentMb?: number;
+  /** Largest resident memory since the process started. */
+  residentPeakMb: number;
+  /** Buffers outside of the heap, including those that are not used any more. */
+  bufferMb?: number;
   heapUsedMb: number;
   heapLimitMb: number;
-} {
+}
+
+const KB_PER_MB = 1_024;
+
+/**
+ * Returns the memory of this process; without the resident memory and buffers while it
+ * cannot open another file.
+ */
+export function readProcessMemory(): ProcessMemory {
   const {used_heap_size: heapUsed, heap_size_limit: heapLimit} =
     getHeapStatistics();
   return {
-    residentMb: readResidentMb(),
+    ...readResidentMemory(),
+    residentPeakMb: Math.round(process.resourceUsage().maxRSS / KB_PER_MB),
     heapUsedMb: Math.round(heapUsed / BYTES_PER_MB),
     heapLimitMb: Math.round(heapLimit / BYTES_PER_MB),
   };
 }
 
-function readResidentMb(): number | undefined {
+function readResidentMemory(): Pick<ProcessMemory, 'residentMb' | 'bufferMb'> {
   try {
-    return Math.round(process.memoryUsage.rss() / BYTES_PER_MB);
+    const {rss, arrayBuffers} = process.memoryUsage();
+    return {
+      residentMb: Math.round(rss / BYTES_PER_MB),
+      bufferMb: Math.round(arrayBuffers / BYTES_PER_MB),
+    };
   } catch {
     // It is read from a file, which needs a descriptor.
-    return undefined;
+    return {};
   }
 }
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -17,11 +17,20 @@
 interface ProcessMemoryFields {
   /** Absent while the process has no descriptor left to read it. */
   residentMb?: number;
+  /** Largest resident memory since the process started. */
+  residentPeakMb: number;
+  /** Buffers outside of the heap, used or not collected yet; absent as `residentMb`. */
+  bufferMb?: number;
   heapUsedMb: number;
   /** The process is aborted when its heap exceeds this. */
   heapLimitMb: number;
 }
 
+interface MemoryLimitFields {
+  /** The platform kills the process when its resident memory exceeds this; absent for no limit. */
+  memoryLimitMb?: number;
+}
+
 /** Address of this process that is opened, as host:port. */
 interface AddressFields {
   /** What is served there. */
@@ -84,8 +93,10 @@
   process_stop_failed: {reason: string};
   /** `stream` is `stdout` or `stderr`; nobody reads it any more. */
   output_failed: {stream: string; reason: string};
-  process_heap_high: ProcessMemoryFields;
-  process_heap_usual: ProcessMemoryFields;
+  process_heap_high: ProcessMemoryFields & MemoryLimitFields;
+  process_heap_usual: ProcessMemoryFields & MemoryLimitFields;
+  process_memory_high: ProcessMemoryFields & MemoryLimitFields;
+  process_memory_usual: ProcessMemoryFields & MemoryLimitFields;
   /** `sinceStartMs` is the time since the process started. */
   signal_received: {signal: string; sinceStartMs: number; effect: string};
   /** A connection of a caller ended after the process was told to stop. */
--- a/core/metrics/src/metrics_registry.ts
+++ b/core/metrics/src/metrics_registry.ts
@@ -16,6 +16,8 @@
  */
 const MAX_SERIES_PER_FAMILY = 1_000;
 
+const BYTES_PER_KB = 1_024;
+
 /** Unix time at which this process started. */
 const PROCESS_STARTED_AT_SECONDS = performance.timeOrigin / 1000;
 
@@ -90,6 +92,8 @@
     getHeapStatistics();
   return {
     ...readResidentBytes(),
+    sardinestile_process_resident_peak_bytes:
+      process.resourceUsage().maxRSS * BYTES_PER_KB,
     sardinestile_process_heap_used_bytes: heapUsed,
     sardinestile_process_heap_limit_bytes: heapLimit,
     sardinestile_process_start_time_seconds: PROCESS_STARTED_AT_SECONDS,
@@ -98,8 +102,11 @@
 
 function readResidentBytes(): Record<string, number> {
   try {
-    const bytes = process.memoryUsage.rss();
-    return {sardinestile_process_resident_bytes: bytes};
+    const {rss, arrayBuffers} = process.memoryUsage();
+    return {
+      sardinestile_process_resident_bytes: rss,
+      sardinestile_process_buffer_bytes: arrayBuffers,
+    };
   } catch {
     // It is read from a file; the process has no descriptor left.
     return {};
