--- /dev/null
+++ b/core/memory/src/index.ts
@@ -0,0 +1,3 @@
+export * from './buffer_collector.js';
+export * from './page_bytes.js';
+export * from './resident_memory.js';
--- /dev/null
+++ b/core/memory/src/page_bytes.ts
@@ -0,0 +1,41 @@
+/** Bytes in pages of their own, which return to the operating system at once when they are released. */
+export interface PageBytes {
+  readonly length: number;
+  /** Copies bytes behind those that it has; throws a RangeError if they exceed its size. */
+  append(bytes: Uint8Array): void;
+  /** Returns a view of all bytes; it has no bytes after the release. */
+  view(): Buffer;
+  /** Gives the pages back; a write of the view that is still pending fails. */
+  release(): void;
+}
+
+/** Size by which the pages grow, in bytes. */
+const GROWTH_BYTES = 65_536;
+
+/**
+ * Reserves address space for up to `maxBytes`; pages are taken as bytes are appended. The
+ * allocator of the process is not involved, so that it keeps nothing after the release.
+ */
+export function createPageBytes(maxBytes: number): PageBytes {
+  const pages = new ArrayBuffer(0, {maxByteLength: maxBytes});
+  let length = 0;
+  return {
+    get length() {
+      return length;
+    },
+    append(bytes) {
+      const end = length + bytes.length;
+      if (end > pages.byteLength) {
+        const grown = Math.ceil(end / GROWTH_BYTES) * GROWTH_BYTES;
+        pages.resize(Math.max(end, Math.min(grown, maxBytes)));
+      }
+      new Uint8Array(pages, length, bytes.length).set(bytes);
+      length = end;
+    },
+    view: () => Buffer.from(pages, 0, length),
+    release() {
+      length = 0;
+      pages.resize(0);
+    },
+  };
+}
