--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
   createSlewedTime,
   createPeerAdjustedTime,
 } from '@sardinestile/freshness';
+import {createBufferCollector} from '@sardinestile/memory';
 import {NO_RESTORES} from '@sardinestile/ports';
 import {createLedgerLink, type LedgerLink} from '@sardinestile/ledger';
 import {createPeerClient, createPeerServer} from '@sardinestile/peer';
@@ -381,6 +382,7 @@
       metrics.increment('sardinestile_upstream_connections_total', {}),
     ),
     memoryBudget: createMemoryBudget(heldBytesLimit(options.memoryLimitMb)),
+    bufferCollector: createBufferCollector(),
     heapBudget: createHeapBudget({
       heapLimitBytes: getHeapStatistics().heap_size_limit,
       maxDescriptors: options.maxDescriptors,
--- a/daemons/gateway/src/gateway_context.ts
+++ b/daemons/gateway/src/gateway_context.ts
@@ -3,6 +3,7 @@
 import type {UpstreamFleet} from '@sardinestile/fleet';
 import type {LivePeer} from '@sardinestile/ledger';
 import type {Logger} from '@sardinestile/logger';
+import type {BufferCollector} from '@sardinestile/memory';
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {HeaderCodec} from '@sardinestile/ports';
 import type {Quarantine} from '@sardinestile/quarantine';
@@ -35,6 +36,8 @@
   connections: ConnectionPool;
   /** Counts what this process holds for callers and upstreams. */
   memoryBudget: MemoryBudget;
+  /** Collects buffers that were read from callers and upstreams. */
+  bufferCollector: BufferCollector;
   heapBudget: HeapBudget;
   retryBudgets: RetryBudgets;
   /** Measured times of responses, by which waiting and refusing are decided. */
