--- a/cli/sardinestile/src/process_end.ts
+++ b/cli/sardinestile/src/process_end.ts
@@ -1,5 +1,6 @@
 import {getHeapStatistics} from 'node:v8';
 import {createLogger, type Logger} from '@sardinestile/logger';
+import {readPeakResidentBytes} from '@sardinestile/memory';
 import {describeError} from './describe_error.js';
 import type {ProcessOutcome} from './process_signals.js';
 import {writeLastLine} from './write_last_line.js';
@@ -91,15 +92,13 @@
 export interface ProcessMemory {
   residentMb?: number;
   /** Largest resident memory since the process started. */
-  residentPeakMb: number;
+  residentPeakMb?: number;
   /** Buffers outside of the heap, including those that are not used any more. */
   bufferMb?: number;
   heapUsedMb: number;
   heapLimitMb: number;
 }
 
-const KB_PER_MB = 1_024;
-
 /**
  * Returns the memory of this process; without the resident memory and buffers while it
  * cannot open another file.
@@ -109,16 +108,20 @@
     getHeapStatistics();
   return {
     ...readResidentMemory(),
-    residentPeakMb: Math.round(process.resourceUsage().maxRSS / KB_PER_MB),
     heapUsedMb: Math.round(heapUsed / BYTES_PER_MB),
     heapLimitMb: Math.round(heapLimit / BYTES_PER_MB),
   };
 }
 
-function readResidentMemory(): Pick<ProcessMemory, 'residentMb' | 'bufferMb'> {
+function readResidentMemory(): Pick<
+  ProcessMemory,
+  'residentMb' | 'residentPeakMb' | 'bufferMb'
+> {
+  const peakBytes = readPeakResidentBytes();
   try {
     const {rss, arrayBuffers} = process.memoryUsage();
     return {
+      residentPeakMb: peakBytes && Math.round(peakBytes / BYTES_PER_MB),
       residentMb: Math.round(rss / BYTES_PER_MB),
       bufferMb: Math.round(arrayBuffers / BYTES_PER_MB),
     };
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -17,8 +17,8 @@
 interface ProcessMemoryFields {
   /** Absent while the process has no descriptor left to read it. */
   residentMb?: number;
-  /** Largest resident memory since the process started. */
-  residentPeakMb: number;
+  /** Largest resident memory since the process started; absent as `residentMb`. */
+  residentPeakMb?: number;
   /** Buffers outside of the heap, used or not collected yet; absent as `residentMb`. */
   bufferMb?: number;
   heapUsedMb: number;
--- a/core/memory/src/index.ts
+++ b/core/memory/src/index.ts
@@ -1,3 +1,4 @@
 export * from './buffer_collector.js';
 export * from './page_bytes.js';
+export * from './peak_resident_bytes.js';
 export * from './resident_memory.js';
--- a/core/metrics/src/metrics_registry.ts
+++ b/core/metrics/src/metrics_registry.ts
@@ -1,4 +1,5 @@
 import {getHeapStatistics} from 'node:v8';
+import {readPeakResidentBytes} from '@sardinestile/memory';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /**
@@ -16,8 +17,6 @@
  */
 const MAX_SERIES_PER_FAMILY = 1_000;
 
-const BYTES_PER_KB = 1_024;
-
 /** Unix time at which this process started. */
 const PROCESS_STARTED_AT_SECONDS = performance.timeOrigin / 1000;
 
@@ -92,8 +91,6 @@
     getHeapStatistics();
   return {
     ...readResidentBytes(),
-    sardinestile_process_resident_peak_bytes:
-      process.resourceUsage().maxRSS * BYTES_PER_KB,
     sardinestile_process_heap_used_bytes: heapUsed,
     sardinestile_process_heap_limit_bytes: heapLimit,
     sardinestile_process_start_time_seconds: PROCESS_STARTED_AT_SECONDS,
@@ -103,7 +100,9 @@
 function readResidentBytes(): Record<string, number> {
   try {
     const {rss, arrayBuffers} = process.memoryUsage();
+    const peakBytes = readPeakResidentBytes();
     return {
+      ...(peakBytes && {sardinestile_process_resident_peak_bytes: peakBytes}),
       sardinestile_process_resident_bytes: rss,
       sardinestile_process_buffer_bytes: arrayBuffers,
     };
