--- /dev/null
+++ b/testing/builds/src/index.ts
@@ -0,0 +1,2 @@
+export * from './checkout_copy.js';
+export * from './run_build.js';
