--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,16 +1,23 @@
-// Bundles the processes that run on the platform into target/.
-import {createHash} from 'node:crypto';
+// Bundles the processes that run on the platform into target/. The packages come from the
+// directory that is given, or else from the checkout.
+import {createHash, randomUUID} from 'node:crypto';
 import {
   mkdirSync,
   readdirSync,
+  readFileSync,
   renameSync,
   rmSync,
   statSync,
+  utimesSync,
   writeFileSync,
 } from 'node:fs';
-import {join} from 'node:path';
-import {build} from 'esbuild';
+import {createRequire} from 'node:module';
+import {dirname, join, resolve} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {createPackageResolver} from './package_resolver.mjs';
+import {identifyPackages} from './packages.mjs';
 
+const ROOT = dirname(dirname(fileURLToPath(import.meta.url)));
 const DIRECTORY = 'target';
 const SOURCES = 'cli/sardinestile/src';
 const PREFIX = 'sardinestile';
@@ -18,9 +25,20 @@
 /** Name of the entry point before it was CommonJS. */
 const MODULE_ENTRY_FILE = `${PREFIX}.mjs`;
 
-/** Age from which files of earlier builds are removed; processes have loaded theirs by then. */
+/** Name of a bundled gateway, as the entry point loads it. */
+const GATEWAY_FILE_PATTERN = /sardinestile-[0-9a-f]+\.mjs/g;
+
+/** Time after which files that were replaced are removed; processes have loaded theirs by then. */
 const MAX_UNUSED_AGE_MS = 600_000;
 
+process.chdir(ROOT);
+const packagesDirectory = resolve(process.argv[2] ?? ROOT);
+const packagesIdentity = identifyPackages(packagesDirectory);
+const {build} = createRequire(join(packagesDirectory, 'package.json'))(
+  'esbuild',
+);
+const packageResolver = createPackageResolver(ROOT, packagesDirectory);
+
 /**
  * Lets the assertions of packages fail with a plain message. Node.js would compose one from
  * the source, and takes seconds for the long lines of a bundle.
@@ -48,7 +66,9 @@
 /** Bundles a module and returns its code. */
 async function bundle(source, {plugins = [], ...options}) {
   const {outputFiles} = await build({
-    entryPoints: [join(SOURCES, source)],
+    // Names of modules in the bundle are the same wherever the packages are.
+    absWorkingDir: packagesDirectory,
+    entryPoints: [resolve(SOURCES, source)],
     write: false,
     bundle: true,
     platform: 'node',
@@ -57,7 +77,7 @@
     minifySyntax: true,
     minifyWhitespace: true,
     legalComments: 'none',
-    plugins: [plainAssertions, ...plugins],
+    plugins: [plainAssertions, ...plugins, packageResolver],
     ...options,
   });
   return outputFiles[0].text;
@@ -65,7 +85,7 @@
 
 /** Writes a file in one step, so that a process that starts meanwhile never reads half of it. */
 function replaceFile(name, text) {
-  const unfinishedPath = join(DIRECTORY, `${name}.${process.pid}`);
+  const unfinishedPath = join(DIRECTORY, `${name}.${randomUUID()}`);
   writeFileSync(unfinishedPath, text);
   renameSync(unfinishedPath, join(DIRECTORY, name));
 }
@@ -96,18 +116,51 @@
   ],
 });
 
+if (identifyPackages(packagesDirectory) !== packagesIdentity) {
+  throw new Error('the packages changed while they were bundled');
+}
+
 mkdirSync(DIRECTORY, {recursive: true});
+keepGatewayInUse();
 replaceFile(gatewayFile, gateway);
 replaceFile(ENTRY_FILE, entry);
 replaceFile(MODULE_ENTRY_FILE, `import './${ENTRY_FILE}';\n`);
+removeReplacedFiles([gatewayFile, ENTRY_FILE, MODULE_ENTRY_FILE]);
+console.log(
+  JSON.stringify({
+    bundle: join(DIRECTORY, gatewayFile),
+    bundleBytes: Buffer.byteLength(gateway),
+  }),
+);
+
+/** Lets the time of the gateway that is replaced count from now. */
+function keepGatewayInUse() {
+  const now = new Date();
+  let names = [];
+  try {
+    const text = readFileSync(join(DIRECTORY, ENTRY_FILE), 'utf8');
+    names = text.match(GATEWAY_FILE_PATTERN) ?? [];
+  } catch (error) {
+    if (error.code !== 'ENOENT') throw error;
+  }
+  for (const name of names) {
+    try {
+      utimesSync(join(DIRECTORY, name), now, now);
+    } catch (error) {
+      if (error.code !== 'ENOENT') throw error;
+    }
+  }
+}
 
-const files = [gatewayFile, ENTRY_FILE, MODULE_ENTRY_FILE];
-for (const name of readdirSync(DIRECTORY)) {
-  if (!name.startsWith(PREFIX) || files.includes(name)) continue;
-  const path = join(DIRECTORY, name);
-  // Another build may have removed it.
-  const modifiedAtMs = statSync(path, {throwIfNoEntry: false})?.mtimeMs;
-  if (Date.now() - modifiedAtMs > MAX_UNUSED_AGE_MS) {
-    rmSync(path, {force: true});
+/** Removes what earlier builds left, once no process can still load it. */
+function removeReplacedFiles(files) {
+  for (const name of readdirSync(DIRECTORY)) {
+    if (!name.startsWith(PREFIX) || files.includes(name)) continue;
+    const path = join(DIRECTORY, name);
+    // Another build may have removed it.
+    const replacedAtMs = statSync(path, {throwIfNoEntry: false})?.mtimeMs;
+    if (Date.now() - replacedAtMs > MAX_UNUSED_AGE_MS) {
+      rmSync(path, {force: true});
+    }
   }
 }
--- a/testing/builds/test/build_environments_test.ts
+++ b/testing/builds/test/build_environments_test.ts
@@ -51,7 +51,7 @@
   'CI=true': {variables: {CI: 'true'}},
   'no HOME': {variables: {HOME: undefined}},
   'a HOME and a cache that cannot be written': {
-    variables: {HOME: NOWHERE, npm_config_cache: `${NOWHERE}/cache`},
+    variables: {HOME: '/dev/null', npm_config_cache: '/dev/null/cache'},
   },
   'a TMPDIR that cannot be written': {variables: {TMPDIR: NOWHERE}},
   'an installation that fails once': {
@@ -60,7 +60,7 @@
       cat > test-bin/npm <<EOF
 #!/bin/sh
 [ -e "$PWD/test-bin/failed" ] || { touch "$PWD/test-bin/failed"; exit 1; }
-exec "$npm" "\$@"
+exec "$npm" "\\$@"
 EOF
       chmod +x test-bin/npm; PATH="$PWD/test-bin:$PATH"; eval "$BUILD"`,
   },
