--- a/testing/builds/src/checkout_copy.ts
+++ b/testing/builds/src/checkout_copy.ts
@@ -1,6 +1,7 @@
 import {execFileSync} from 'node:child_process';
 import {
-  cpSync,
+  copyFileSync,
+  lstatSync,
   mkdirSync,
   mkdtempSync,
   readdirSync,
@@ -29,12 +30,11 @@
     if (name === '' || UNUSED_DIRECTORIES.some(d => name.startsWith(d))) {
       continue;
     }
+    const source = join(ROOT, name);
+    // A tracked file may be deleted; a link could lead a build out of the copy.
+    if (!lstatSync(source, {throwIfNoEntry: false})?.isFile()) continue;
     mkdirSync(dirname(join(copy, name)), {recursive: true});
-    // A tracked file may be deleted in the checkout.
-    cpSync(join(ROOT, name), join(copy, name), {
-      force: true,
-      errorOnExist: false,
-    });
+    copyFileSync(source, join(copy, name));
   }
   return copy;
 }
