--- a/testing/builds/test/build_series_test.ts
+++ b/testing/builds/test/build_series_test.ts
@@ -4,6 +4,7 @@
 import {describe} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {itOrKnownRed} from '@sardinestile/known_red';
+import {createSeededRandom} from '@sardinestile/types';
 import {
   INVALID_SETTINGS_EXIT_CODE,
   runBuild,
@@ -50,7 +51,7 @@
     itOrKnownRed(
       `succeed after builds that were cut off, seed ${seed}`,
       async () => {
-        const random = createRandom(seed);
+        const {next: random} = createSeededRandom(seed);
         await withCheckoutCopy(async copy => {
           for (let step = 0; step < STEPS; step++) {
             const kinds = Object.values(STEP_KINDS);
@@ -105,14 +106,3 @@
   const [first = 1, last = first] = text.split('-').map(Number);
   return Array.from({length: last - first + 1}, (_, i) => first + i);
 }
-
-/** Returns a generator of numbers from 0 to 1 (mulberry32). */
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let value = Math.imul(state ^ (state >>> 15), state | 1);
-    value ^= value + Math.imul(value ^ (value >>> 7), value | 61);
-    return ((value ^ (value >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
