--- a/core/memory/src/buffer_collector.ts
+++ b/core/memory/src/buffer_collector.ts
@@ -37,10 +37,21 @@
   };
 }
 
+/** Collects the whole heap, and buffers that no longer have an owner; takes tens of milliseconds. */
+export function createFullCollection(): () => void {
+  const collect = loadCollection();
+  return () => collect({type: 'major'});
+}
+
 /** Returns V8's collection of the young part of the heap, which takes less than a millisecond. */
 function loadYoungCollection(): () => void {
+  const collect = loadCollection();
+  return () => collect({type: 'minor'});
+}
+
+function loadCollection(): (options: {type: 'minor' | 'major'}) => void {
   setFlagsFromString('--expose-gc');
-  const gc = runInNewContext('gc') as (options: {type: 'minor'}) => void;
+  const collect = runInNewContext('gc') as ReturnType<typeof loadCollection>;
   setFlagsFromString('--no-expose-gc');
-  return () => gc({type: 'minor'});
+  return collect;
 }
--- a/core/memory/src/page_bytes.ts
+++ b/core/memory/src/page_bytes.ts
@@ -9,8 +9,8 @@
   release(): void;
 }
 
-/** Size by which the pages grow, in bytes. */
-const GROWTH_BYTES = 65_536;
+/** Smallest size of the pages, which double as they grow, in bytes. */
+const MIN_PAGES_BYTES = 131_072;
 
 /**
  * Reserves address space for up to `maxBytes`; pages are taken as bytes are appended. The
@@ -26,7 +26,7 @@
     append(bytes) {
       const end = length + bytes.length;
       if (end > pages.byteLength) {
-        const grown = Math.ceil(end / GROWTH_BYTES) * GROWTH_BYTES;
+        const grown = Math.max(MIN_PAGES_BYTES, 2 * pages.byteLength);
         pages.resize(Math.max(end, Math.min(grown, maxBytes)));
       }
       new Uint8Array(pages, length, bytes.length).set(bytes);
