--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -165,14 +165,16 @@
       return;
     }
     response.once('finish', () => idleSinceMs.set(socket, performance.now()));
-    void readRequest(request).then(entry => {
+    const respond = (entry: ReceivedRequest) => {
       received.push(entry);
       response.on('close', () => {
         entry.wasAborted = !response.writableFinished;
         entry.endedAtMs = performance.now();
       });
       respondWithBehaviour(upstream, entry, request, response);
-    });
+    };
+    // A request whose sender leaves before its end is none.
+    void readRequest(request).then(respond, () => undefined);
   });
   server.keepAliveTimeout = 60_000;
   server.on('connection', () => upstream.connections++);
