--- a/daemons/gateway/src/memory/resident_limit.ts
+++ b/daemons/gateway/src/memory/resident_limit.ts
@@ -13,7 +13,7 @@
 const WAITING_SHARE = 1 / 32;
 
 /** Bytes that are read between two readings of the resident memory. */
-const REFRESH_AFTER_BYTES = 2 * BYTES_PER_MB;
+const REFRESH_AFTER_BYTES = 4 * BYTES_PER_MB;
 
 /** Shortest time between two collections of the whole heap, in milliseconds. */
 const COLLECT_INTERVAL_MS = 1_000;
@@ -73,36 +73,36 @@
   const reservedBytes =
     GARBAGE_BYTES + REFRESH_AFTER_BYTES + waitingBytesLimit(memoryLimitBytes);
   let unseenBytes = 0;
-  let collectedAtMs = -Infinity;
-  /** Memory of the process beside what it held, after the last collection. */
+  /** Memory of the process beside what it holds, now and after the last collection. */
+  let ownBytes = 0;
   let collectedOwnBytes = 0;
-  /** Bytes that were read since the load began or was last seen. */
+  let collectedAtMs = -Infinity;
+  /** Bytes that were read since a load was last over. */
   let loadBytes = 0;
   let quietBytes = 0;
   let quietSinceMs = nowMs();
 
-  /** Sets the limit; returns the memory of the process beside what it holds, if it is known. */
   const setLimit = () => {
     const residentBytes = readResidentBytes();
-    if (residentBytes === undefined) return undefined;
-    const ownBytes = residentBytes - budget.heldInProcessBytes;
+    if (residentBytes === undefined) return;
+    ownBytes = residentBytes - budget.heldInProcessBytes;
     const limitBytes = memoryLimitBytes - reservedBytes - ownBytes;
     budget.setLimit(Math.max(MIN_BUDGET_BYTES, limitBytes), residentBytes);
-    return ownBytes;
   };
   const collect = () => {
+    const isWorthwhile =
+      ownBytes - collectedOwnBytes >= COLLECT_AFTER_GROWTH_BYTES &&
+      nowMs() - collectedAtMs >= COLLECT_INTERVAL_MS;
+    if (!isWorthwhile) return;
     collectAll();
     collectedAtMs = nowMs();
-    collectedOwnBytes = setLimit() ?? collectedOwnBytes;
+    setLimit();
+    collectedOwnBytes = ownBytes;
   };
   const follow = () => {
     unseenBytes = 0;
-    const ownBytes = setLimit();
-    if (ownBytes === undefined || !SHORT_STEPS.has(budget.step())) return;
-    const isWorthwhile =
-      ownBytes - collectedOwnBytes >= COLLECT_AFTER_GROWTH_BYTES &&
-      nowMs() - collectedAtMs >= COLLECT_INTERVAL_MS;
-    if (isWorthwhile) collect();
+    setLimit();
+    if (SHORT_STEPS.has(budget.step())) collect();
   };
   /** Collects what a load has left behind, as the process itself does not while it is idle. */
   const collectAfterLoad = () => {
--- a/daemons/gateway/test/resident_limit_test.ts
+++ b/daemons/gateway/test/resident_limit_test.ts
@@ -122,6 +122,16 @@
     expect(process.collections).toEqual(0);
   });
 
+  it('collects nothing after loads by which the process has not grown', () => {
+    const process = createProcess();
+    for (let i = 0; i < 100; i++) {
+      process.state.nowMs += 100;
+      if (i % 20 === 0) process.limit.recordRead(20 * MB);
+      process.limit.refresh();
+    }
+    expect(process.collections).toEqual(1);
+  });
+
   it('collects what a load has left behind once after it', () => {
     const process = createProcess();
     process.limit.recordRead(100 * MB);
