--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -166,6 +166,8 @@
     }
     response.once('finish', () => idleSinceMs.set(socket, performance.now()));
     void readRequest(request).then(entry => {
+      // Its sender ended within the body.
+      if (!entry) return;
       received.push(entry);
       response.on('close', () => {
         entry.wasAborted = !response.writableFinished;
@@ -214,9 +216,16 @@
   return upstream;
 }
 
-async function readRequest(request: IncomingMessage): Promise<ReceivedRequest> {
+/** Reads a request; undefined if its connection ends before its body. */
+async function readRequest(
+  request: IncomingMessage,
+): Promise<ReceivedRequest | undefined> {
   const chunks: Buffer[] = [];
-  for await (const chunk of request) chunks.push(chunk as Buffer);
+  try {
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+  } catch {
+    return undefined;
+  }
   return {
     requestId: String(request.headers['request-id']),
     receivedAtMs: performance.now(),
