--- a/testing/soak/src/faults.ts
+++ b/testing/soak/src/faults.ts
@@ -9,6 +9,7 @@
 import type {ProxyMode} from './tcp_proxy.js';
 import {
   createUsualBehaviour,
+  dropLargeBody,
   HARMFUL_BODY_PREFIX,
   prepareUpstream,
 } from './usual_upstream.js';
@@ -137,8 +138,10 @@
     ];
     const behaviour = pickRandom(behaviours, random);
     const previous = upstream.chooseBehaviour;
-    upstream.chooseBehaviour = request =>
-      upstreamRandom() < 0.5 ? behaviour : previous(request);
+    upstream.chooseBehaviour = request => {
+      dropLargeBody(request);
+      return upstreamRandom() < 0.5 ? behaviour : previous(request);
+    };
     runLater(500 + random() * 2_000, () => {
       upstream.chooseBehaviour = createUsualBehaviour(upstreamRandom);
     });
--- a/testing/soak/src/large_callers.ts
+++ b/testing/soak/src/large_callers.ts
@@ -5,16 +5,28 @@
 export interface LargeCallPattern {
   /** Sizes of the bodies, of which each call takes the next one, in bytes. */
   bodyBytes: readonly number[];
+  /** Returns a body of a size; bytes without a meaning if absent. */
+  createBody?: (bytes: number) => Buffer;
   /** Callers that each have one call open at a time. */
   callers: number;
   /** Every how many callers one reads slowly; none if absent. */
   slowEvery?: number;
+  /** Every how many calls one is broken off within its body; none if absent. */
+  brokenEvery?: number;
+  /** Pause after a refusal or a lost connection, in milliseconds; 20 if absent. */
+  pauseMs?: number;
+  /** Start of the request ids; "large" if absent. */
+  name?: string;
+  /** Headers beside the usual ones, of which each call takes the next ones. */
+  headers?: ReadonlyArray<Readonly<Record<string, string>>>;
 }
 
 /** Callers of large calls, as fast as they are served. */
 export interface LargeCallers {
   /** Number of finished calls by status; 0 for those that ended without a complete response. */
   readonly outcomes: ReadonlyMap<number, number>;
+  /** A line for each refusal that does not say when to retry. */
+  readonly failures: readonly string[];
   /** Ends the callers; their open calls are reset. */
   stop(): Promise<void>;
 }
@@ -22,25 +34,39 @@
 /** Time for which a slow caller leaves its response unread, in milliseconds. */
 const SLOW_READER_PAUSE_MS = 500;
 
-/** Pause after a refusal or a lost connection, in milliseconds. */
+/** Pause after a refusal or a lost connection, and within a body that is broken off, in milliseconds. */
 const PAUSE_MS = 20;
 
+/** Statuses that say when to retry. */
+const REFUSALS: ReadonlySet<number> = new Set([429, 503]);
+
 const HEAD_END = '\r\n\r\n';
 
 /** Starts callers that send their bodies as fast as the process at the address takes them. */
 export function startLargeCallers(
   address: string,
   path: string,
-  {bodyBytes, callers, slowEvery = Infinity}: LargeCallPattern,
+  {
+    bodyBytes,
+    createBody = bytes => Buffer.alloc(bytes, 'b'),
+    callers,
+    slowEvery = Infinity,
+    brokenEvery = Infinity,
+    pauseMs = PAUSE_MS,
+    name = 'large',
+    headers: headersOfCalls = [{}],
+  }: LargeCallPattern,
 ): LargeCallers {
   const outcomes = new Map<number, number>();
-  const largestBody = Buffer.alloc(Math.max(...bodyBytes), 'b');
+  const failures: string[] = [];
+  const bodies = bodyBytes.map(createBody);
   let isStopped = false;
   let calls = 0;
   const open = new Set<Socket>();
 
   const runCaller = async (caller: number) => {
-    const pauseMs = (caller + 1) % slowEvery === 0 ? SLOW_READER_PAUSE_MS : 0;
+    const readPauseMs =
+      (caller + 1) % slowEvery === 0 ? SLOW_READER_PAUSE_MS : 0;
     let socket: Socket | undefined;
     while (!isStopped) {
       const call = calls++;
@@ -49,16 +75,35 @@
         open.add(socket);
         socket.once('close', () => open.delete(socket!));
       }
-      const body = largestBody.subarray(0, bodyBytes[call % bodyBytes.length]);
-      const status = await sendCall(socket, path, call, body, pauseMs);
+      const body = bodies[call % bodies.length];
+      const id = `${name}-${call}`;
+      const headers = createKeyedHeaders(id, {
+        ...headersOfCalls[call % headersOfCalls.length],
+        'Content-Length': String(body.length),
+      });
+      if ((call + 1) % brokenEvery === 0) {
+        await breakOff(socket, renderHead(path, headers), body);
+        continue;
+      }
+      const response = await sendCall(
+        socket,
+        renderHead(path, headers),
+        body,
+        readPauseMs,
+      );
       if (isStopped) return;
+      const {status} = response;
+      if (REFUSALS.has(status) && !/\r\nretry-after: /i.test(response.head)) {
+        failures.push(`${id} got ${status} without Retry-After`);
+      }
       outcomes.set(status, (outcomes.get(status) ?? 0) + 1);
-      if (status !== 200) await sleep(PAUSE_MS);
+      if (status !== 200) await sleep(pauseMs);
     }
   };
   const running = Array.from({length: callers}, (_, i) => runCaller(i));
   return {
     outcomes,
+    failures,
     async stop() {
       isStopped = true;
       open.forEach(socket => socket.destroy());
@@ -75,18 +120,41 @@
   return socket;
 }
 
-/** Sends a call and reads its response; returns its status, or 0 if the connection ended before. */
+function renderHead(
+  path: string,
+  headers: Readonly<Record<string, string>>,
+): string {
+  const lines = Object.entries({Host: HOST, ...headers}).map(
+    ([name, value]) => `${name}: ${value}`,
+  );
+  return [`POST ${path} HTTP/1.1`, ...lines, '', ''].join('\r\n');
+}
+
+/** Sends the head and half of the body, and resets the connection. */
+async function breakOff(
+  socket: Socket,
+  head: string,
+  body: Buffer,
+): Promise<void> {
+  socket.write(head);
+  socket.write(body.subarray(0, body.length / 2));
+  await sleep(PAUSE_MS);
+  socket.resetAndDestroy();
+}
+
+/** What a caller received of a response; status 0 if the connection ended before its end. */
+interface LargeResponse {
+  status: number;
+  head: string;
+}
+
+/** Sends a call and reads its response. */
 function sendCall(
   socket: Socket,
-  path: string,
-  call: number,
+  requestHead: string,
   body: Buffer,
   pauseMs: number,
-): Promise<number> {
-  const headers = Object.entries({
-    ...createKeyedHeaders(`large-${call}`),
-    'Content-Length': body.length,
-  }).map(([name, value]) => `${name}: ${value}`);
+): Promise<LargeResponse> {
   return new Promise(resolve => {
     let head = '';
     let status = 0;
@@ -94,7 +162,7 @@
     const settle = (result: number) => {
       socket.off('data', onData);
       socket.off('close', onClose);
-      resolve(result);
+      resolve({status: result, head});
     };
     const onClose = () => settle(0);
     const onData = (chunk: Buffer) => {
@@ -116,11 +184,7 @@
     };
     socket.on('data', onData);
     socket.once('close', onClose);
-    socket.write(
-      [`POST ${path} HTTP/1.1`, `Host: ${HOST}`, ...headers, '', ''].join(
-        '\r\n',
-      ),
-    );
+    socket.write(requestHead);
     socket.write(body);
   });
 }
--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -31,10 +31,11 @@
       if (!values.quiet) process.stdout.write(`${line}\n`);
     },
   });
-  const {calls, served, failures, directory} = result;
+  const {calls, served, failures, directory, peakMemoryMb, memoryLimitMb} =
+    result;
   const verdict = failures.length === 0 ? 'passed' : 'FAILED';
   process.stdout.write(
-    `seed ${seed}: ${calls} calls, ${served} served, ${verdict}\n`,
+    `seed ${seed}: ${calls} calls, ${served} served, ${peakMemoryMb.toFixed(1)} of ${memoryLimitMb} MB, ${verdict}\n`,
   );
   if (failures.length === 0) continue;
   failed++;
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -18,7 +18,9 @@
 import {checkGuarantees, type SoakCall} from './guarantees.js';
 import {runKeptCallers} from './kept_callers.js';
 import {HOSTILE_FAULTS} from './hostile_faults.js';
+import {checkLargeCalls, LARGE_FAULTS, MAX_BODY_BYTES} from './large_faults.js';
 import {checkLostRequests} from './lost_requests.js';
+import {watchMemory} from './memory_watch.js';
 import {reserveNetwork} from './reserve_network.js';
 import {sendCalls} from './send_calls.js';
 import {
@@ -39,6 +41,7 @@
   {faults: FAULTS, minDelayMs: 100, maxDelayMs: 900},
   {faults: STOP_FAULTS, minDelayMs: 1_000, maxDelayMs: 4_000},
   {faults: HOSTILE_FAULTS, minDelayMs: 300, maxDelayMs: 2_000},
+  {faults: LARGE_FAULTS, minDelayMs: 2_000, maxDelayMs: 6_000},
 ];
 
 /**
@@ -47,6 +50,11 @@
  */
 const SPARED_GATEWAYS = 2;
 
+/** Memory of each gateway, by seed, in megabytes. */
+const MEMORY_LIMITS_MB = [200, 250, 350];
+
+const MAX_DESCRIPTORS = 1_000;
+
 /** Time without faults before the checks, for the last requests and reports, in milliseconds. */
 const SETTLE_MS = 4_000;
 
@@ -56,6 +64,9 @@
   failures: string[];
   calls: number;
   served: number;
+  /** Largest resident memory of any gateway, and what each one may have, in megabytes. */
+  peakMemoryMb: number;
+  memoryLimitMb: number;
   /** A line for each injected fault. */
   faultLines: string[];
   /** Directory with the settings and logs of every process. */
@@ -67,11 +78,15 @@
   const {next: random} = createSeededRandom(options.seed);
   const {next: upstreamRandom} = createSeededRandom(options.seed + 3_000_017);
   const {next: hostileRandom} = createSeededRandom(options.seed + 5_000_011);
+  const {next: largeRandom} = createSeededRandom(options.seed + 7_000_003);
+  const memoryLimitMb =
+    MEMORY_LIMITS_MB[options.seed % MEMORY_LIMITS_MB.length];
   const directory = mkdtempSync(join(tmpdir(), `soak-${options.seed}-`));
   const cluster = await createGatewayCluster(options.upstreams);
   const keys = ['key-one', 'key-spare'];
   cluster.configure(config => {
     config.tenants[0].api_keys = [...keys];
+    config.limits.max_body_bytes = MAX_BODY_BYTES;
   });
   for (const upstream of cluster.upstreams) {
     prepareUpstream(cluster, upstream, upstreamRandom);
@@ -90,9 +105,11 @@
         directory,
         storePort: proxy.port,
         dutyInterfacePort: cluster.duties.listener.port,
+        limits: {memoryMb: memoryLimitMb, descriptors: MAX_DESCRIPTORS},
       }),
     );
   }
+  const memoryWatch = watchMemory(gateways, memoryLimitMb);
   const timers: NodeJS.Timeout[] = [];
   const revokedKeys = new Map<string, number>();
   const soak: SoakContext = {
@@ -106,6 +123,8 @@
     upstreamRandom,
     hostileRandom,
     hostileRuns: [],
+    largeRandom,
+    largeRuns: [],
     revokedKeys,
     keys,
     disturbances: [],
@@ -144,7 +163,7 @@
     }
   };
   await Promise.all(FAULT_SERIES.map(injectFaults));
-  await Promise.all([traffic, ...soak.hostileRuns]);
+  await Promise.all([traffic, ...soak.hostileRuns, ...soak.largeRuns]);
   timers.forEach(clearTimeout);
   gateways.forEach(gateway => gateway.signal('SIGCONT'));
   storeProxies.forEach(proxy => proxy.setMode('pass'));
@@ -160,7 +179,10 @@
     ...checkLostRequests({...soak, calls, upstreams: cluster.upstreams}),
     ...checkFleetBounds({...soak, calls, upstreams: cluster.upstreams}),
     ...checkProcesses(gateways),
+    ...(await checkLargeCalls(soak)),
+    ...memoryWatch.failures,
   ];
+  memoryWatch.stop();
   for (const upstream of cluster.upstreams) upstream.onCrash = () => undefined;
   await Promise.all(gateways.map(gateway => gateway.stop()));
   await Promise.all(storeProxies.map(proxy => proxy.close()));
@@ -169,5 +191,13 @@
   await store.close();
   await cluster.close();
   const served = calls.filter(({response}) => response?.status === 200).length;
-  return {failures, calls: calls.length, served, faultLines, directory};
+  return {
+    failures,
+    calls: calls.length,
+    served,
+    peakMemoryMb: memoryWatch.peakMb,
+    memoryLimitMb,
+    faultLines,
+    directory,
+  };
 }
--- a/testing/soak/src/soak_context.ts
+++ b/testing/soak/src/soak_context.ts
@@ -3,6 +3,7 @@
 import type {StatedLimit} from './fleet_bounds.js';
 import type {GatewayProcess} from './gateway_process.js';
 import type {PlannedSignal} from './lost_requests.js';
+import type {LargeCallsResult} from './run_large_callers.js';
 import type {TcpProxy} from './tcp_proxy.js';
 
 /** Options for runSoak. */
@@ -33,6 +34,10 @@
   hostileRandom: () => number;
   /** Resolve when hostile clients have ended. */
   hostileRuns: Array<Promise<void>>;
+  /** Generator for large calls, so that other faults do not depend on them. */
+  largeRandom: () => number;
+  /** Resolve when callers of large calls have ended. */
+  largeRuns: Array<Promise<LargeCallsResult>>;
   revokedKeys: Map<string, number>;
   keys: string[];
   disturbances: Disturbance[];
--- a/testing/soak/src/usual_upstream.ts
+++ b/testing/soak/src/usual_upstream.ts
@@ -16,6 +16,15 @@
 /** Header in which a call states the number of events of a long stream. */
 export const STREAM_EVENTS_HEADER = 'stream-events';
 
+/** Header in which a call states the length of its answer, and the largest one, in bytes. */
+export const ANSWER_BYTES_HEADER = 'answer-bytes';
+export const MAX_ANSWER_BYTES = 4_194_304;
+
+const LARGE_ANSWER = 'a'.repeat(MAX_ANSWER_BYTES);
+
+/** Bytes that the soak keeps of each body. */
+const KEPT_BODY_BYTES = 1_024;
+
 /** Start of the bodies of requests that crash upstreams. */
 export const HARMFUL_BODY_PREFIX = 'bad request';
 
@@ -44,7 +53,9 @@
 export function createUsualBehaviour(
   random: () => number,
 ): (request: ReceivedRequest) => UpstreamBehaviour {
-  return ({url, headers, body}) => {
+  return request => {
+    dropLargeBody(request);
+    const {url, headers, body} = request;
     if (body.toString().startsWith(HARMFUL_BODY_PREFIX)) {
       return {kind: 'crash', afterMs: 20 + random() * 60, isUnanswered: true};
     }
@@ -52,7 +63,15 @@
       return {kind: 'crash', afterMs: 40 + random() * 120};
     }
     if (url !== ROUTE_PATHS.stream && url !== ROUTE_PATHS.resumable) {
-      return {kind: 'answer', delayMs: random() * 80};
+      const bytes = headers[ANSWER_BYTES_HEADER];
+      return {
+        kind: 'answer',
+        delayMs: random() * 80,
+        body:
+          bytes === undefined
+            ? undefined
+            : LARGE_ANSWER.slice(0, Number(bytes)),
+      };
     }
     const events = headers[STREAM_EVENTS_HEADER];
     return events === undefined
@@ -60,3 +79,9 @@
       : {kind: 'stream', events: Number(events), gapMs: LONG_STREAM_GAP_MS};
   };
 }
+
+/** Drops all but the start of a body, as upstreams keep what they received. */
+export function dropLargeBody(request: ReceivedRequest): void {
+  if (request.body.length <= KEPT_BODY_BYTES) return;
+  request.body = Buffer.from(request.body.subarray(0, KEPT_BODY_BYTES));
+}
