--- a/daemons/entry/src/classify_request.ts
+++ b/daemons/entry/src/classify_request.ts
@@ -37,12 +37,20 @@
     .nullish(),
 });
 
-/** The fields of an engine request that the router reads. */
-export type EngineBody = z.infer<typeof engineBodySchema>;
+type EngineBody = z.infer<typeof engineBodySchema>;
 
 /** The kinds of OpenAI-compatible calls. */
 export type EngineCall = 'chat' | 'completion';
 
+/** How an engine's answer is written; has no part of the body, which the request keeps as bytes. */
+export interface EngineAnswerForm {
+  call: EngineCall;
+  model: string;
+  isStreamed: boolean;
+  /** Whether a stream ends with the token counts. */
+  includesUsage: boolean;
+}
+
 /**
  * A request's class and the properties that decide how it is placed and
  * retried.
@@ -57,7 +65,7 @@
   /** Key for prefix-aware placement; empty for plain services. */
   prefixKey: string;
   /** Set only for calls to engines. */
-  engine?: {call: EngineCall; body: EngineBody};
+  engine?: EngineAnswerForm;
 }
 
 /** The refusal of a request that could not be classified. */
@@ -97,14 +105,22 @@
   if (!requestClass) {
     return reject('invalid_request', `no request class "${className}"`);
   }
+  const {model} = body;
   const prompt = body.prompt ?? JSON.stringify(body.messages);
+  const prefix = prompt.slice(0, PREFIX_KEY_CHARS);
   return Ok({
     requestClass,
     isIdempotent: true,
     isOpenToAll: false,
     promptTokens: Math.ceil(prompt.length / ESTIMATED_CHARS_PER_TOKEN),
-    prefixKey: `${body.model}:${prompt.slice(0, PREFIX_KEY_CHARS)}`,
-    engine: {call, body},
+    // A slice would keep the whole prompt in the heap.
+    prefixKey: Buffer.from(`${model}:${prefix}`).toString(),
+    engine: {
+      call,
+      model,
+      isStreamed: body.stream ?? false,
+      includesUsage: body.stream_options?.include_usage ?? false,
+    },
   });
 }
 
--- a/daemons/entry/src/engine_writers.ts
+++ b/daemons/entry/src/engine_writers.ts
@@ -24,15 +24,14 @@
   requestId: string,
   request: ClassifiedRequest,
 ): ResponseWriterFactory {
-  const {call, body} = request.engine!;
+  const {call, model, isStreamed, includesUsage} = request.engine!;
   const identity: ResponseIdentity = {
     id: `${call === 'chat' ? 'chatcmpl' : 'cmpl'}-${requestId}`,
     createdS: Math.floor(Date.now() / 1000),
-    model: body.model,
+    model,
   };
   const format = RESPONSE_FORMATS[call];
-  const includesUsage = body.stream_options?.include_usage ?? false;
-  return body.stream
+  return isStreamed
     ? task => createStreamedWriter(identity, format, includesUsage, task)
     : task => createBufferedWriter(identity, format, task);
 }
