--- a/protocol/session/src/session_service.ts
+++ b/protocol/session/src/session_service.ts
@@ -59,8 +59,10 @@
 }
 
 function createSerializer<D extends DescMessage>(schema: D) {
-  return (message: MessageShape<D>) =>
-    Buffer.from(toBinary(schema, create(schema, message as never)));
+  return (message: MessageShape<D>) => {
+    const bytes = toBinary(schema, create(schema, message as never));
+    return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+  };
 }
 
 function createDeserializer<D extends DescMessage>(schema: D) {
