--- a/daemons/entry/src/serve_once.ts
+++ b/daemons/entry/src/serve_once.ts
@@ -5,6 +5,7 @@
 import type {HeaderPair} from './forwarded_headers.js';
 import {
   claimIdempotencyKey,
+  MAX_STORED_BODY_BYTES,
   type IdempotencyClaim,
 } from '@sardinestile/idempotency';
 import {createPlainWriterFactory, type ResponseTap} from './plain_writer.js';
@@ -77,19 +78,24 @@
   http: Request,
   claim: IdempotencyClaim,
 ): Promise<Response> {
-  const parts: Uint8Array[] = [];
+  let parts: Uint8Array[] = [];
+  let answerBytes = 0;
   let headers: HeaderPair[] = [];
   const tap: ResponseTap = {
     onHead: (_status, head) => {
       headers = head;
     },
-    onData: data => parts.push(data),
+    onData(data) {
+      answerBytes += data.length;
+      if (answerBytes <= MAX_STORED_BODY_BYTES) parts.push(data);
+      else parts = [];
+    },
   };
   const onEnd = ({status, failure}: ServeOutcome) => {
-    if (!failure) {
+    if (!failure && answerBytes <= MAX_STORED_BODY_BYTES) {
       const body = Buffer.concat(parts);
       void claim.complete({status, headers, body});
-    } else if (failure.outcome === 'not_run') {
+    } else if (failure?.outcome === 'not_run') {
       void claim.release();
     }
   };
--- a/state/idempotency/src/claim_idempotency_key.ts
+++ b/state/idempotency/src/claim_idempotency_key.ts
@@ -2,8 +2,8 @@
 import type {TableService} from '@sardinestile/ports';
 import {z} from 'zod';
 
-/** Longest response body that is stored for repeated calls. */
-const MAX_STORED_BODY_BYTES = 65_536;
+/** Longest response body that is stored for repeated calls, in bytes. */
+export const MAX_STORED_BODY_BYTES = 65_536;
 
 const recordSchema = z.object({
   claimToken: z.string(),
--- a/testing/end_to_end/test/large_bodies_test.ts
+++ b/testing/end_to_end/test/large_bodies_test.ts
@@ -6,6 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {readResidentMemory, startLargeCallers} from '@sardinestile/soak';
 import {expect} from 'earl';
+import {request} from 'undici';
 import {
   callChat,
   DEPLOYMENTS,
@@ -56,11 +57,20 @@
   },
 ];
 
+/** End of the path of calls that get a large answer. */
+const LARGE_PATH = '/large';
+const LARGE_ANSWER = Buffer.alloc(48_000_000, 'a');
+
+/** Calls with large answers at once. */
+const LARGE_CALLS = 6;
+
 /** Starts a service that reads bodies without keeping them. */
 async function startPlainService(): Promise<Server> {
-  const server = createServer((request, response) => {
-    request.resume();
-    request.on('end', () => response.end('done'));
+  const server = createServer((call, response) => {
+    call.resume();
+    call.on('end', () =>
+      response.end(call.url?.endsWith(LARGE_PATH) ? LARGE_ANSWER : 'done'),
+    );
   }).listen(0, '127.0.0.1');
   await once(server, 'listening');
   return server;
@@ -158,4 +168,30 @@
       );
     });
   }
+
+  it(`stays within it while ${LARGE_CALLS} calls with an idempotency key get answers of 48 MB`, async () => {
+    const call = async (_: unknown, number: number) => {
+      const {statusCode, body} = await request(
+        `http://${entry.address}${deployment.bookingPath}${LARGE_PATH}`,
+        {
+          method: 'POST',
+          body: 'small',
+          headers: {
+            authorization: `Bearer ${secret}`,
+            'idempotency-key': `large-${number}`,
+          },
+        },
+      );
+      let bytes = 0;
+      for await (const chunk of body) bytes += (chunk as Buffer).length;
+      return {statusCode, bytes};
+    };
+    const answers = await Promise.all(Array.from({length: LARGE_CALLS}, call));
+    expect(exits).toEqual([]);
+    expect(readResidentMemory(entry.pid)!.peakMb).toBeLessThanOrEqual(
+      MEMORY_LIMIT_MB,
+    );
+    const whole = {statusCode: 200, bytes: LARGE_ANSWER.length};
+    expect(answers).toEqual(answers.map(() => whole));
+  });
 });
