--- a/testing/soak/test/resident_memory_test.ts
+++ b/testing/soak/test/resident_memory_test.ts
@@ -94,7 +94,7 @@
     answerBytes: drawSizes(MB),
     callers: 50 + Math.floor(random() * 300),
     slowEvery: drawEvery(),
-    leaveEvery: drawEvery(),
+    brokenEvery: drawEvery(),
     streamEvery: drawEvery(),
   };
 }
@@ -168,8 +168,8 @@
           const idle = readResidentMemory(gateway.pid);
           const callers = startLargeCallers(
             gateway.address,
-            {answer: ROUTE_PATHS.idempotent, stream: ROUTE_PATHS.resumable},
-            load,
+            ROUTE_PATHS.idempotent,
+            {...load, streamPath: ROUTE_PATHS.resumable},
           );
           await sleep(LOAD_MS);
           const outcomes = [...callers.outcomes]
