--- a/daemons/gateway/src/memory/memory_budget.ts
+++ b/daemons/gateway/src/memory/memory_budget.ts
@@ -182,8 +182,9 @@
     let most: OpenAccount | undefined;
     for (const account of accounts) {
       const {unreadResponse} = account.held;
-      // Of equal ones the first is the oldest.
-      if (unreadResponse > (most?.held.unreadResponse ?? 0)) most = account;
+      // Of equal ones the first is the oldest. The end of a small one frees nothing.
+      const mostBytes = most?.held.unreadResponse ?? SMALL_UNREAD_BYTES;
+      if (unreadResponse > mostBytes) most = account;
     }
     return most;
   };
--- a/daemons/gateway/test/memory_budget_test.ts
+++ b/daemons/gateway/test/memory_budget_test.ts
@@ -107,6 +107,14 @@
       expect(ended).toEqual(['first']);
     });
 
+    it('breaks off no small response for the sake of bodies', () => {
+      const budget = createMemoryBudget(LIMIT_BYTES);
+      const ended: string[] = [];
+      openUnread(budget, ended, 'small', 100);
+      budget.open(() => undefined).set('requestBody', 950_000);
+      expect(ended).toEqual([]);
+    });
+
     it('breaks off nothing if no response is unread', () => {
       const budget = createMemoryBudget(LIMIT_BYTES);
       let hasEnded = false;
