--- a/core/memory/src/page_bytes.ts
+++ b/core/memory/src/page_bytes.ts
@@ -9,28 +9,21 @@
   release(): void;
 }
 
-/** Smallest size of the pages, which double as they grow, in bytes. */
-const MIN_PAGES_BYTES = 131_072;
-
 /**
- * Reserves address space for up to `maxBytes`; pages are taken as bytes are appended. The
- * allocator of the process is not involved, so that it keeps nothing after the release.
+ * Reserves address space for `maxBytes`; the system takes a page once bytes are written to it.
+ * The allocator of the process is not involved, so that it keeps nothing after the release.
  */
 export function createPageBytes(maxBytes: number): PageBytes {
-  const pages = new ArrayBuffer(0, {maxByteLength: maxBytes});
+  // Growing it later would write zeros to each new page.
+  const pages = new ArrayBuffer(maxBytes, {maxByteLength: maxBytes});
   let length = 0;
   return {
     get length() {
       return length;
     },
     append(bytes) {
-      const end = length + bytes.length;
-      if (end > pages.byteLength) {
-        const grown = Math.max(MIN_PAGES_BYTES, 2 * pages.byteLength);
-        pages.resize(Math.max(end, Math.min(grown, maxBytes)));
-      }
       new Uint8Array(pages, length, bytes.length).set(bytes);
-      length = end;
+      length += bytes.length;
     },
     view: () => Buffer.from(pages, 0, length),
     release() {
--- a/core/memory/test/page_bytes_test.ts
+++ b/core/memory/test/page_bytes_test.ts
@@ -20,6 +20,14 @@
     expect(() => bytes.append(Buffer.alloc(11))).toThrow();
   });
 
+  it('take memory only for what was appended', () => {
+    const beforeBytes = readResidentBytes()!;
+    const held = Array.from({length: 64}, () => createPageBytes(4 * MB));
+    held.forEach(bytes => bytes.append(Buffer.from('a')));
+    expect(readResidentBytes()! - beforeBytes).toBeLessThan(16 * MB);
+    held.forEach(bytes => bytes.release());
+  });
+
   it('return to the operating system when they are released', () => {
     const held = Array.from({length: 64}, () => createPageBytes(MB));
     const part = Buffer.alloc(MB, 'a');
