--- a/testing/end_to_end/test/process_faults_test.ts
+++ b/testing/end_to_end/test/process_faults_test.ts
@@ -67,6 +67,8 @@
   describe('an agent that stops during a stream', () => {
     for (const signal of ['SIGSTOP', 'SIGKILL'] as const) {
       it(`after ${signal}, the stream resumes without missing or repeated text`, async () => {
+        // The stream needs a second agent to resume on.
+        await waitUntilSessionsAreOpen();
         const content = `resume ${signal}`;
         let textCount = 0;
         const call = startLongCall(content, () => textCount++);
@@ -97,13 +99,16 @@
       kind: 'engine',
       upstreamPort: cluster.engines[index].port,
     });
-    await waitUntil(async () => {
+    await waitUntilSessionsAreOpen();
+  }
+
+  const waitUntilSessionsAreOpen = () =>
+    waitUntil(async () => {
       const states = await Promise.all(
         entries.map(({process}) => readState(process.opsAddress)),
       );
       return states.every(({sessions}) => sessions.every(s => s.isOpen));
     });
-  }
 
   it('cancels the request at the engine when the caller disconnects', async () => {
     const abortController = new AbortController();
