--- a/core/memory/src/held_bytes.ts
+++ b/core/memory/src/held_bytes.ts
@@ -1,3 +1,4 @@
+import {appendChunk} from './append_chunk.js';
 import {createPageBytes, type PageBytes} from './page_bytes.js';
 
 /** Size above which bytes are kept in pages of their own. */
@@ -23,7 +24,7 @@
 }
 
 /**
- * Creates a message without bytes. Small ones keep the chunks as they came; larger ones are
+ * Creates a message without bytes. Small ones keep the chunks; larger ones are
  * copied into pages chunk by chunk, so that the chunks can be dropped at once.
  */
 export function createHeldBytes({
@@ -53,7 +54,7 @@
         pages.append(chunk);
         return;
       }
-      chunks.push(chunk);
+      appendChunk(chunks, chunk);
       chunkBytes = length;
     },
     view() {
--- a/core/memory/src/index.ts
+++ b/core/memory/src/index.ts
@@ -1,3 +1,4 @@
+export * from './append_chunk.js';
 export * from './buffer_collector.js';
 export * from './held_bytes.js';
 export * from './memory_limit.js';
--- a/daemons/gateway/src/calls/event_splitter.ts
+++ b/daemons/gateway/src/calls/event_splitter.ts
@@ -1,3 +1,5 @@
+import {appendChunk} from '@sardinestile/memory';
+
 /** One complete server-sent event, as received. */
 export interface StreamEvent {
   bytes: Buffer;
@@ -36,7 +38,7 @@
   return {
     push(chunk) {
       if (partialBytes > 0) {
-        pending.push(chunk);
+        appendChunk(pending, chunk);
         if (!hasEndOfEvent(pending)) {
           partialBytes += chunk.length;
           return [];
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import {appendChunk} from '@sardinestile/memory';
 import {startAttempt} from './attempt.js';
 import type {AttemptOutcome, Call} from './call.js';
 import {
@@ -92,7 +93,7 @@
           bufferCollector.recordRead(chunk.length);
           heldBytes += chunk.length;
           if (!isForwarding && heldBytes <= maxHeldBytes()) {
-            parts.push(chunk);
+            appendChunk(parts, chunk);
             call.account.set('heldResponse', heldBytes);
             readingPause.updateHeld();
             return;
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import {appendChunk} from '@sardinestile/memory';
 import {startAttempt} from './attempt.js';
 import {MAX_HELD_BYTES} from './relay_response.js';
 import type {AttemptOutcome, Call} from './call.js';
@@ -157,7 +158,7 @@
               );
               return;
             }
-            nonStreamBody.push(chunk);
+            appendChunk(nonStreamBody, chunk);
             call.account.set('heldResponse', nonStreamBytes);
             readingPause.updateHeld();
             return;
