--- a/daemons/gateway/src/memory/body_admission.ts
+++ b/daemons/gateway/src/memory/body_admission.ts
@@ -39,8 +39,8 @@
   const maxWaiting = Math.floor(maxWaitingBytes / UNREAD_BYTES);
   const admit = ({account, bodyBytes, decide, timer}: WaitingBody) => {
     clearTimeout(timer);
-    account.set('requestBody', bodyBytes);
     account.setMissing(bodyBytes);
+    account.set('requestBody', bodyBytes);
     decide(true);
   };
   budget.onRoom(() => {
--- a/daemons/gateway/src/memory/memory_budget.ts
+++ b/daemons/gateway/src/memory/memory_budget.ts
@@ -188,8 +188,11 @@
     }
     return most;
   };
-  const breakOffUntilBelow = (maxBytes: number) => {
-    while (heldBytes > maxBytes) {
+  /** Whether what has arrived, without the missing parts of bodies, is too much. */
+  const mustBreakOff = () =>
+    heldBytes - missingBytes > BREAK_OFF_SHARE * limitBytes;
+  const breakOffUntilBelow = () => {
+    while (mustBreakOff()) {
       const account = findMostUnread();
       if (!account) return;
       const {unreadResponse} = account.held;
@@ -219,7 +222,7 @@
     onRoom: callback => (onRoom = callback),
     heldByKind: () => ({...sums}),
     step() {
-      if (heldBytes > BREAK_OFF_SHARE * limitBytes) return 'breakOff';
+      if (mustBreakOff()) return 'breakOff';
       if (heldBytes > REFUSE_BODIES_SHARE * limitBytes) return 'refuseBodies';
       if (heldBytes > STOP_READING_SHARE * limitBytes) return 'stopReading';
       return 'none';
@@ -238,10 +241,12 @@
           const isLess = bytes < account.held[kind];
           set(account, kind, bytes);
           if (isLess) notifyRoom();
-          breakOffUntilBelow(BREAK_OFF_SHARE * limitBytes);
+          breakOffUntilBelow();
         },
         setMissing(bytes) {
-          if (accounts.has(account)) setMissing(account, bytes);
+          if (!accounts.has(account)) return;
+          setMissing(account, bytes);
+          breakOffUntilBelow();
         },
         mayHoldMore: () => mayHoldMore(account),
         onceMayHoldMore: callback => (account.notifyMayHold = callback),
--- a/daemons/gateway/test/memory_budget_test.ts
+++ b/daemons/gateway/test/memory_budget_test.ts
@@ -57,6 +57,20 @@
   });
 
   describe('under pressure', () => {
+    it('breaks no response off for bodies that have not arrived when the limit falls', () => {
+      const budget = createMemoryBudget(LIMIT_BYTES);
+      const ended: string[] = [];
+      const body = budget.open(() => ended.push('body'));
+      body.setMissing(700_000);
+      body.set('requestBody', 700_000);
+      budget.setLimit(700_000, LIMIT_BYTES);
+      openUnread(budget, ended, 'response', 5_000);
+      expect(ended).toEqual([]);
+      expect(budget.step()).toEqual('refuseBodies');
+      body.setMissing(0);
+      expect(ended).toEqual(['response']);
+    });
+
     it('takes the steps in order', () => {
       const budget = createMemoryBudget(LIMIT_BYTES);
       const account = budget.open(() => undefined);
