--- a/daemons/gateway/src/calls/read_body.ts
+++ b/daemons/gateway/src/calls/read_body.ts
@@ -21,6 +21,12 @@
   | {kind: 'memoryShort'}
   | {kind: 'aborted'};
 
+/**
+ * Time without progress after which a body gives back the room for what has not arrived,
+ * in milliseconds.
+ */
+const STALL_MS = 1_000;
+
 /** What reading a body depends on. */
 export interface BodyReadContext {
   memoryBudget: MemoryBudget;
@@ -53,11 +59,50 @@
         return;
       }
       body.append(chunk);
-      if (bytes > statedBytes || statedBytes <= SMALL_BODY_BYTES) {
-        account.set('requestBody', bytes);
-      } else account.setMissing(statedBytes - bytes);
+      if (hasRoom) account.setMissing(statedBytes - bytes);
+      else account.set('requestBody', bytes);
+      if (!hasStalled || bytes === statedBytes) return;
+      hasStalled = false;
+      request.pause();
+      requestRoom(() => request.resume());
+    };
+    /** Whether the whole stated size counts, rather than what has arrived. */
+    let hasRoom = false;
+    let hasStalled = false;
+    let progressTimer: NodeJS.Timeout | undefined;
+    let stopWaiting: () => void = () => undefined;
+    const requestRoom = (read: () => void) => {
+      const size = {bodyBytes: statedBytes, arrivedBytes: body.length};
+      stopWaiting = bodyAdmission.request(account, size, isAdmitted => {
+        if (!isAdmitted) {
+          refuse('memoryShort');
+          return;
+        }
+        hasRoom = true;
+        watchProgress();
+        read();
+      });
+    };
+    const watchProgress = () => {
+      let seenBytes = body.length;
+      progressTimer = setInterval(() => {
+        if (body.length > seenBytes) {
+          seenBytes = body.length;
+          return;
+        }
+        clearInterval(progressTimer);
+        hasRoom = false;
+        hasStalled = true;
+        account.set('requestBody', body.length);
+        account.setMissing(0);
+      }, STALL_MS);
+    };
+    const stop = () => {
+      stopWaiting();
+      clearInterval(progressTimer);
     };
     const refuse = (kind: 'tooLarge' | 'memoryShort') => {
+      stop();
       request.off('data', onData);
       body.release();
       account.set('requestBody', 0);
@@ -66,24 +111,22 @@
       request.on('data', (chunk: Buffer) =>
         bufferCollector.recordRead(chunk.length),
       );
+      request.resume();
       resolve({kind});
     };
     const abort = () => {
-      stopWaiting();
+      stop();
       if (!request.readableEnded) body.release();
       resolve({kind: 'aborted'});
     };
-    let stopWaiting: () => void = () => undefined;
-    request.on('end', () => resolve({kind: 'complete', body}));
+    request.on('end', () => {
+      stop();
+      resolve({kind: 'complete', body});
+    });
     request.on('close', abort);
     request.on('error', abort);
     if (statedBytes > maxBytes) refuse('tooLarge');
     else if (statedBytes <= SMALL_BODY_BYTES) request.on('data', onData);
-    else {
-      stopWaiting = bodyAdmission.request(account, statedBytes, isAdmitted => {
-        if (isAdmitted) request.on('data', onData);
-        else refuse('memoryShort');
-      });
-    }
+    else requestRoom(() => request.on('data', onData));
   });
 }
--- a/daemons/gateway/src/memory/body_admission.ts
+++ b/daemons/gateway/src/memory/body_admission.ts
@@ -12,7 +12,10 @@
 /** Body that is not read until there is room for it. */
 interface WaitingBody {
   account: MemoryAccount;
+  /** Stated size. */
   bodyBytes: number;
+  /** Part that has arrived and counts already. */
+  arrivedBytes: number;
   decide: (isAdmitted: boolean) => void;
   timer?: NodeJS.Timeout;
 }
@@ -20,12 +23,12 @@
 /** Admits large bodies in order of arrival, while there is room for all of each. */
 export interface BodyAdmission {
   /**
-   * Calls back with whether to read a body, at once or after a wait; its size then counts in
-   * the account. Returns a function that ends the wait without a call.
+   * Calls back with whether to read a body, or the rest of one, at once or after a wait; its
+   * size then counts in the account. Returns a function that ends the wait without a call.
    */
   request(
     account: MemoryAccount,
-    bodyBytes: number,
+    size: {bodyBytes: number; arrivedBytes?: number},
     decide: (isAdmitted: boolean) => void,
   ): () => void;
 }
@@ -37,23 +40,26 @@
 ): BodyAdmission {
   const waiting = new Set<WaitingBody>();
   const maxWaiting = Math.floor(maxWaitingBytes / UNREAD_BYTES);
-  const admit = ({account, bodyBytes, decide, timer}: WaitingBody) => {
+  const hasRoom = ({bodyBytes, arrivedBytes}: WaitingBody) =>
+    budget.canTakeBody(bodyBytes, arrivedBytes);
+  const admit = (body: WaitingBody) => {
+    const {account, bodyBytes, arrivedBytes, decide, timer} = body;
     clearTimeout(timer);
-    account.setMissing(bodyBytes);
+    account.setMissing(bodyBytes - arrivedBytes);
     account.set('requestBody', bodyBytes);
     decide(true);
   };
   budget.onRoom(() => {
     for (const body of waiting) {
-      if (!budget.canTakeBody(body.bodyBytes, 0)) return;
+      if (!hasRoom(body)) return;
       waiting.delete(body);
       admit(body);
     }
   });
   return {
-    request(account, bodyBytes, decide) {
-      const body: WaitingBody = {account, bodyBytes, decide};
-      if (waiting.size === 0 && budget.canTakeBody(bodyBytes, 0)) {
+    request(account, {bodyBytes, arrivedBytes = 0}, decide) {
+      const body: WaitingBody = {account, bodyBytes, arrivedBytes, decide};
+      if (waiting.size === 0 && hasRoom(body)) {
         admit(body);
         return () => undefined;
       }
--- a/daemons/gateway/test/body_admission_test.ts
+++ b/daemons/gateway/test/body_admission_test.ts
@@ -16,7 +16,7 @@
   const decisions: string[] = [];
   const request = (name: string, bodyBytes = BODY_BYTES) => {
     const account = budget.open(() => undefined);
-    const cancel = admission.request(account, bodyBytes, isAdmitted =>
+    const cancel = admission.request(account, {bodyBytes}, isAdmitted =>
       decisions.push(`${name} ${isAdmitted ? 'admitted' : 'refused'}`),
     );
     return {account, cancel};
