--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -16,11 +16,6 @@
   createSlewedTime,
   createPeerAdjustedTime,
 } from '@sardinestile/freshness';
-import {
-  createBufferCollector,
-  createFullCollection,
-  readResidentBytes,
-} from '@sardinestile/memory';
 import {NO_RESTORES} from '@sardinestile/ports';
 import {createLedgerLink, type LedgerLink} from '@sardinestile/ledger';
 import {createPeerClient, createPeerServer} from '@sardinestile/peer';
@@ -35,13 +30,8 @@
 import {createColdWatch} from './upstreams/cold_watch.js';
 import {createConnectionPool} from './upstreams/connection_pool.js';
 import {createCrashWatch, type CrashWatch} from './upstreams/crash_watch.js';
-import {createMemoryBudget, heldBytesLimit} from './memory/memory_budget.js';
-import {createBodyAdmission} from './memory/body_admission.js';
-import {
-  createResidentLimit,
-  waitingBytesLimit,
-} from './memory/resident_limit.js';
 import {createMemoryWatch} from './memory/memory_watch.js';
+import {createProcessMemory} from './memory/process_memory.js';
 import {
   DEFAULT_OUTPUT_TOKEN_WEIGHT,
   startFairShares,
@@ -130,8 +120,6 @@
 /** Largest size of a request's headers, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
 
-const BYTES_PER_MB = 1_048_576;
-
 /** A running gateway. */
 export interface Gateway {
   /**
@@ -385,24 +373,8 @@
   const shutdown = new AbortController();
   // Each open call listens to it.
   setMaxListeners(0, shutdown.signal);
-  const memoryBudget = createMemoryBudget(
-    heldBytesLimit(options.memoryLimitMb),
-  );
-  const memoryLimitBytes =
-    options.memoryLimitMb === undefined
-      ? undefined
-      : options.memoryLimitMb * BYTES_PER_MB;
-  const residentLimit =
-    memoryLimitBytes === undefined
-      ? undefined
-      : createResidentLimit({
-          memoryLimitBytes,
-          budget: memoryBudget,
-          readResidentBytes,
-          collectAll: createFullCollection(),
-          nowMs: () => clock.monotonicMs(),
-        });
-  const bufferCollector = createBufferCollector();
+  const processMemory = createProcessMemory(options.memoryLimitMb, clock);
+  const {memoryBudget, bodyAdmission, bufferCollector} = processMemory;
   const context: GatewayContext = {
     clock,
     headerCodec: options.headerCodec,
@@ -411,16 +383,8 @@
       metrics.increment('sardinestile_upstream_connections_total', {}),
     ),
     memoryBudget,
-    bodyAdmission: createBodyAdmission(
-      memoryBudget,
-      waitingBytesLimit(memoryLimitBytes ?? 0),
-    ),
-    bufferCollector: {
-      recordRead(bytes) {
-        bufferCollector.recordRead(bytes);
-        residentLimit?.recordRead(bytes);
-      },
-    },
+    bodyAdmission,
+    bufferCollector,
     heapBudget: createHeapBudget({
       heapLimitBytes: getHeapStatistics().heap_size_limit,
       maxDescriptors: options.maxDescriptors,
@@ -542,7 +506,7 @@
       config.askAllPeers();
     }
     pauseDetector.check();
-    residentLimit?.refresh();
+    processMemory.refresh();
     memoryWatch.check();
     continuations.observeVersions();
     sharedQuarantine.quarantine.evaluate();
--- a/daemons/gateway/test/memory_budget_test.ts
+++ b/daemons/gateway/test/memory_budget_test.ts
@@ -3,6 +3,7 @@
 import {
   createMemoryBudget,
   heldBytesLimit,
+  type MemoryBudget,
 } from '../src/memory/memory_budget.js';
 
 const LIMIT_BYTES = 1_000_000;
@@ -139,6 +140,17 @@
   });
 
   describe('for responses that are held until they are complete', () => {
+    /** Opens three that are not read on, and lists those that may be, in order. */
+    const openHolders = (budget: MemoryBudget) => {
+      const resumed: number[] = [];
+      const accounts = [0, 1, 2].map(() => budget.open(() => undefined));
+      accounts.forEach(account => account.set('heldResponse', 300_000));
+      accounts.forEach((account, i) =>
+        account.onceMayHoldMore(() => resumed.push(i)),
+      );
+      return {accounts, resumed};
+    };
+
     it('reads all of them while there is room', () => {
       const budget = createMemoryBudget(LIMIT_BYTES);
       const accounts = [1, 2].map(() => budget.open(() => undefined));
@@ -151,12 +163,7 @@
 
     it('reads them in their turn when memory is short, so that each completes', () => {
       const budget = createMemoryBudget(LIMIT_BYTES);
-      const resumed: number[] = [];
-      const accounts = [0, 1, 2].map(() => budget.open(() => undefined));
-      accounts.forEach(account => account.set('heldResponse', 300_000));
-      accounts.forEach((account, i) =>
-        account.onceMayHoldMore(() => resumed.push(i)),
-      );
+      const {accounts, resumed} = openHolders(budget);
       expect(accounts.map(account => account.mayHoldMore())).toEqual([
         true,
         false,
@@ -168,12 +175,7 @@
 
     it('reads on the next one when the first is complete but still held', () => {
       const budget = createMemoryBudget(LIMIT_BYTES);
-      const resumed: number[] = [];
-      const accounts = [0, 1, 2].map(() => budget.open(() => undefined));
-      accounts.forEach(account => account.set('heldResponse', 300_000));
-      accounts.forEach((account, i) =>
-        account.onceMayHoldMore(() => resumed.push(i)),
-      );
+      const {accounts, resumed} = openHolders(budget);
       budget.open(() => undefined).set('requestBody', 500_000);
       accounts[0].close();
       expect(resumed).toEqual([1]);
--- a/testing/soak/src/memory_watch.ts
+++ b/testing/soak/src/memory_watch.ts
@@ -1,5 +1,5 @@
 import type {GatewayProcess} from './gateway_process.js';
-import {readResidentMemory} from './process_peak.js';
+import {readResidentMemory} from './read_resident_memory.js';
 
 /** Time between two readings of each process, in milliseconds. */
 const READ_EVERY_MS = 20;
--- a/testing/soak/test/resident_memory_test.ts
+++ b/testing/soak/test/resident_memory_test.ts
@@ -25,7 +25,7 @@
   startLargeCallers,
   type LargeCallPattern,
 } from '../src/large_callers.js';
-import {readResidentMemory} from '../src/process_peak.js';
+import {readResidentMemory} from '../src/read_resident_memory.js';
 import {reserveNetwork, type ReservedNetwork} from '../src/reserve_network.js';
 
 const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
