feat(gateway): lines tell how a response was framed and how its connection ended

Cause: not known yet; the lines could not tell its hypotheses apart. Change: attempt_ended has the framing of the upstream's response, the bytes that had arrived and how the upstream's side of the connection stands; call_ended the framing for the caller and the bytes written; a metric counts responses by both. The state after an end comes from the peer's address, which the system forgets at a reset. No decision depends on it yet. Evidence: a test of both lines; an error that undici raises itself after a whole response first showed as a reset there, and does not count any more.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -226,6 +226,12 @@
     /** Of a lost connection: ids of the request's prompt parts. */
     promptParts?: string;
     status?: number;
+    /** What marks the end of the response: `length`, `chunks` or `close`; absent before its headers. */
+    framing?: string;
+    /** Bytes of the response's body that had arrived. */
+    bodyBytes?: number;
+    /** How the upstream's side of the connection stands: `open`, `closed` in order, or `reset`. */
+    upstreamSide: string;
     firstEventMs?: number;
     lastEventId?: number;
     durationMs: number;
@@ -236,6 +242,10 @@
     organisation?: string;
     outcome: string;
     status?: number;
+    /** What marks the end of the response for the caller: `length`, `chunks` or `close`. */
+    framing?: string;
+    /** Bytes of an upstream's body that were written for the caller. */
+    bodyBytes?: number;
     attempts: number;
     firstEventMs?: number;
     /** Longest time between the arrivals of two events of the stream. */
--- a/daemons/gateway/src/calls/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -1,6 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
 import type {UpstreamConnection} from '../upstreams/connection_pool.js';
+import {framingOf, type ResponseReceipt} from './response_receipt.js';
 
 /** Codes of errors that mean that the upstream's end of the connection is gone. */
 const LOST_CONNECTION_CODES: ReadonlySet<string> = new Set([
@@ -41,6 +42,13 @@
   onError(error: unknown): void;
 }
 
+/** What carries a request and its response. */
+export interface AttemptTransport {
+  connection: UpstreamConnection;
+  /** Is told what arrives of the response. */
+  receipt: ResponseReceipt;
+}
+
 /** A request in progress. */
 export interface Attempt {
   /** Ends the attempt and closes its connection; no handler is called again. */
@@ -51,7 +59,7 @@
 
 /** Sends a request over a connection and releases the connection after a complete response. */
 export function startAttempt(
-  connection: UpstreamConnection,
+  {connection, receipt}: AttemptTransport,
   request: AttemptRequest,
   handlers: AttemptHandlers,
 ): Attempt {
@@ -92,9 +100,12 @@
       },
       onResponseStart(_controller, status, headers) {
         // 1xx responses are interim; the final response follows.
-        if (status >= 200 && !isFinished) handlers.onHeaders(status, headers);
+        if (status < 200 || isFinished) return;
+        receipt.framing = framingOf(headers);
+        handlers.onHeaders(status, headers);
       },
       onResponseData(_controller, chunk) {
+        receipt.bodyBytes += chunk.length;
         if (!isFinished) handlers.onData(chunk);
       },
       onResponseEnd() {
--- a/daemons/gateway/src/calls/call_records.ts
+++ b/daemons/gateway/src/calls/call_records.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import type {AdmissionDecision} from '@sardinestile/admission';
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {AttemptOutcome, Call} from './call.js';
@@ -5,6 +6,7 @@
 import type {GatewayContext} from '../gateway_context.js';
 import type {CallShare} from '../shared/fair_shares.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
+import type {MessageFraming} from './response_receipt.js';
 
 /** Attempt that ended, for its log line and metrics. */
 export interface EndedAttempt {
@@ -140,6 +142,15 @@
       reason: outcome.reason,
     });
   }
+  const {framing, bodyBytes} = prepared.receipt;
+  const upstreamSide = prepared.connection.upstreamSide();
+  if (framing !== undefined) {
+    metrics.increment('sardinestile_upstream_responses_total', {
+      service,
+      framing,
+      upstreamSide,
+    });
+  }
   logger.info('attempt_ended', {
     requestId: call.requestId,
     attempt: call.attempts,
@@ -148,6 +159,9 @@
     reason: 'reason' in outcome ? outcome.reason : undefined,
     ...describeLostConnection(call, outcome),
     status: statusOf(outcome),
+    framing,
+    bodyBytes: framing && bodyBytes,
+    upstreamSide,
     firstEventMs: firstEventMs && Math.round(firstEventMs),
     lastEventId: call.lastEventId,
     durationMs: Math.round(durationMs),
@@ -182,6 +196,8 @@
     organisation: organisation?.name,
     outcome,
     status,
+    framing: response.headersSent ? callerFramingOf(response) : undefined,
+    bodyBytes: response.headersSent ? call.output.writtenBytes : undefined,
     attempts: call.attempts,
     firstEventMs:
       call.firstEventAtMs && Math.round(call.firstEventAtMs - call.arrivedAtMs),
@@ -191,6 +207,12 @@
   });
 }
 
+/** Returns how the end of a response that has begun is marked for the caller. */
+function callerFramingOf(response: ServerResponse): MessageFraming {
+  if (response.hasHeader('content-length')) return 'length';
+  return response.useChunkedEncodingByDefault ? 'chunks' : 'close';
+}
+
 function recordStreamDelays(
   metrics: MetricsRegistry,
   {service}: Call,
--- a/daemons/gateway/src/calls/caller_output.ts
+++ b/daemons/gateway/src/calls/caller_output.ts
@@ -17,10 +17,14 @@
 export interface CallerOutput {
   /** Bytes that were written and that the caller's connection has not taken. */
   readonly unreadBytes: number;
+  /** Bytes of the response's body that were written. */
+  readonly writtenBytes: number;
   /** Records the arrival of an event with data. */
   recordEvent(nowMs: number): void;
   /** Writes bytes that arrived at a time. */
   write(bytes: Buffer, arrivedAtMs: number): void;
+  /** Writes a whole body that was held, and ends the response. */
+  end(parts: readonly Buffer[]): void;
   /** Calls back when the caller's connection has taken everything; replaces an earlier callback. */
   onceTaken(callback: () => void): void;
   /** Returns the delays so far; an event that still waits counts with its wait until now. */
@@ -44,6 +48,7 @@
   let longestPauseMs: number | undefined;
   let longestWaitMs: number | undefined;
   let notifyTaken: (() => void) | undefined;
+  let writtenBytes = 0;
 
   const recordWait = (nowMs: number) => {
     const waitMs = behindSinceMs === undefined ? 0 : nowMs - behindSinceMs;
@@ -61,6 +66,9 @@
     get unreadBytes() {
       return response.writableLength;
     },
+    get writtenBytes() {
+      return writtenBytes;
+    },
     recordEvent(nowMs) {
       if (lastEventAtMs !== undefined) {
         longestPauseMs = Math.max(longestPauseMs ?? 0, nowMs - lastEventAtMs);
@@ -69,6 +77,7 @@
     },
     write(bytes, arrivedAtMs) {
       longestWaitMs ??= 0;
+      writtenBytes += bytes.length;
       if (response.write(bytes) && behindSinceMs === undefined) return;
       if (behindSinceMs === undefined) {
         behindSinceMs = arrivedAtMs;
@@ -76,6 +85,14 @@
       }
       account.set('unreadResponse', response.writableLength);
     },
+    end(parts) {
+      const bodyBytes = parts.reduce((sum, part) => sum + part.length, 0);
+      writtenBytes += bodyBytes;
+      account.set('unreadResponse', bodyBytes);
+      // A copy of the whole would take its memory twice.
+      for (const part of parts.slice(0, -1)) response.write(part);
+      response.end(parts.at(-1));
+    },
     onceTaken(callback) {
       notifyTaken = callback;
       if (behindSinceMs !== undefined) return;
--- a/daemons/gateway/src/calls/finish_call.ts
+++ b/daemons/gateway/src/calls/finish_call.ts
@@ -50,7 +50,7 @@
 }
 
 function sendBufferedResponse(
-  {response, account}: Call,
+  {response, output, account}: Call,
   buffered: BufferedResponse,
 ): void {
   const {status, headers, parts} = buffered;
@@ -62,8 +62,5 @@
     response.writeHead(status, {...headers, 'content-length': bodyBytes});
   }
   account.set('heldResponse', 0);
-  account.set('unreadResponse', bodyBytes);
-  // A copy of the whole would take its memory twice.
-  for (const part of parts.slice(0, -1)) response.write(part);
-  response.end(parts.at(-1));
+  output.end(parts);
 }
--- a/daemons/gateway/src/calls/prepare_attempt.ts
+++ b/daemons/gateway/src/calls/prepare_attempt.ts
@@ -2,6 +2,7 @@
 import type {Placement} from '@sardinestile/fleet';
 import type {AttemptRequest} from './attempt.js';
 import type {Call} from './call.js';
+import type {ResponseReceipt} from './response_receipt.js';
 import type {UpstreamConnection} from '../upstreams/connection_pool.js';
 import type {GatewayContext} from '../gateway_context.js';
 
@@ -9,6 +10,8 @@
 export interface PreparedAttempt {
   placement: Placement;
   connection: UpstreamConnection;
+  /** What has arrived of its response. */
+  receipt: ResponseReceipt;
   startedAtMs: number;
   /** Address of an engine to copy cached prompt parts from. */
   copyPromptFrom: string | undefined;
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -72,7 +72,7 @@
       if (prepared.connection.unsentBytes() === 0) call.dropBody();
     };
     const attempt = startAttempt(
-      prepared.connection,
+      prepared,
       buildAttemptRequest(context, call, prepared),
       {
         onHeaders(responseStatus, responseHeaders) {
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -135,7 +135,7 @@
       );
     };
     const attempt = startAttempt(
-      prepared.connection,
+      prepared,
       buildAttemptRequest(context, call, prepared),
       {
         onHeaders(responseStatus, responseHeaders) {
--- a/daemons/gateway/src/calls/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -24,6 +24,7 @@
   refuseIfPaused,
   refuseOverload,
 } from './refuse_unplaced.js';
+import {createResponseReceipt} from './response_receipt.js';
 import {runAttempt} from './run_attempt.js';
 
 /** Whether a call may be retried after an attempt that may have run, by kind of route. */
@@ -204,6 +205,7 @@
     connection && {
       placement,
       connection,
+      receipt: createResponseReceipt(),
       startedAtMs: nowMs,
       copyPromptFrom: placement.copyPromptFrom?.address,
       silence: silenceLimits(context, call, placement, nowMs),
--- a/daemons/gateway/src/upstreams/connection_pool.ts
+++ b/daemons/gateway/src/upstreams/connection_pool.ts
@@ -32,6 +32,15 @@
  */
 const IDLE_REUSE_SHARE = 0.8;
 
+/** How the upstream's side of a connection stands. */
+export type UpstreamSide =
+  /** It may send more. */
+  | 'open'
+  /** It was closed in order, after all that was sent. */
+  | 'closed'
+  /** It was reset, and what was sent last may be lost. */
+  | 'reset';
+
 /** A connection to an upstream that carries one request at a time. */
 export interface UpstreamConnection {
   readonly client: Client;
@@ -46,6 +55,7 @@
    * length as complete even if a reset ended it.
    */
   wasReset(): boolean;
+  upstreamSide(): UpstreamSide;
   /** Returns the bytes of requests that the system has not taken. */
   unsentBytes(): number;
   /** Returns the connection to the pool if it is still open and its request was taken. */
@@ -75,6 +85,7 @@
   socket: Socket | undefined;
   isOpen: boolean;
   wasReset: boolean;
+  upstreamSide: UpstreamSide;
   requestCount: number;
   idleSinceMs: number;
 }
@@ -134,6 +145,7 @@
       socket: undefined,
       isOpen: true,
       wasReset: false,
+      upstreamSide: 'open',
       requestCount: 0,
       idleSinceMs: 0,
     };
@@ -144,7 +156,11 @@
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
       connect: createConnector({
-        onReset: () => (connection.wasReset = true),
+        onError({code}) {
+          connection.wasReset = true;
+          if (code === 'ECONNRESET') connection.upstreamSide = 'reset';
+        },
+        onEnded: side => (connection.upstreamSide = side),
         onConnected: socket => (pooled.socket = socket),
       }),
     });
@@ -170,6 +186,7 @@
         idleMs,
         reportStale: () => limitIdleReuse(idleMs),
         wasReset: () => taken.wasReset,
+        upstreamSide: () => taken.upstreamSide,
         unsentBytes: () => taken.socket?.writableLength ?? 0,
         release() {
           if (!taken.isOpen || taken.client.destroyed) return;
@@ -210,10 +227,12 @@
 
 /** Creates a connector with its own timeout, as undici's timer is too coarse for it. */
 function createConnector({
-  onReset,
+  onError: onLost,
+  onEnded,
   onConnected,
 }: {
-  onReset: () => void;
+  onError: (error: NodeJS.ErrnoException) => void;
+  onEnded: (side: UpstreamSide) => void;
   onConnected: (socket: Socket) => void;
 }): buildConnector.connector {
   return ({hostname, port}, callback) => {
@@ -235,6 +254,11 @@
     };
     socket.once('connect', onConnect);
     socket.once('error', onError);
-    socket.on('error', onReset);
+    socket.on('error', onLost);
+    // libuv reports a reset that arrives beside data as an end in order, but the system then
+    // knows no address of the peer any more. Node.js keeps an address that was read before.
+    socket.once('end', () =>
+      onEnded(socket.remoteAddress === undefined ? 'reset' : 'closed'),
+    );
   };
 }
--- a/daemons/gateway/test/attempt_errors_test.ts
+++ b/daemons/gateway/test/attempt_errors_test.ts
@@ -5,6 +5,7 @@
 import {createSystemClock} from '@sardinestile/types';
 import {expect} from 'earl';
 import {startAttempt} from '../src/calls/attempt.js';
+import {createResponseReceipt} from '../src/calls/response_receipt.js';
 import {createConnectionPool} from '../src/upstreams/connection_pool.js';
 
 /** Time within which a handler's error is passed on, in milliseconds. */
@@ -40,7 +41,7 @@
         body: null,
         findSendBlocker: () => undefined,
       };
-      startAttempt(connection, request, {
+      startAttempt({connection, receipt: createResponseReceipt()}, request, {
         onHeaders: () => undefined,
         onData: () => undefined,
         onEnd: fail,
--- a/daemons/gateway/test/send_blocker_test.ts
+++ b/daemons/gateway/test/send_blocker_test.ts
@@ -4,6 +4,7 @@
 import {createSystemClock} from '@sardinestile/types';
 import {expect} from 'earl';
 import {startAttempt, type AttemptFailure} from '../src/calls/attempt.js';
+import {createResponseReceipt} from '../src/calls/response_receipt.js';
 import {createConnectionPool} from '../src/upstreams/connection_pool.js';
 
 describe('an attempt that waits for its connection', () => {
@@ -31,7 +32,7 @@
         body: null,
         findSendBlocker: () => blocker.reason,
       };
-      startAttempt(connection, request, {
+      startAttempt({connection, receipt: createResponseReceipt()}, request, {
         onHeaders: () => undefined,
         onData: () => undefined,
         onEnd() {
--- a/testing/hosting/test/upstream_responses_test.ts
+++ b/testing/hosting/test/upstream_responses_test.ts
@@ -111,6 +111,21 @@
     expect(response.headers.connection).toEqual('close');
   });
 
+  it('logs how a response was framed, how much arrived and how its connection ended', async () => {
+    behaveOnce({kind: 'unframed', body: 'perhaps whole'});
+    const headers = createKeyedHeaders('logged');
+    await gateway.call({path: ROUTE_PATHS.idempotent, headers});
+    const lineOf = (event: string) =>
+      gateway.logs.find(
+        line =>
+          line.includes(`event=${event} `) && line.includes('requestId=logged'),
+      );
+    expect(lineOf('attempt_ended')).toEqual(
+      expect.includes('framing=close bodyBytes=13 upstreamSide=closed'),
+    );
+    expect(lineOf('call_ended')).toEqual(expect.includes('bodyBytes=13'));
+  });
+
   it('does not give a surplus response to the next request', async () => {
     behaveOnce({kind: 'extra'});
     const headers = createKeyedHeaders('d1');
