--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -5,9 +5,12 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {sendEndlessResponse, type EndlessPart} from './endless_response.js';
 
+/** Bytes that are written just before a reset beside data; the system takes them at once. */
+const LAST_WRITE_BYTES = 32_768;
+
 /** A request that an upstream received. */
 export interface ReceivedRequest {
   requestId: string;
@@ -40,18 +43,34 @@
   | {kind: 'silent'}
   /** Sends part of a body without a length, then resets the connection. */
   | {kind: 'resetUnframed'}
+  /**
+   * Sends part of a body without a length and resets the connection in the moment in which
+   * it writes the last bytes, `resetAfterMs` after the others.
+   */
+  | {kind: 'resetBesideData'; bodyBytes: number; resetAfterMs?: number}
   /** Sends a body without a length and closes the connection at its end. */
   | {kind: 'unframed'; body: string}
+  /**
+   * Sends a response without a length, after `copyAfterMs` the same once more, and closes the
+   * connection in order.
+   */
+  | {kind: 'unframedTwice'; body: string; copyAfterMs: number}
+  /**
+   * Sends a copy of the connection's previous response, if there is one, before its own; the
+   * copy has neither id nor signature if `isCopyUnsigned`.
+   */
+  | {kind: 'afterCopy'; body: string; isCopyUnsigned?: boolean}
   /**
    * Streams events without a length or chunks and closes the connection in order,
    * after the last event or inside the one with the id `endsInside`; keeps it open if
-   * `isHeldOpen`.
+   * `isHeldOpen`; resets it beside the last event if `isReset`.
    */
   | {
       kind: 'unframedStream';
       events: number;
       endsInside?: number;
       isHeldOpen?: boolean;
+      isReset?: boolean;
     }
   /** Sends these bytes instead of a response, then closes the connection in order. */
   | {kind: 'raw'; bytes: Buffer}
@@ -238,6 +257,9 @@
   };
 }
 
+/** Copies of the last responses of kind `afterCopy`, by connection. */
+const previousCopies = new WeakMap<Socket, string>();
+
 type BehaviourHandlers = {
   [K in UpstreamBehaviour['kind']]: (
     behaviour: Extract<UpstreamBehaviour, {kind: K}>,
@@ -278,6 +300,29 @@
     response.write('half of the ans');
     setTimeout(() => request.socket.resetAndDestroy(), 30);
   },
+  resetBesideData({bodyBytes, resetAfterMs}, {request: {socket}, baseHeaders}) {
+    const lastBytes = Math.min(bodyBytes, LAST_WRITE_BYTES);
+    const resetBesideLast = () => {
+      socket.write(Buffer.alloc(lastBytes));
+      socket.resetAndDestroy();
+    };
+    socket.write(renderHead(baseHeaders));
+    socket.write(Buffer.alloc(bodyBytes - lastBytes));
+    if (resetAfterMs === undefined) resetBesideLast();
+    else setTimeout(resetBesideLast, resetAfterMs);
+  },
+  unframedTwice({body, copyAfterMs}, {request: {socket}, baseHeaders}) {
+    const bytes = renderHead(baseHeaders) + body;
+    socket.write(bytes);
+    setTimeout(() => socket.end(bytes), copyAfterMs);
+  },
+  afterCopy({body, isCopyUnsigned}, {request: {socket}, baseHeaders}) {
+    const framing = {'content-length': String(body.length)};
+    socket.write(previousCopies.get(socket) ?? '');
+    socket.write(renderHead({...baseHeaders, ...framing}) + body);
+    const copyHeaders = isCopyUnsigned ? {} : baseHeaders;
+    previousCopies.set(socket, renderHead({...copyHeaders, ...framing}) + body);
+  },
   unframed({body}, {response, baseHeaders}) {
     response.useChunkedEncodingByDefault = false;
     response.shouldKeepAlive = false;
@@ -285,8 +330,8 @@
     response.end(body);
   },
   unframedStream(
-    {events, endsInside = events, isHeldOpen},
-    {response, baseHeaders, entry},
+    {events, endsInside = events, isHeldOpen, isReset},
+    {request, response, baseHeaders, entry},
   ) {
     response.useChunkedEncodingByDefault = false;
     response.shouldKeepAlive = false;
@@ -298,7 +343,8 @@
     for (let id = first; id < Math.min(events, endsInside); id++) {
       response.write(`id: ${id}\ndata: event ${id}\n\n`);
     }
-    if (isHeldOpen) return;
+    if (isReset) setImmediate(() => request.socket.resetAndDestroy());
+    if (isHeldOpen || isReset) return;
     response.end(endsInside < events ? `id: ${endsInside}\ndata: ha` : '');
   },
   raw: ({bytes}, {request}) => void request.socket.end(bytes),
@@ -431,6 +477,14 @@
   },
 };
 
+/** Renders the head of a successful response. */
+function renderHead(headers: Record<string, string>): string {
+  const lines = Object.entries(headers).map(
+    ([name, value]) => `${name}: ${value}\r\n`,
+  );
+  return `HTTP/1.1 200 OK\r\n${lines.join('')}\r\n`;
+}
+
 function respondWithBehaviour(
   upstream: UpstreamStandIn,
   entry: ReceivedRequest,
--- a/testing/hosting/src/raw_request.ts
+++ b/testing/hosting/src/raw_request.ts
@@ -59,6 +59,10 @@
       received = Buffer.concat([received, chunk]);
       if (parseResponse(received).isComplete) finish();
     });
+    socket.on('end', () => {
+      // Node.js reports a reset that arrives with the last bytes as an end in order.
+      wasReset ||= socket.remoteAddress === undefined;
+    });
     socket.on('close', finish);
     socket.on('error', (error: NodeJS.ErrnoException) => {
       wasReset = error.code === 'ECONNRESET';
@@ -75,6 +79,16 @@
   });
 }
 
+/**
+ * Whether a caller takes the response for the whole one: by its length or its chunks, or, if
+ * it has neither, as its connection ended in order.
+ */
+export function looksWhole({headers, status, ...end}: RawResponse): boolean {
+  const isFramed =
+    'content-length' in headers || 'transfer-encoding' in headers;
+  return end.isComplete || (status > 0 && !isFramed && !end.wasReset);
+}
+
 /** Parses the bytes of a response that have arrived so far. */
 export function parseResponse(bytes: Buffer): ParsedResponse {
   const text = bytes.toString('latin1');
--- a/testing/hosting/src/slow_caller.ts
+++ b/testing/hosting/src/slow_caller.ts
@@ -16,6 +16,8 @@
 export interface SlowCaller {
   /** Reads the rest of the response; resolves when it or the connection ends. */
   readRest(): Promise<RawResponse>;
+  /** Resolves when the caller has stopped reading. */
+  readonly slowed: Promise<void>;
   /** Resolves when the connection has ended; a connection that is not read ends only by a reset. */
   readonly closed: Promise<void>;
   disconnect(): void;
@@ -30,14 +32,22 @@
   let receivedBytes = 0;
   let isSlow = true;
   let wasReset = false;
+  let reportSlowed: () => void;
+  const slowed = new Promise<void>(resolve => (reportSlowed = resolve));
   socket.on('data', (chunk: Buffer) => {
     chunks.push(chunk);
     receivedBytes += chunk.length;
-    if (isSlow && receivedBytes >= readBytes) socket.pause();
+    if (!isSlow || receivedBytes < readBytes) return;
+    socket.pause();
+    reportSlowed();
   });
   socket.on('error', (error: NodeJS.ErrnoException) => {
     wasReset = error.code === 'ECONNRESET';
   });
+  socket.on('end', () => {
+    // Node.js reports a reset that arrives with the last bytes as an end in order.
+    wasReset ||= socket.remoteAddress === undefined;
+  });
   const closed = new Promise<void>(resolve => socket.once('close', resolve));
   const lines = [`GET ${path} HTTP/1.1`, `Host: ${HOST}`, 'Connection: close'];
   for (const [name, value] of Object.entries(headers)) {
@@ -45,6 +55,7 @@
   }
   socket.write(`${lines.join('\r\n')}\r\n\r\n`);
   return {
+    slowed,
     closed,
     async readRest() {
       isSlow = false;
