fix(gateway): a reset beside the last bytes of a response is not taken for its end

What callers saw: status 200, signed, with part of a body that has no length, after an upstream had reset the connection in the moment of its last write. Cause: libuv reports an end in order if a poll brings data and the hang-up together and the data fill less than its buffer; the error of the reset stays unread. undici takes a response without a length as complete at such an end, and at an ECONNRESET, for which alone the gateway had a check. Agents had none. Change: connections to upstreams are wrapped once, for gateways and agents: an end of a socket whose peer the system no longer knows is a reset, and each reset is an error of its own code, which undici passes on as a failure. The check after undici's end is gone.

--- a/daemons/gateway/src/calls/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -1,11 +1,12 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
+import {RESET_BY_UPSTREAM_CODE} from '@sardinestile/upstream_connections';
 import type {UpstreamConnection} from '../upstreams/connection_pool.js';
 import {framingOf, type ResponseReceipt} from './response_receipt.js';
 
 /** Codes of errors that mean that the upstream's end of the connection is gone. */
 const LOST_CONNECTION_CODES: ReadonlySet<string> = new Set([
-  'ECONNRESET',
+  RESET_BY_UPSTREAM_CODE,
   'EPIPE',
   'UND_ERR_SOCKET',
 ]);
@@ -110,18 +111,6 @@
       },
       onResponseEnd() {
         if (!finish()) return;
-        if (connection.wasReset()) {
-          const reason = 'the connection was reset during the response';
-          conclude(() =>
-            handlers.onFailure({
-              isSent,
-              isBlocked: false,
-              isConnectionLost: true,
-              reason,
-            }),
-          );
-          return;
-        }
         connection.release();
         conclude(() => handlers.onEnd());
       },
--- a/daemons/gateway/src/upstreams/connection_pool.ts
+++ b/daemons/gateway/src/upstreams/connection_pool.ts
@@ -1,5 +1,9 @@
 import {connect, type Socket} from 'node:net';
 import type {Clock} from '@sardinestile/types';
+import {
+  failOnReset,
+  RESET_BY_UPSTREAM_CODE,
+} from '@sardinestile/upstream_connections';
 import {Client, type buildConnector} from 'undici';
 
 /** Time limit for connecting to an upstream, in milliseconds. */
@@ -50,11 +54,6 @@
   readonly idleMs: number;
   /** Reports that the upstream had closed the connection while it was idle. */
   reportStale(): void;
-  /**
-   * Whether the connection was reset. undici reports a response without a
-   * length as complete even if a reset ended it.
-   */
-  wasReset(): boolean;
   upstreamSide(): UpstreamSide;
   /** Returns the bytes of requests that the system has not taken. */
   unsentBytes(): number;
@@ -84,7 +83,6 @@
   client: Client;
   socket: Socket | undefined;
   isOpen: boolean;
-  wasReset: boolean;
   upstreamSide: UpstreamSide;
   requestCount: number;
   idleSinceMs: number;
@@ -144,7 +142,6 @@
     const connection: Omit<PooledConnection, 'client'> = {
       socket: undefined,
       isOpen: true,
-      wasReset: false,
       upstreamSide: 'open',
       requestCount: 0,
       idleSinceMs: 0,
@@ -155,14 +152,15 @@
       bodyTimeout: 0,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
-      connect: createConnector({
-        onError({code}) {
-          connection.wasReset = true;
-          if (code === 'ECONNRESET') connection.upstreamSide = 'reset';
-        },
-        onEnded: side => (connection.upstreamSide = side),
-        onConnected: socket => (pooled.socket = socket),
-      }),
+      connect: failOnReset(
+        createConnector(socket => {
+          pooled.socket = socket;
+          socket.once('end', () => (pooled.upstreamSide = 'closed'));
+          socket.once('error', ({code}: NodeJS.ErrnoException) => {
+            if (code === RESET_BY_UPSTREAM_CODE) pooled.upstreamSide = 'reset';
+          });
+        }),
+      ),
     });
     const pooled: PooledConnection = Object.assign(connection, {client});
     pool.open++;
@@ -185,7 +183,6 @@
         isFresh,
         idleMs,
         reportStale: () => limitIdleReuse(idleMs),
-        wasReset: () => taken.wasReset,
         upstreamSide: () => taken.upstreamSide,
         unsentBytes: () => taken.socket?.writableLength ?? 0,
         release() {
@@ -226,15 +223,9 @@
 }
 
 /** Creates a connector with its own timeout, as undici's timer is too coarse for it. */
-function createConnector({
-  onError: onLost,
-  onEnded,
-  onConnected,
-}: {
-  onError: (error: NodeJS.ErrnoException) => void;
-  onEnded: (side: UpstreamSide) => void;
-  onConnected: (socket: Socket) => void;
-}): buildConnector.connector {
+function createConnector(
+  onConnected: (socket: Socket) => void,
+): buildConnector.connector {
   return ({hostname, port}, callback) => {
     const socket = connect({host: hostname, port: Number(port), noDelay: true});
     const timer = setTimeout(() => {
@@ -254,11 +245,5 @@
     };
     socket.once('connect', onConnect);
     socket.once('error', onError);
-    socket.on('error', onLost);
-    // libuv reports a reset that arrives beside data as an end in order, but the system then
-    // knows no address of the peer any more. Node.js keeps an address that was read before.
-    socket.once('end', () =>
-      onEnded(socket.remoteAddress === undefined ? 'reset' : 'closed'),
-    );
   };
 }
--- a/upstreams/adapters/src/http_call.ts
+++ b/upstreams/adapters/src/http_call.ts
@@ -1,4 +1,5 @@
-import {Agent, request, type Dispatcher} from 'undici';
+import {failOnReset} from '@sardinestile/upstream_connections';
+import {Agent, buildConnector, request, type Dispatcher} from 'undici';
 import {UpstreamError, type UpstreamHeader} from './upstream_adapter.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -26,7 +27,7 @@
 /** Creates the connection pool for one upstream. */
 export function createUpstreamDispatcher(timeouts: UpstreamTimeouts): Agent {
   return new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: failOnReset(buildConnector({timeout: CONNECT_TIMEOUT_MS})),
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     headersTimeout: timeouts.headersTimeoutMs,
     bodyTimeout: timeouts.bodyTimeoutMs,
--- /dev/null
+++ b/upstreams/connections/src/index.ts
@@ -0,0 +1,1 @@
+export * from './fail_on_reset.js';
