fix(gateway): the end of a response that is not read on waits until it is

What callers saw: with a slow caller, a response without a length can end while the gateway has stopped reading it; the gateway then stops with exit code 1 and all its calls are lost, or the call hangs where another handler catches the error. Found while the ends of connections were traced. Cause: undici asserts that its parser reads when the socket ends (Parser.finish, 7.30.2 and 7.30.3), in an event handler, where nothing can catch it. A signal that is true only while reading goes on was taken for one that always is. Change: the sockets of upstreams hold their end until their reader has asked for more after the last data. They allow half-open connections, as Node.js would close them meanwhile. Empty chunks, which undici passes when it reads on, do not make the gateway stop reading again.

--- a/daemons/gateway/src/calls/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -107,7 +107,9 @@
       },
       onResponseData(_controller, chunk) {
         receipt.bodyBytes += chunk.length;
-        if (!isFinished) handlers.onData(chunk);
+        // undici passes an empty chunk when it reads on; to stop reading again for it would
+        // leave the end of the response unread.
+        if (!isFinished && chunk.length > 0) handlers.onData(chunk);
       },
       onResponseEnd() {
         if (!finish()) return;
--- a/daemons/gateway/src/upstreams/connection_pool.ts
+++ b/daemons/gateway/src/upstreams/connection_pool.ts
@@ -1,8 +1,8 @@
 import {connect, type Socket} from 'node:net';
 import type {Clock} from '@sardinestile/types';
 import {
-  failOnReset,
   RESET_BY_UPSTREAM_CODE,
+  withReliableEnds,
 } from '@sardinestile/upstream_connections';
 import {Client, type buildConnector} from 'undici';
 
@@ -152,7 +152,7 @@
       bodyTimeout: 0,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
-      connect: failOnReset(
+      connect: withReliableEnds(
         createConnector(socket => {
           pooled.socket = socket;
           socket.once('end', () => (pooled.upstreamSide = 'closed'));
@@ -227,7 +227,12 @@
   onConnected: (socket: Socket) => void,
 ): buildConnector.connector {
   return ({hostname, port}, callback) => {
-    const socket = connect({host: hostname, port: Number(port), noDelay: true});
+    const socket = connect({
+      host: hostname,
+      port: Number(port),
+      noDelay: true,
+      allowHalfOpen: true,
+    });
     const timer = setTimeout(() => {
       const message = `no connection within ${CONNECT_TIMEOUT_MS} ms`;
       socket.destroy(new Error(message));
--- a/upstreams/adapters/src/http_call.ts
+++ b/upstreams/adapters/src/http_call.ts
@@ -1,4 +1,4 @@
-import {failOnReset} from '@sardinestile/upstream_connections';
+import {withReliableEnds} from '@sardinestile/upstream_connections';
 import {Agent, buildConnector, request, type Dispatcher} from 'undici';
 import {UpstreamError, type UpstreamHeader} from './upstream_adapter.js';
 
@@ -27,7 +27,9 @@
 /** Creates the connection pool for one upstream. */
 export function createUpstreamDispatcher(timeouts: UpstreamTimeouts): Agent {
   return new Agent({
-    connect: failOnReset(buildConnector({timeout: CONNECT_TIMEOUT_MS})),
+    connect: withReliableEnds(
+      buildConnector({timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true}),
+    ),
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     headersTimeout: timeouts.headersTimeoutMs,
     bodyTimeout: timeouts.bodyTimeoutMs,
--- a/upstreams/connections/src/index.ts
+++ b/upstreams/connections/src/index.ts
@@ -1,1 +1,2 @@
-export * from './fail_on_reset.js';
+export * from './reliable_ends.js';
+export {RESET_BY_UPSTREAM_CODE, ResetByUpstreamError} from './report_resets.js';
--- a/upstreams/connections/src/fail_on_reset.ts
+++ b/upstreams/connections/src/report_resets.ts
@@ -1,5 +1,4 @@
 import type {Socket} from 'node:net';
-import type {buildConnector} from 'undici';
 
 /** Code of a `ResetByUpstreamError`. */
 export const RESET_BY_UPSTREAM_CODE = 'ERR_RESET_BY_UPSTREAM';
@@ -15,25 +14,11 @@
 }
 
 /**
- * Wraps a connector of an undici client: its sockets end with a `ResetByUpstreamError` whenever
- * a reset ends them. libuv reports a reset that arrives beside data as an end in order, and
- * undici takes a response without a length as complete after such an end and after ECONNRESET.
+ * Lets a connected socket end with a `ResetByUpstreamError` whenever a reset ends it. libuv
+ * reports a reset that arrives beside data as an end in order, and undici takes a response
+ * without a length as complete after such an end and after ECONNRESET.
  */
-export function failOnReset(
-  connector: buildConnector.connector,
-): buildConnector.connector {
-  return (options, callback) =>
-    connector(options, (...[error, socket]) => {
-      if (error) {
-        callback(error, null);
-        return;
-      }
-      reportResets(socket);
-      callback(null, socket);
-    });
-}
-
-function reportResets(socket: Socket): void {
+export function reportResets(socket: Socket): void {
   const emit = socket.emit.bind(socket) as (
     event: string | symbol,
     ...args: unknown[]
--- a/upstreams/connections/test/fail_on_reset_test.ts
+++ b/upstreams/connections/test/reliable_ends_test.ts
@@ -8,7 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {buildConnector, Client} from 'undici';
-import {failOnReset, RESET_BY_UPSTREAM_CODE} from '../src/index.js';
+import {RESET_BY_UPSTREAM_CODE, withReliableEnds} from '../src/index.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
 
@@ -28,7 +28,9 @@
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
     const {port} = server.address() as AddressInfo;
     client = new Client(`http://127.0.0.1:${port}`, {
-      connect: failOnReset(buildConnector({timeout: 1_000})),
+      connect: withReliableEnds(
+        buildConnector({timeout: 1_000, allowHalfOpen: true}),
+      ),
     });
   });
   after(async () => {
@@ -48,7 +50,7 @@
   };
 
   // The third size fills one read of libuv, which then reports the reset itself.
-  for (const size of [0, 1_000, 65_536 - HEAD.length]) {
+  for (const size of [0, 1_000, 65_536 - HEAD.length, 200_000]) {
     describe(`of ${size} bytes`, () => {
       before(() => {
         bodyBytes = size;
@@ -59,6 +61,11 @@
         for (let i = 0; i < 20; i++) expect(await read()).toEqual(size);
       });
 
+      it('is complete after an end in order while it was not read', async () => {
+        end = socket => socket.end();
+        expect(await read(30)).toEqual(size);
+      });
+
       it('fails after a reset beside its last bytes', async () => {
         end = socket => socket.resetAndDestroy();
         for (let i = 0; i < 20; i++) {
