fix(gateway): callers notice the death of their gateway within a response without a length

What callers saw: a gateway that is killed while it forwards a response without a length leaves them with an orderly end: status 200, signed, and less than the upstream's body. Cause: such a response was passed on without a length or chunks, so that the close of the connection was its end. The operating system closes the connections of a killed process in order. Ruled out: the close as the mark of the end, for what an upstream cuts off in order: the protocol takes an orderly end for complete, and the caller could not tell either.

--- a/daemons/gateway/src/calls/finish_call.ts
+++ b/daemons/gateway/src/calls/finish_call.ts
@@ -1,4 +1,4 @@
-import {breakOff, makeCloseDelimited} from './response_framing.js';
+import {breakOff} from './response_framing.js';
 import type {BufferedResponse, Call, InterruptReason} from './call.js';
 import type {GatewayContext} from '../gateway_context.js';
 import {promiseReturn} from './promise_return.js';
@@ -53,14 +53,14 @@
   {response, output, account}: Call,
   buffered: BufferedResponse,
 ): void {
-  const {status, headers, parts} = buffered;
-  const bodyBytes = parts.reduce((sum, part) => sum + part.length, 0);
-  if (buffered.isCloseDelimited) {
-    makeCloseDelimited(response);
-    response.writeHead(status, headers);
-  } else {
-    response.writeHead(status, {...headers, 'content-length': bodyBytes});
-  }
+  const {status, headers, parts, isCloseDelimited} = buffered;
+  const length = parts.reduce((sum, part) => sum + part.length, 0);
+  // Without a length it goes in chunks: the system closes the connections of a killed process
+  // in order, so that their close must not be what marks an end.
+  response.writeHead(
+    status,
+    isCloseDelimited ? headers : {...headers, 'content-length': length},
+  );
   account.set('heldResponse', 0);
   output.end(parts);
 }
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -6,7 +6,6 @@
   breakOff,
   bufferResponse,
   isCloseDelimited,
-  makeCloseDelimited,
 } from './response_framing.js';
 import type {GatewayContext} from '../gateway_context.js';
 import {
@@ -62,7 +61,6 @@
         ? MAX_HELD_BYTES_WHEN_SHORT
         : MAX_HELD_BYTES;
     const forwardHeld = () => {
-      if (isCloseDelimited(headers)) makeCloseDelimited(call.response);
       call.response.writeHead(status, callerResponseHeaders(context, headers));
       const nowMs = context.clock.monotonicMs();
       call.account.set('heldResponse', 0);
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -4,11 +4,7 @@
 import {MAX_HELD_BYTES} from './relay_response.js';
 import type {AttemptOutcome, Call} from './call.js';
 import {createEventSplitter, MAX_EVENT_BYTES} from './event_splitter.js';
-import {
-  bufferResponse,
-  isCloseDelimited,
-  makeCloseDelimited,
-} from './response_framing.js';
+import {bufferResponse, isCloseDelimited} from './response_framing.js';
 import {recordGap} from './call_records.js';
 import type {GatewayContext} from '../gateway_context.js';
 import {
@@ -82,7 +78,6 @@
     const hasAnyEvent = () => hasNewEvent || call.lastEventId !== undefined;
     const startResponse = () => {
       if (response.headersSent) return;
-      if (isCloseDelimited(headers)) makeCloseDelimited(response);
       response.writeHead(status, headerCodec.callerHeaders(headers));
     };
     /** Returns why the event cannot be forwarded, or undefined. */
