fix(gateway): a connection that ended with its response carries no further call

Cause: a connection went back to the pool when its response had ended, before undici closed it, and the next call found that out. Bytes that follow a response in the same read were parsed as the response to a call that took the connection meanwhile. Change: the pool decides in the next tick, by the state of the socket: it is destroyed by then if the response ended its connection, by whichever header or version, or if something followed.

--- a/daemons/gateway/src/upstreams/connection_pool.ts
+++ b/daemons/gateway/src/upstreams/connection_pool.ts
@@ -57,7 +57,10 @@
   upstreamSide(): UpstreamSide;
   /** Returns the bytes of requests that the system has not taken. */
   unsentBytes(): number;
-  /** Returns the connection to the pool if it is still open and its request was taken. */
+  /**
+   * Returns the connection to the pool, unless it ends with this response, its request was
+   * not taken whole or more bytes follow the response.
+   */
   release(): void;
   destroy(): void;
 }
@@ -169,6 +172,21 @@
     client.on('connectionError', () => discard(pool, pooled));
     return pooled;
   };
+  const keepIfUsable = (pool: AddressPool, connection: PooledConnection) => {
+    const {socket, client, isOpen} = connection;
+    if (!isOpen) return;
+    const isUsable =
+      socket?.destroyed === false &&
+      // The upstream may have answered before it had taken the request.
+      socket.writableLength === 0 &&
+      !client.destroyed;
+    if (!isUsable) {
+      discard(pool, connection);
+      return;
+    }
+    connection.idleSinceMs = clock.monotonicMs();
+    pool.idle.push(connection);
+  };
   return {
     acquire(address, limit, canRetry) {
       const pool = poolOf(address);
@@ -185,16 +203,9 @@
         reportStale: () => limitIdleReuse(idleMs),
         upstreamSide: () => taken.upstreamSide,
         unsentBytes: () => taken.socket?.writableLength ?? 0,
-        release() {
-          if (!taken.isOpen || taken.client.destroyed) return;
-          // The upstream answered before it had taken the request.
-          if (taken.socket?.writableLength) {
-            discard(pool, taken);
-            return;
-          }
-          taken.idleSinceMs = clock.monotonicMs();
-          pool.idle.push(taken);
-        },
+        // Once undici has parsed what has arrived, it has destroyed the socket if the
+        // response ends its connection or something follows the response.
+        release: () => process.nextTick(() => keepIfUsable(pool, taken)),
         destroy: () => discard(pool, taken),
       };
     },
