fix(gateway): a response that names no request belongs to no call

Cause: a response without the request's id was taken for that of the call on its connection. Upstreams name the request in each response; what does not is a copy or other bytes that follow a response. Change: one place, the receipt of a response, decides whose it is, for plain responses and streams alike, before anything else looks at it; without the id it belongs to none. The attempt fails as one that may have run, and its connection is closed. Ruled out: taking unnamed responses on fresh connections, where no other request can have been: they carry no signature either.

--- a/daemons/gateway/src/calls/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -2,7 +2,7 @@
 import type {Dispatcher} from 'undici';
 import {RESET_BY_UPSTREAM_CODE} from '@sardinestile/upstream_connections';
 import type {UpstreamConnection} from '../upstreams/connection_pool.js';
-import {framingOf, type ResponseReceipt} from './response_receipt.js';
+import type {ResponseReceipt} from './response_receipt.js';
 
 /** Codes of errors that mean that the upstream's end of the connection is gone. */
 const LOST_CONNECTION_CODES: ReadonlySet<string> = new Set([
@@ -46,7 +46,7 @@
 /** What carries a request and its response. */
 export interface AttemptTransport {
   connection: UpstreamConnection;
-  /** Is told what arrives of the response. */
+  /** Decides whether what arrives is the response. */
   receipt: ResponseReceipt;
 }
 
@@ -82,6 +82,17 @@
       handlers.onError(error);
     }
   };
+  const abort = () => {
+    controller?.abort(new Error('aborted'));
+    connection.destroy();
+  };
+  /** Fails the attempt, as what arrives is not its response, which may still follow. */
+  const rejectResponse = (reason: string) => {
+    if (!finish()) return;
+    abort();
+    const failure = {isBlocked: false, isConnectionLost: false, reason};
+    conclude(() => handlers.onFailure({isSent, ...failure}));
+  };
   connection.client.dispatch(
     {
       method: request.method as Dispatcher.HttpMethod,
@@ -102,11 +113,12 @@
       onResponseStart(_controller, status, headers) {
         // 1xx responses are interim; the final response follows.
         if (status < 200 || isFinished) return;
-        receipt.framing = framingOf(headers);
-        handlers.onHeaders(status, headers);
+        const defect = receipt.begin(headers);
+        if (defect === undefined) handlers.onHeaders(status, headers);
+        else rejectResponse(defect);
       },
       onResponseData(_controller, chunk) {
-        receipt.bodyBytes += chunk.length;
+        receipt.add(chunk);
         // undici passes an empty chunk when it reads on; to stop reading again for it would
         // leave the end of the response unread.
         if (!isFinished && chunk.length > 0) handlers.onData(chunk);
@@ -132,9 +144,7 @@
   );
   return {
     abort() {
-      if (!finish()) return;
-      controller?.abort(new Error('aborted'));
-      connection.destroy();
+      if (finish()) abort();
     },
     pause: () => controller?.pause(),
     resume: () => controller?.resume(),
--- a/daemons/gateway/src/calls/prepare_attempt.ts
+++ b/daemons/gateway/src/calls/prepare_attempt.ts
@@ -10,7 +10,7 @@
 export interface PreparedAttempt {
   placement: Placement;
   connection: UpstreamConnection;
-  /** What has arrived of its response. */
+  /** Receives its response. */
   receipt: ResponseReceipt;
   startedAtMs: number;
   /** Address of an engine to copy cached prompt parts from. */
@@ -70,12 +70,15 @@
   );
 }
 
-/** Whether a response belongs to the call; one without a request id counts as its own. */
+/**
+ * Whether a response belongs to the call. One without a request id belongs to none, as
+ * upstreams name the request in each response; bytes that follow another response do not.
+ */
 export function isResponseToCall(
   context: GatewayContext,
   call: Call,
   headers: IncomingHttpHeaders,
 ): boolean {
   const {requestId} = context.headerCodec.readResponse(headers);
-  return requestId === undefined || requestId === call.requestId;
+  return (requestId ?? '') === call.requestId;
 }
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -8,11 +8,7 @@
   isCloseDelimited,
 } from './response_framing.js';
 import type {GatewayContext} from '../gateway_context.js';
-import {
-  buildAttemptRequest,
-  isResponseToCall,
-  type PreparedAttempt,
-} from './prepare_attempt.js';
+import {buildAttemptRequest, type PreparedAttempt} from './prepare_attempt.js';
 import {createReadingPause} from './reading_pause.js';
 import {applyUpstreamSignals} from '../upstreams/upstream_signals.js';
 
@@ -80,12 +76,6 @@
           const sentAtMs = prepared.startedAtMs;
           applyUpstreamSignals(context, upstream, {status, headers, sentAtMs});
           clearTimeout(timer);
-          if (isResponseToCall(context, call, headers)) return;
-          attempt.abort();
-          settle({
-            kind: 'unknown',
-            reason: 'the response belongs to another request',
-          });
         },
         onData(chunk) {
           bufferCollector.recordRead(chunk.length);
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -7,11 +7,7 @@
 import {bufferResponse, isCloseDelimited} from './response_framing.js';
 import {recordGap} from './call_records.js';
 import type {GatewayContext} from '../gateway_context.js';
-import {
-  buildAttemptRequest,
-  isResponseToCall,
-  type PreparedAttempt,
-} from './prepare_attempt.js';
+import {buildAttemptRequest, type PreparedAttempt} from './prepare_attempt.js';
 import {createReadingPause} from './reading_pause.js';
 import {applyUpstreamSignals} from '../upstreams/upstream_signals.js';
 
@@ -139,9 +135,6 @@
           const {upstream} = prepared.placement;
           const sentAtMs = prepared.startedAtMs;
           applyUpstreamSignals(context, upstream, {status, headers, sentAtMs});
-          if (!isResponseToCall(context, call, headers)) {
-            failAttempt('the response belongs to another request');
-          }
         },
         onData(chunk) {
           bufferCollector.recordRead(chunk.length);
--- a/daemons/gateway/src/calls/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -17,7 +17,11 @@
 import type {CallShare} from '../shared/fair_shares.js';
 import {endInterrupted, finishCall} from './finish_call.js';
 import type {GatewayContext} from '../gateway_context.js';
-import type {PreparedAttempt, SilenceLimits} from './prepare_attempt.js';
+import {
+  isResponseToCall,
+  type PreparedAttempt,
+  type SilenceLimits,
+} from './prepare_attempt.js';
 import {
   refuseHarmful,
   refuseIfOutOfService,
@@ -205,7 +209,9 @@
     connection && {
       placement,
       connection,
-      receipt: createResponseReceipt(),
+      receipt: createResponseReceipt(headers =>
+        isResponseToCall(context, call, headers),
+      ),
       startedAtMs: nowMs,
       copyPromptFrom: placement.copyPromptFrom?.address,
       silence: silenceLimits(context, call, placement, nowMs),
