fix(gateway): a response without a length is not passed on with a copy of itself

What callers saw: status 200, signed, with the body twice and the head of the copy between, where an upstream that repeats itself gives its response no length. Cause: for HTTP all bytes up to the close are the body; nothing looked at whose they are. The attempt fails then as one that may have run; what had been forwarded is broken off. Ruled out: any head in a body, as bodies may speak of HTTP; cutting the body before the copy, as the first one may be what was broken off.

--- a/daemons/gateway/src/calls/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -118,10 +118,12 @@
         else rejectResponse(defect);
       },
       onResponseData(_controller, chunk) {
-        receipt.add(chunk);
         // undici passes an empty chunk when it reads on; to stop reading again for it would
         // leave the end of the response unread.
-        if (!isFinished && chunk.length > 0) handlers.onData(chunk);
+        if (isFinished || chunk.length === 0) return;
+        const defect = receipt.add(chunk);
+        if (defect === undefined) handlers.onData(chunk);
+        else rejectResponse(defect);
       },
       onResponseEnd() {
         if (!finish()) return;
--- a/daemons/gateway/src/calls/prepare_attempt.ts
+++ b/daemons/gateway/src/calls/prepare_attempt.ts
@@ -1,4 +1,3 @@
-import type {IncomingHttpHeaders} from 'node:http';
 import type {Placement} from '@sardinestile/fleet';
 import type {AttemptRequest} from './attempt.js';
 import type {Call} from './call.js';
@@ -69,16 +68,3 @@
     `zone ${record.availabilityZone} of ${record.id} is out of service`
   );
 }
-
-/**
- * Whether a response belongs to the call. One without a request id belongs to none, as
- * upstreams name the request in each response; bytes that follow another response do not.
- */
-export function isResponseToCall(
-  context: GatewayContext,
-  call: Call,
-  headers: IncomingHttpHeaders,
-): boolean {
-  const {requestId} = context.headerCodec.readResponse(headers);
-  return (requestId ?? '') === call.requestId;
-}
--- a/daemons/gateway/src/calls/response_receipt.ts
+++ b/daemons/gateway/src/calls/response_receipt.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import {createResponseFinder, type ResponseFinder} from './response_finder.js';
 
 /** How the end of a message is marked: by its length, its chunks or the close of its connection. */
 export type MessageFraming = 'length' | 'chunks' | 'close';
@@ -11,19 +12,30 @@
   readonly bodyBytes: number;
   /** Takes the headers; returns why the response is not the one that is due, or undefined. */
   begin(headers: IncomingHttpHeaders): string | undefined;
-  /** Takes a part of the body. */
-  add(chunk: Buffer): void;
+  /** Takes a part of the body; returns why it cannot be one, or undefined. */
+  add(chunk: Buffer): string | undefined;
+}
+
+/** Options for `createResponseReceipt`. */
+export interface ResponseReceiptOptions {
+  /** Id of the request; empty if it has none. */
+  requestId: string;
+  /** Returns the id of the request that a response names. */
+  readRequestId: (headers: IncomingHttpHeaders) => string | undefined;
 }
 
 /**
- * Creates the receipt of a response of which nothing has arrived. `isDue` tells by its
- * headers whether a response belongs to the request.
+ * Creates the receipt of a response of which nothing has arrived. Upstreams name the request in
+ * each response: one that names none is of no request, like bytes that follow a response.
  */
-export function createResponseReceipt(
-  isDue: (headers: IncomingHttpHeaders) => boolean = () => true,
-): ResponseReceipt {
+export function createResponseReceipt({
+  requestId,
+  readRequestId,
+}: ResponseReceiptOptions): ResponseReceipt {
   let framing: MessageFraming | undefined;
   let bodyBytes = 0;
+  /** Of a response without a length, which an upstream that repeats itself does not end. */
+  let copyFinder: ResponseFinder | undefined;
   return {
     get framing() {
       return framing;
@@ -33,12 +45,20 @@
     },
     begin(headers) {
       framing = framingOf(headers);
-      return isDue(headers)
+      if (framing === 'close' && requestId !== '') {
+        copyFinder = createResponseFinder(
+          copyHeaders => readRequestId(copyHeaders) === requestId,
+        );
+      }
+      return (readRequestId(headers) ?? '') === requestId
         ? undefined
         : 'the response belongs to another request';
     },
     add(chunk) {
       bodyBytes += chunk.length;
+      return copyFinder?.push(chunk)
+        ? 'the response is followed by a copy of itself'
+        : undefined;
     },
   };
 }
--- a/daemons/gateway/src/calls/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -17,11 +17,7 @@
 import type {CallShare} from '../shared/fair_shares.js';
 import {endInterrupted, finishCall} from './finish_call.js';
 import type {GatewayContext} from '../gateway_context.js';
-import {
-  isResponseToCall,
-  type PreparedAttempt,
-  type SilenceLimits,
-} from './prepare_attempt.js';
+import type {PreparedAttempt, SilenceLimits} from './prepare_attempt.js';
 import {
   refuseHarmful,
   refuseIfOutOfService,
@@ -209,9 +205,11 @@
     connection && {
       placement,
       connection,
-      receipt: createResponseReceipt(headers =>
-        isResponseToCall(context, call, headers),
-      ),
+      receipt: createResponseReceipt({
+        requestId: call.requestId,
+        readRequestId: headers =>
+          context.headerCodec.readResponse(headers).requestId,
+      }),
       startedAtMs: nowMs,
       copyPromptFrom: placement.copyPromptFrom?.address,
       silence: silenceLimits(context, call, placement, nowMs),
--- a/daemons/gateway/test/attempt_errors_test.ts
+++ b/daemons/gateway/test/attempt_errors_test.ts
@@ -41,13 +41,23 @@
         body: null,
         findSendBlocker: () => undefined,
       };
-      startAttempt({connection, receipt: createResponseReceipt()}, request, {
-        onHeaders: () => undefined,
-        onData: () => undefined,
-        onEnd: fail,
-        onFailure: fail,
-        onError: error => errors.push(error),
-      });
+      startAttempt(
+        {
+          connection,
+          receipt: createResponseReceipt({
+            requestId: '',
+            readRequestId: () => undefined,
+          }),
+        },
+        request,
+        {
+          onHeaders: () => undefined,
+          onData: () => undefined,
+          onEnd: fail,
+          onFailure: fail,
+          onError: error => errors.push(error),
+        },
+      );
       const endAtMs = performance.now() + LIMIT_MS;
       while (errors.length === 0 && performance.now() < endAtMs) await sleep(5);
       connection.destroy();
--- a/daemons/gateway/test/paused_attempt_test.ts
+++ b/daemons/gateway/test/paused_attempt_test.ts
@@ -31,7 +31,10 @@
         body: null,
         findSendBlocker: () => undefined,
       };
-      const receipt = createResponseReceipt();
+      const receipt = createResponseReceipt({
+        requestId: '',
+        readRequestId: () => undefined,
+      });
       await new Promise<void>((resolve, reject) => {
         const attempt = startAttempt({connection, receipt}, request, {
           onHeaders: () => undefined,
--- a/daemons/gateway/test/send_blocker_test.ts
+++ b/daemons/gateway/test/send_blocker_test.ts
@@ -32,16 +32,26 @@
         body: null,
         findSendBlocker: () => blocker.reason,
       };
-      startAttempt({connection, receipt: createResponseReceipt()}, request, {
-        onHeaders: () => undefined,
-        onData: () => undefined,
-        onEnd() {
-          connection.destroy();
-          resolve('ended');
+      startAttempt(
+        {
+          connection,
+          receipt: createResponseReceipt({
+            requestId: '',
+            readRequestId: () => undefined,
+          }),
         },
-        onFailure: resolve,
-        onError: reject,
-      });
+        request,
+        {
+          onHeaders: () => undefined,
+          onData: () => undefined,
+          onEnd() {
+            connection.destroy();
+            resolve('ended');
+          },
+          onFailure: resolve,
+          onError: reject,
+        },
+      );
     });
 
   it('is sent if nothing speaks against it', async () => {
