--- a/daemons/gateway/src/calls/response_receipt.ts
+++ b/daemons/gateway/src/calls/response_receipt.ts
@@ -50,8 +50,10 @@
           copyHeaders => readRequestId(copyHeaders) === requestId,
         );
       }
-      return (readRequestId(headers) ?? '') === requestId
-        ? undefined
+      const namedId = readRequestId(headers) ?? '';
+      if (namedId === requestId) return undefined;
+      return namedId === ''
+        ? 'the response names no request'
         : 'the response belongs to another request';
     },
     add(chunk) {
