test: crowds of clients that do not behave, at every port, within lowered limits

Change: a gateway of 150 MB and 600 descriptors with crowds of 40 to 300 at the ports of callers, peers, readiness and metrics, an entry of 250 MB at those of callers and operators.

--- a/testing/soak/src/single_gateway.ts
+++ b/testing/soak/src/single_gateway.ts
@@ -17,7 +17,11 @@
   type GatewayCluster,
   type RawResponse,
 } from '@sardinestile/hosting_tests';
-import {startGatewayProcess, type GatewayProcess} from './gateway_process.js';
+import {
+  startGatewayProcess,
+  type GatewayProcess,
+  type ProcessLimits,
+} from './gateway_process.js';
 import {reserveNetwork} from './reserve_network.js';
 
 const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
@@ -36,7 +40,7 @@
   readonly store: StandInListener;
   /** The process that was started last. */
   readonly process: GatewayProcess;
-  start(environment?: Record<string, string>): void;
+  start(environment?: Record<string, string>, limits?: ProcessLimits): void;
   isReady(): Promise<boolean>;
   waitUntilReady(): Promise<void>;
   /** Waits until the log has the text. */
@@ -81,7 +85,7 @@
     get process() {
       return gateway;
     },
-    start(environment) {
+    start(environment, limits) {
       gateway = startGatewayProcess({
         index: ++startedCount,
         network: reserved.network,
@@ -89,6 +93,7 @@
         storePort: store.port,
         dutyInterfacePort: cluster.duties.listener.port,
         environment,
+        limits,
       });
     },
     isReady,
