fix(connections): input that costs much processor time is parsed in turns

What callers saw: beside clients that send bodies in chunks of one byte no call was answered, at a gateway, its port for peers and an entry, nor after those clients had stopped sending. Cause: each chunk is a call of the parser of a few microseconds, and a read of 64 KB was parsed without a break, for one connection after the other. Nothing bounded that work, for a connection or for the process. Change: all servers of a process share a pacer. What a connection sends is parsed in slices; one that has used more than a millisecond waits for its turn and is not read meanwhile. Turns take eight milliseconds between two polls, and go to the connection that has used least. At most 8 MB wait; beyond it the connection that holds most is closed. Of requests sent ahead behind one that is dropped, only those of the same slice are reported, no longer all of a read.

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -69,6 +69,8 @@
   markDrainLimit(): void;
   /** Ends it at once, with what is on it. */
   destroy(): void;
+  /** Ends it at once, as too much input waits in the process. */
+  shed(): void;
   /** Gives back what its requests hold after it has closed, and returns what they were. */
   close(): ConnectionEnd;
 }
@@ -281,6 +283,10 @@
       unsentBytes = socket.writableLength;
       socket.destroy();
     },
+    shed() {
+      reason ??= 'shed';
+      socket.destroy();
+    },
     close() {
       const held: ConnectionEnd = {
         reason: findReason(),
--- a/core/connections/src/connection_end.ts
+++ b/core/connections/src/connection_end.ts
@@ -10,6 +10,8 @@
   | 'drainLimit'
   /** As `answered`, after the peer sent many more requests than may wait. */
   | 'overrun'
+  /** Too much input waited in the process to be parsed, and it held most of it. */
+  | 'shed'
   /** The peer closed or reset it, or a time limit of the server passed. */
   | 'other';
 
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -9,6 +9,8 @@
 import {createConnection, type Connection} from './connection.js';
 import {isInputError, refuseInput} from './refuse_input.js';
 import {failRequest} from './fail_request.js';
+import {createInputPacer, type InputPacer} from './input_pacer.js';
+import {paceInput} from './pace_input.js';
 import {
   createInputBoundary,
   type InputBoundary,
@@ -46,6 +48,8 @@
   onTaken?: (request: IncomingMessage) => () => void;
   /** Whether there is enough memory for requests to wait behind others; there is if absent. */
   mayWait?: () => boolean;
+  /** Decides when input is parsed; the pacer of the process by default. */
+  pacer?: InputPacer;
 }
 
 /** A request whose headers have not arrived whole. */
@@ -93,6 +97,9 @@
  */
 export const MANAGED_SERVER_OPTIONS = {requireHostHeader: false} as const;
 
+/** Pacer that all servers of a process share. */
+const processPacer = createInputPacer();
+
 /**
  * Takes over the connections that a server accepts from now on, and their requests. The
  * requests of a connection are served one after another.
@@ -109,6 +116,7 @@
     mayWait = () => true,
     input = 'request',
     boundary = createInputBoundary(),
+    pacer = processPacer,
   } = options;
   const serveRequest = boundary.guard(input, handler, failRequest);
   const recordEnd = boundary.guard(input, onEnded);
@@ -132,6 +140,7 @@
   const receive = boundary.guard(input, take, failRequest);
   server.on('connection', (socket: Socket) => {
     const connection = createConnection(socket, {onTaken, onUnanswerable});
+    paceInput(socket, pacer, () => connection.shed());
     connections.set(socket, connection);
     socket.once('close', () => {
       connections.delete(socket);
