--- a/daemons/gateway/src/calls/call_records.ts
+++ b/daemons/gateway/src/calls/call_records.ts
@@ -6,7 +6,7 @@
 import type {GatewayContext} from '../gateway_context.js';
 import type {CallShare} from '../shared/fair_shares.js';
 import type {PreparedAttempt} from './prepare_attempt.js';
-import type {MessageFraming} from './response_receipt.js';
+import type {MessageFraming} from './response_framing.js';
 
 /** Attempt that ended, for its log line and metrics. */
 export interface EndedAttempt {
--- a/daemons/gateway/src/calls/response_framing.ts
+++ b/daemons/gateway/src/calls/response_framing.ts
@@ -4,15 +4,18 @@
 
 export {breakOff} from '@sardinestile/connections';
 
-/**
- * Whether a response is delimited only by the close of its connection, so that
- * truncation cannot be detected.
- */
+/** How the end of a message is marked: by its length, its chunks or the close of its connection. */
+export type MessageFraming = 'length' | 'chunks' | 'close';
+
+/** Returns how the headers of a message mark its end. */
+export function framingOf(headers: IncomingHttpHeaders): MessageFraming {
+  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  return headers['content-length'] === undefined ? 'close' : 'length';
+}
+
+/** Whether the end of a response is marked only by the close of its connection. */
 export function isCloseDelimited(headers: IncomingHttpHeaders): boolean {
-  return (
-    headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined
-  );
+  return framingOf(headers) === 'close';
 }
 
 /** Creates a buffered response, which is not sent to the caller before it is known to be final. */
--- a/daemons/gateway/src/calls/response_receipt.ts
+++ b/daemons/gateway/src/calls/response_receipt.ts
@@ -1,8 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {createResponseFinder, type ResponseFinder} from './response_finder.js';
-
-/** How the end of a message is marked: by its length, its chunks or the close of its connection. */
-export type MessageFraming = 'length' | 'chunks' | 'close';
+import {framingOf, type MessageFraming} from './response_framing.js';
 
 /** Receives an upstream's response and decides whether it is the one that is due. */
 export interface ResponseReceipt {
@@ -64,9 +62,3 @@
     },
   };
 }
-
-/** Returns how the headers of a message mark its end. */
-function framingOf(headers: IncomingHttpHeaders): MessageFraming {
-  if (headers['transfer-encoding'] !== undefined) return 'chunks';
-  return headers['content-length'] === undefined ? 'close' : 'length';
-}
