fix(connections): requests that wait to be parsed keep their connection and their process open

Cause: since input is parsed in turns, what has been read may not be parsed yet. A connection that had answered its requests counted as idle then, and a stopping process as settled. Change: waiting input counts as a request that has not arrived whole, and keeps connections from being settled; the last step of a stop goes on until it is parsed and answered.

--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -42,8 +42,13 @@
 export interface Connection {
   /** Responses to taken requests that the operating system has not taken whole, in order. */
   openResponses(): ServerResponse[];
-  /** Whether all responses were sent, and the peer had its time to read them if it ends. */
+  /**
+   * Whether all that was read is parsed and all responses were sent, and the peer had its time
+   * to read them if it ends.
+   */
   readonly isSettled: boolean;
+  /** Whether input that may hold requests waits to be parsed. */
+  readonly hasWaitingInput: boolean;
   /** Bytes of a request of which the headers have not arrived whole; 0 once its end was announced. */
   readonly partialRequestBytes: number;
   /**
@@ -106,10 +111,13 @@
     bytesReadAtLastUse = socket.bytesRead;
     lastUsedAtMs = performance.now();
   };
-  const hasPartialRequest = () =>
-    responses.size === 0 && socket.bytesRead > bytesReadAtLastUse;
-  const partialRequestBytes = () =>
-    hasPartialRequest() ? socket.bytesRead - bytesReadAtLastUse : 0;
+  /** Bytes that have arrived since the last use, or that wait to be parsed. */
+  const newBytes = () =>
+    Math.max(socket.bytesRead - bytesReadAtLastUse, socket.readableLength);
+  const partialRequestBytes = () => (responses.size === 0 ? newBytes() : 0);
+  const hasPartialRequest = () => partialRequestBytes() > 0;
+  const hasWaitingInput = () =>
+    reason === undefined && !isLineClosed && socket.readableLength > 0;
   const isIdle = () => {
     const nowMs = performance.now();
     if (socket.bytesRead !== lastBytesRead) {
@@ -212,7 +220,12 @@
   return {
     openResponses: () => [...responses.keys()],
     get isSettled() {
-      return responses.size === 0 && reason !== 'answered';
+      return (
+        responses.size === 0 && !hasWaitingInput() && reason !== 'answered'
+      );
+    },
+    get hasWaitingInput() {
+      return hasWaitingInput();
     },
     get partialRequestBytes() {
       // What arrives after an announced end is dropped.
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -68,10 +68,12 @@
   /** Responses to taken requests that the operating system has not taken whole. */
   openResponses(): ServerResponse[];
   /**
-   * Whether every response was sent, and every peer whose connection ends has closed it
-   * or had its time to read.
+   * Whether all input was parsed and every response sent, and every peer whose connection ends
+   * has closed it or had its time to read.
    */
   readonly isSettled: boolean;
+  /** Whether input that may hold requests waits to be parsed. */
+  readonly hasWaitingInput: boolean;
   /** Requests whose headers have not arrived whole, on connections without another one. */
   partialRequests(): PartialRequest[];
   /** Time by performance.now() at which the last request was taken or response sent. */
@@ -178,6 +180,9 @@
     get isSettled() {
       return all().every(({isSettled}) => isSettled);
     },
+    get hasWaitingInput() {
+      return all().some(connection => connection.hasWaitingInput);
+    },
     partialRequests: () =>
       all()
         .map(({partialRequestBytes: bytes, destroy}) => ({bytes, destroy}))
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -165,7 +165,9 @@
       await sleep(SENT_CHECK_MS);
       stopAccepting(server);
       await sleep(SENT_CHECK_MS);
-      while (connections.openResponses().length > 0) {
+      const isBusy = () =>
+        connections.hasWaitingInput || connections.openResponses().length > 0;
+      while (isBusy()) {
         if (performance.now() >= endMs) return;
         await sleep(SENT_CHECK_MS);
       }
