--- a/core/connections/src/input_pacer.ts
+++ b/core/connections/src/input_pacer.ts
@@ -32,7 +32,7 @@
   mustWait(readMs: number): boolean;
   /** Counts time for which its input was parsed, in milliseconds. */
   recordUse(usedMs: number): void;
-  /** Waits for a turn, or goes on waiting; sheds the connection that holds most if too much waits. */
+  /** Waits for turns until it leaves; sheds the connections that hold most if too much waits. */
   wait(): void;
   /** Gives up waiting. */
   leave(): void;
