--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -326,6 +326,8 @@
   let child;
   let isSignalled = false;
   let restartTimer;
+  // Also after an error of the script itself.
+  process.once('exit', () => child?.kill('SIGKILL'));
   const gateway = {
     name,
     host,
--- a/review/unanswered-2.mjs
+++ b/review/unanswered-2.mjs
@@ -67,6 +67,7 @@
     let endless = 0;
     const sendEndless = ({request: {socket}, headers}) => {
       endless++;
+      socket.on('error', () => undefined);
       socket.write(createStart(headers));
       const timer = setInterval(() => {
         if (socket.destroyed) clearInterval(timer);
