fix(gateway): small parts of responses no longer fill the heap of a gateway

What callers saw: two engines of four answered streams with newlines without end.

Cause: relayStream wrote each event to the caller by itself, and a pause of reading takes effect with the next read only. 64 KB of newlines became 32,768 pending writes; the memory budget counts their two bytes, not the some hundred bytes of heap that each of them holds. Bodies that are forwarded in small chunks took the same way.

The splitter of events joins events without a field that arrive together.

Ruled out: the objects of the events (with joined writes and the splitter as it was, the case holds) and the part that is held until an event is complete (an empty event is complete after two bytes).

--- a/daemons/gateway/src/calls/event_splitter.ts
+++ b/daemons/gateway/src/calls/event_splitter.ts
@@ -1,11 +1,11 @@
 import {appendChunk} from '@sardinestile/memory';
 
-/** One complete server-sent event, as received. */
+/** A complete server-sent event, or several without a field, as received. */
 export interface StreamEvent {
   bytes: Buffer;
   /** Numeric `id` field; undefined for events without one, such as comments. */
   id: number | undefined;
-  /** Whether it has a field; false for one that consists of comments. */
+  /** Whether it has a field; false for comments and empty lines. */
   hasData: boolean;
 }
 
@@ -51,11 +51,14 @@
         const end = endOfEvent(bytes, start);
         if (end < 0) break;
         const event = bytes.subarray(start, end);
-        events.push({
-          bytes: event,
-          id: readEventId(event),
-          hasData: hasField(event),
-        });
+        const hasData = hasField(event);
+        const last = events.at(-1);
+        if (hasData || !last || last.hasData) {
+          const id = hasData ? readEventId(event) : undefined;
+          events.push({bytes: event, id, hasData});
+        } else {
+          last.bytes = bytes.subarray(start - last.bytes.length, end);
+        }
         start = end;
       }
       partialBytes = bytes.length - start;
--- a/daemons/gateway/src/calls/relay_response.ts
+++ b/daemons/gateway/src/calls/relay_response.ts
@@ -100,7 +100,7 @@
         },
         onEnd() {
           if (isForwarding) {
-            call.response.end();
+            call.output.end();
             settle({
               kind: 'answered',
               status,
--- a/daemons/gateway/src/calls/relay_stream.ts
+++ b/daemons/gateway/src/calls/relay_stream.ts
@@ -192,7 +192,7 @@
             });
           } else {
             startResponse();
-            response.end();
+            output.end();
             settle({
               kind: 'answered',
               status,
--- a/daemons/gateway/test/event_splitter_test.ts
+++ b/daemons/gateway/test/event_splitter_test.ts
@@ -63,4 +63,16 @@
     expect(process.memoryUsage().arrayBuffers - before).toBeLessThan(1_048_576);
     expect(splitter.partialBytes).toEqual(64 * 65_536);
   });
+
+  // Guards against newlines without end, which cost an object and a write for each two bytes.
+  it('joins events without a field that arrive together', () => {
+    const splitter = createEventSplitter();
+    const [first, second, ...others] = splitter.push(
+      Buffer.from('data: a\n\n' + '\n'.repeat(4_000) + ': wait\n\n'),
+    );
+    expect(first.bytes.toString()).toEqual('data: a\n\n');
+    expect(second.bytes.toString()).toEqual('\n'.repeat(4_000) + ': wait\n\n');
+    expect(second.hasData).toEqual(false);
+    expect(others).toEqual([]);
+  });
 });
--- a/development/hosting_stand_ins/src/endless_response.ts
+++ b/development/hosting_stand_ins/src/endless_response.ts
@@ -39,6 +39,11 @@
       'HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n',
     repeated: '8\r\n: wait\n\n\r\n',
   },
+  newlines: {
+    start:
+      'HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncontent-type: text/event-stream\r\n\r\n',
+    repeated: '\n',
+  },
 } as const;
 
 /**
--- a/testing/hosting/test/endless_responses_test.ts
+++ b/testing/hosting/test/endless_responses_test.ts
@@ -31,7 +31,12 @@
   'chunkExtension',
   'trailers',
 ];
-const STREAM_PARTS: EndlessPart[] = [...PLAIN_PARTS, 'eventLine', 'comments'];
+const STREAM_PARTS: EndlessPart[] = [
+  ...PLAIN_PARTS,
+  'eventLine',
+  'comments',
+  'newlines',
+];
 
 describe('upstreams that send bytes without end', () => {
   let cluster: GatewayCluster;
