fix(connections): input of upstreams is parsed in turns and needs progress

What callers saw: two engines of four answered streams with interim responses without end, 10 MB/s each.

Cause: nothing bounded what an upstream may send before its final head. Interim responses are ignored, and undici parses what has arrived until nothing is left: 2,200 heads in a read. Callers' input took turns, that of upstreams did not.

Change: connections to upstreams, of gateways and agents, let undici read a slice at a time, at turns of the pacer that callers' input has. A connection of a gateway that carries more than 64 KB without a new request, the head of a final response or a part of a body ends with a NoProgressError, its attempt as one that may have run. Slices go down to 256 bytes. New gauges: sardinestile_input_waiting, _waiting_bytes, sardinestile_input_parse_seconds.

Ruled out: calls that wait behind full places (lookups have a service of their own) and the memory budget (it refuses, it does not leave unanswered).

--- a/core/connections/src/index.ts
+++ b/core/connections/src/index.ts
@@ -7,4 +7,6 @@
 export * from './heap_budget.js';
 export * from './heap_guard.js';
 export * from './input_boundary.js';
+export * from './input_pacer.js';
 export * from './server_connections.js';
+export * from './slice_size.js';
--- a/core/connections/src/input_pacer.ts
+++ b/core/connections/src/input_pacer.ts
@@ -44,6 +44,18 @@
  */
 export interface InputPacer {
   open(connection: PacedConnection): PacerPlace;
+  /** Returns what waits now, and the time for which input was parsed so far. */
+  usage(): PacerUsage;
+}
+
+/** Use of a pacer. */
+export interface PacerUsage {
+  /** Connections that wait for turns. */
+  waitingConnections: number;
+  /** Bytes that they have read and not parsed. */
+  waitingBytes: number;
+  /** Time for which the input of all connections was parsed, in milliseconds. */
+  parsedMs: number;
 }
 
 /** Options for `createInputPacer`. */
@@ -71,7 +83,13 @@
 }: InputPacerOptions = {}): InputPacer {
   const waiting = new Set<Waiter>();
   let isScheduled = false;
+  let parsedMs = 0;
 
+  const waitingBytes = () => {
+    let bytes = 0;
+    for (const {connection} of waiting) bytes += connection.waitingBytes;
+    return bytes;
+  };
   const forget = (waiter: Waiter) => {
     const now = nowMs();
     const forgottenMs = FORGOTTEN_SHARE * (now - waiter.atMs);
@@ -92,8 +110,7 @@
     schedule(takeTurns);
   };
   const shedExcess = () => {
-    let bytes = 0;
-    for (const {connection} of waiting) bytes += connection.waitingBytes;
+    let bytes = waitingBytes();
     while (bytes > maxWaitingBytes) {
       const {connection} = minBy(
         waiting,
@@ -113,6 +130,7 @@
         },
         recordUse(usedMs) {
           waiter.usedMs += usedMs;
+          parsedMs += usedMs;
         },
         wait() {
           if (waiting.has(waiter)) return;
@@ -123,9 +141,17 @@
         leave: () => void waiting.delete(waiter),
       };
     },
+    usage: () => ({
+      waitingConnections: waiting.size,
+      waitingBytes: waitingBytes(),
+      parsedMs,
+    }),
   };
 }
 
+/** Pacer that all connections of a process share. */
+export const processPacer = createInputPacer();
+
 /** Returns the element of a set that is not empty with the lowest value. */
 function minBy<T>(
   elements: ReadonlySet<T>,
--- a/core/connections/src/pace_input.ts
+++ b/core/connections/src/pace_input.ts
@@ -1,15 +1,6 @@
 import type {Socket} from 'node:net';
 import type {InputPacer} from './input_pacer.js';
-
-/** Size of the first slice of a connection, and limits of those after it, in bytes. */
-const FIRST_SLICE_BYTES = 2_048;
-const MAX_SLICE_BYTES = 65_536;
-
-/** Factor by which slices grow while they cost little. */
-const SLICE_GROWTH = 4;
-
-/** Time that a slice may take, in milliseconds. */
-const SLICE_MS = 0.5;
+import {createSliceSize} from './slice_size.js';
 
 /**
  * Lets a pacer decide when what a socket of an HTTP server has read is parsed. Has to be called
@@ -23,7 +14,7 @@
   const [parse] = socket.listeners('data') as Array<(bytes: Buffer) => void>;
   const pause = socket.pause.bind(socket);
   const resume = socket.resume.bind(socket);
-  let sliceBytes = FIRST_SLICE_BYTES;
+  const sliceSize = createSliceSize();
   let isWaiting = false;
   /** Whether node:http has stopped reading, for a body or a response that is not taken. */
   let isStopped = false;
@@ -40,7 +31,7 @@
       return socket.readableLength;
     },
     parseNext() {
-      const bytes = Math.min(sliceBytes, socket.readableLength);
+      const bytes = Math.min(sliceSize.bytes, socket.readableLength);
       if (bytes === 0 || isStopped) {
         stopWaiting();
         return;
@@ -64,12 +55,7 @@
     parse(slice);
     const usedMs = performance.now() - startMs;
     place.recordUse(usedMs);
-    const fittingBytes = Math.floor((slice.length * SLICE_MS) / usedMs);
-    const wantedBytes = Math.min(SLICE_GROWTH * sliceBytes, fittingBytes);
-    sliceBytes = Math.min(
-      MAX_SLICE_BYTES,
-      Math.max(FIRST_SLICE_BYTES, wantedBytes),
-    );
+    sliceSize.adapt(slice.length, usedMs);
     return usedMs;
   };
   /** Whether what has been read is still to be parsed. */
@@ -86,7 +72,7 @@
     let readMs = 0;
     let mustWait = place.mustWait(readMs);
     while (!mustWait && offset < bytes.length && mayParse()) {
-      const end = offset + sliceBytes;
+      const end = offset + sliceSize.bytes;
       readMs += parseSlice(bytes.subarray(offset, end));
       offset = end;
       mustWait = place.mustWait(readMs);
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -9,7 +9,7 @@
 import {createConnection, type Connection} from './connection.js';
 import {isInputError, refuseInput} from './refuse_input.js';
 import {failRequest} from './fail_request.js';
-import {createInputPacer, type InputPacer} from './input_pacer.js';
+import {processPacer, type InputPacer} from './input_pacer.js';
 import {paceInput} from './pace_input.js';
 import {
   createInputBoundary,
@@ -99,9 +99,6 @@
  */
 export const MANAGED_SERVER_OPTIONS = {requireHostHeader: false} as const;
 
-/** Pacer that all servers of a process share. */
-const processPacer = createInputPacer();
-
 /**
  * Takes over the connections that a server accepts from now on, and their requests. The
  * requests of a connection are served one after another.
--- a/core/connections/test/waiting_input_test.ts
+++ b/core/connections/test/waiting_input_test.ts
@@ -3,8 +3,12 @@
 import {after, before, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import type {PacedConnection} from '../src/input_pacer.js';
-import {manageConnections, type ServerConnections} from '../src/index.js';
+import {
+  createInputPacer,
+  manageConnections,
+  type PacedConnection,
+  type ServerConnections,
+} from '../src/index.js';
 
 /** Time after which a connection without a request counts as idle, and more, in milliseconds. */
 const IDLE_MS = 600;
@@ -24,6 +28,7 @@
           wait: () => (waiting = connection),
           leave: () => undefined,
         }),
+        usage: createInputPacer().usage,
       },
     });
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
--- a/daemons/gateway/src/calls/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -107,12 +107,14 @@
         blocker = isFinished
           ? 'aborted before sending'
           : request.findSendBlocker();
+        connection.recordProgress();
         if (blocker === undefined) isSent = true;
         else started.abort(new Error(blocker));
       },
       onResponseStart(_controller, status, headers) {
         // 1xx responses are interim; the final response follows.
         if (status < 200 || isFinished) return;
+        connection.recordProgress();
         const defect = receipt.begin(headers);
         if (defect === undefined) handlers.onHeaders(status, headers);
         else rejectResponse(defect);
@@ -121,6 +123,7 @@
         // undici passes an empty chunk when it reads on; to stop reading again for it would
         // leave the end of the response unread.
         if (isFinished || chunk.length === 0) return;
+        connection.recordProgress();
         const defect = receipt.add(chunk);
         if (defect === undefined) handlers.onData(chunk);
         else rejectResponse(defect);
--- a/daemons/gateway/src/gauges.ts
+++ b/daemons/gateway/src/gauges.ts
@@ -1,3 +1,4 @@
+import {processPacer} from '@sardinestile/connections';
 import type {UpstreamState} from '@sardinestile/fleet';
 import {isFingerprint} from '@sardinestile/quarantine';
 import type {GatewayContext} from './gateway_context.js';
@@ -60,6 +61,10 @@
     {},
     Math.max(0, memoryBudget.limitBytes - memoryBudget.heldBytes),
   );
+  const {waitingConnections, waitingBytes, parsedMs} = processPacer.usage();
+  metrics.setGauge('sardinestile_input_waiting', {}, waitingConnections);
+  metrics.setGauge('sardinestile_input_waiting_bytes', {}, waitingBytes);
+  metrics.setGauge('sardinestile_input_parse_seconds', {}, parsedMs / 1000);
   const {heapBudget} = context;
   metrics.setGauge('sardinestile_held_heap_bytes', {}, heapBudget.heldBytes);
   metrics.setGauge(
--- a/daemons/gateway/src/upstreams/connection_pool.ts
+++ b/daemons/gateway/src/upstreams/connection_pool.ts
@@ -2,7 +2,9 @@
 import type {Clock} from '@sardinestile/types';
 import {
   RESET_BY_UPSTREAM_CODE,
+  withPacedResponses,
   withReliableEnds,
+  type ResponseProgress,
 } from '@sardinestile/upstream_connections';
 import {Client, type buildConnector} from 'undici';
 
@@ -57,6 +59,11 @@
   upstreamSide(): UpstreamSide;
   /** Returns the bytes of requests that the system has not taken. */
   unsentBytes(): number;
+  /**
+   * Records a new request, the head of its final response or a part of its body; an upstream
+   * that sends much else loses the connection.
+   */
+  recordProgress(): void;
   /**
    * Returns the connection to the pool, unless it ends with this response, its request was
    * not taken whole or more bytes follow the response.
@@ -85,6 +92,7 @@
 interface PooledConnection {
   client: Client;
   socket: Socket | undefined;
+  progress: ResponseProgress | undefined;
   isOpen: boolean;
   upstreamSide: UpstreamSide;
   requestCount: number;
@@ -144,6 +152,7 @@
   const openConnection = (address: string, pool: AddressPool) => {
     const connection: Omit<PooledConnection, 'client'> = {
       socket: undefined,
+      progress: undefined,
       isOpen: true,
       upstreamSide: 'open',
       requestCount: 0,
@@ -155,15 +164,16 @@
       bodyTimeout: 0,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
-      connect: withReliableEnds(
-        createConnector(socket => {
+      connect: withPacedResponses(withReliableEnds(createConnector()), {
+        onConnected(socket, progress) {
           pooled.socket = socket;
+          pooled.progress = progress;
           socket.once('end', () => (pooled.upstreamSide = 'closed'));
           socket.once('error', ({code}: NodeJS.ErrnoException) => {
             if (code === RESET_BY_UPSTREAM_CODE) pooled.upstreamSide = 'reset';
           });
-        }),
-      ),
+        },
+      }),
     });
     const pooled: PooledConnection = Object.assign(connection, {client});
     pool.open++;
@@ -203,6 +213,7 @@
         reportStale: () => limitIdleReuse(idleMs),
         upstreamSide: () => taken.upstreamSide,
         unsentBytes: () => taken.socket?.writableLength ?? 0,
+        recordProgress: () => taken.progress?.record(),
         // Once undici has parsed what has arrived, it has destroyed the socket if the
         // response ends its connection or something follows the response.
         release: () => process.nextTick(() => keepIfUsable(pool, taken)),
@@ -234,9 +245,7 @@
 }
 
 /** Creates a connector with its own timeout, as undici's timer is too coarse for it. */
-function createConnector(
-  onConnected: (socket: Socket) => void,
-): buildConnector.connector {
+function createConnector(): buildConnector.connector {
   return ({hostname, port}, callback) => {
     const socket = connect({
       host: hostname,
@@ -252,7 +261,6 @@
       clearTimeout(timer);
       socket.off('error', onError);
       socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS);
-      onConnected(socket);
       callback(null, socket);
     };
     const onError = (error: Error) => {
--- a/development/hosting_stand_ins/src/endless_response.ts
+++ b/development/hosting_stand_ins/src/endless_response.ts
@@ -14,6 +14,7 @@
     start: '',
     repeated: 'HTTP/1.1 103 Early Hints\r\n\r\n',
   },
+  emptyLines: {start: '', repeated: '\r\n'},
   noResponse: {start: '', repeated: 'garbage '},
   errorBody: {
     start: 'HTTP/1.1 500 Internal Server Error\r\nrequest-id: ID\r\n\r\n',
--- a/testing/hosting/test/endless_responses_test.ts
+++ b/testing/hosting/test/endless_responses_test.ts
@@ -26,6 +26,7 @@
   'headerValue',
   'headers',
   'interimResponses',
+  'emptyLines',
   'noResponse',
   'errorBody',
   'chunkExtension',
@@ -105,6 +106,18 @@
     });
   }
 
+  // Guards against calls whose upstream is read, and parsed, for as long as their caller waits.
+  for (const part of ['interimResponses', 'emptyLines'] as const) {
+    it(`${part}: a call that may have run ends long before the limit of its route`, async () => {
+      makeFirstEndless(part);
+      const startMs = performance.now();
+      const {status} = await call(ROUTE_PATHS.once);
+      expect(status).toEqual(502);
+      expect(performance.now() - startMs).toBeLessThan(ROUTE_TIMEOUT_MS / 2);
+      await expectClosed();
+    });
+  }
+
   it('stalled streams that send a comment or part of an event now and then are resumed', async () => {
     for (const text of [': wait\n\n', 'x']) {
       let isFirst = true;
--- a/upstreams/adapters/src/http_call.ts
+++ b/upstreams/adapters/src/http_call.ts
@@ -1,4 +1,7 @@
-import {withReliableEnds} from '@sardinestile/upstream_connections';
+import {
+  withPacedResponses,
+  withReliableEnds,
+} from '@sardinestile/upstream_connections';
 import {Agent, buildConnector, request, type Dispatcher} from 'undici';
 import {UpstreamError, type UpstreamHeader} from './upstream_adapter.js';
 
@@ -27,8 +30,10 @@
 /** Creates the connection pool for one upstream. */
 export function createUpstreamDispatcher(timeouts: UpstreamTimeouts): Agent {
   return new Agent({
-    connect: withReliableEnds(
-      buildConnector({timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true}),
+    connect: withPacedResponses(
+      withReliableEnds(
+        buildConnector({timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true}),
+      ),
     ),
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     headersTimeout: timeouts.headersTimeoutMs,
