--- a/daemons/gateway/test/response_finder_test.ts
+++ b/daemons/gateway/test/response_finder_test.ts
@@ -38,4 +38,37 @@
       expect(find('x', text)).toEqual(false);
     });
   }
+
+  it('finds a head behind status lines that are too far away from its end', () => {
+    const lines = 'HTTP/1.1 200 OK\r\n'.repeat(300);
+    expect(find(lines, OWN_HEAD)).toEqual(true);
+  });
+
+  it('finds a head behind any number of bytes', () => {
+    for (const bytes of [4_000, 4_096, 12_288, 16_380, 65_536, 100_000]) {
+      expect(find('x'.repeat(bytes), OWN_HEAD)).toEqual(true);
+      expect(
+        find(...('x'.repeat(bytes) + OWN_HEAD).match(/.{1,777}/gs)!),
+      ).toEqual(true);
+    }
+  });
+
+  // Guards against status lines without end, each of which was parsed with all behind it.
+  it('parses each byte of a body at most once', () => {
+    let heads = 0;
+    let parsedLines = 0;
+    const finder = createResponseFinder(headers => {
+      heads++;
+      parsedLines += Object.keys(headers).length;
+      return false;
+    });
+    const block = Array.from(
+      {length: 120},
+      (_, i) => `HTTP/1.1 200 OK\r\nx-${i}: 1\r\n`,
+    ).join('');
+    const blocks = 50;
+    for (let i = 0; i < blocks; i++) finder.push(Buffer.from(`${block}\r\n`));
+    expect(heads).toEqual(blocks);
+    expect(parsedLines).toBeLessThanOrEqual(blocks * 2 * 120);
+  });
 });
