fix(gateway): the place in a peer's list belongs to the reader that applied it

Cause: a reload starts a second run of followFeed while a call of the first one waits at the peer. The place up to which the peer's list was read belonged to the replica and moved with each response, also with one that was dropped as that of a replaced run. If a change came after the second run had read everything and before its next call, the first run's call got it, and nobody applied it.

Change: a page carries its place (FeedBookmark), and followFeed passes back that of the page that it applied last. What a source must not be behind, and whether its last page held removed records, follow from that as well. Version and place move once the page was applied; a replaced run reports no recovery.

failover_feed_test: the replica's hasRemovedRecords() is now a field of its pages, so that the test sets it on a page and passes its bookmark. The check is the same; one case more is about pages that were dropped.

Ruled out: a list of the peer that is late (the peer is unchanged, and single followers missed the change).

--- a/core/ports/src/record_feed.ts
+++ b/core/ports/src/record_feed.ts
@@ -7,6 +7,15 @@
   findings: readonly string[];
 }
 
+/** Place of a page in the source that it came from. */
+export interface FeedBookmark {
+  /** Identifies the source, so that places in another one are recognised. */
+  epoch: string;
+  position: number;
+  /** Whether the page's records include some that the origin had already removed. */
+  hasRemovedRecords: boolean;
+}
+
 /** Records, and the version up to which they include all changes. */
 export interface FeedPage<T> {
   entries: ReadonlyArray<FeedEntry<T>>;
@@ -16,6 +25,8 @@
    * come from the origin, where they are current.
    */
   ageMs?: number;
+  /** Absent if the version is the only place. */
+  bookmark?: FeedBookmark;
 }
 
 /** Result of a wait for changes. */
@@ -31,13 +42,18 @@
 
 /**
  * Reads records of the platform and waits for changes to them. Each call makes
- * one attempt.
+ * one attempt. A feed keeps no place of its reader: several may read it at the
+ * same time, and pages that a reader drops change nothing for another one.
  */
 export interface RecordFeed<T> {
   readAll(): Promise<FeedPage<T>>;
   /**
    * Long poll: resolves with the changes after a version, or without changes
-   * after `waitMs`.
+   * after `waitMs`. `bookmark` is that of the page which the reader applied last.
    */
-  waitForChanges(afterVersion: number, waitMs: number): Promise<FeedChanges<T>>;
+  waitForChanges(
+    afterVersion: number,
+    waitMs: number,
+    bookmark?: FeedBookmark,
+  ): Promise<FeedChanges<T>>;
 }
--- a/daemons/gateway/src/shared/follow_feed.ts
+++ b/daemons/gateway/src/shared/follow_feed.ts
@@ -1,6 +1,6 @@
 import type {ClockReading} from '@sardinestile/freshness';
 import {readClocks, subtractMs} from '@sardinestile/freshness';
-import type {FeedPage, RecordFeed} from '@sardinestile/ports';
+import type {FeedBookmark, FeedPage, RecordFeed} from '@sardinestile/ports';
 import type {Clock} from '@sardinestile/types';
 
 /** First and longest delay before the retry of a failed call, in milliseconds. */
@@ -50,41 +50,50 @@
   const {feed, clock, observer, minIntervalMs = () => 0} = options;
   let isStopped = false;
   let version: number | undefined;
+  let bookmark: FeedBookmark | undefined;
   let retryDelayMs = MIN_RETRY_DELAY_MS;
   let failingSinceMs: number | undefined;
   /** Incremented by each restart, so that results of earlier calls are dropped. */
   let epoch = 0;
 
-  const step = async (callEpoch: number): Promise<void> => {
+  const isCurrent = (callEpoch: number) => callEpoch === epoch && !isStopped;
+  /** Moves the place on only once the page was applied, so that a failure repeats it. */
+  const apply = (
+    page: FeedPage<T>,
+    isSnapshot: boolean,
+    sentAt: ClockReading,
+  ) => {
+    if (isSnapshot || page.entries.length > 0) {
+      observer.onPage(page, isSnapshot);
+    }
+    version = Math.max(version ?? page.version, page.version);
+    bookmark = page.bookmark;
+    observer.onUpToDate(subtractMs(sentAt, page.ageMs ?? 0), page);
+  };
+  /** Makes one call; returns false, and changes nothing, if its run was replaced meanwhile. */
+  const step = async (callEpoch: number): Promise<boolean> => {
     const sentAt = readClocks(clock);
-    const isCurrent = () => callEpoch === epoch && !isStopped;
     if (version === undefined) {
       const page = await feed.readAll();
-      if (!isCurrent()) return;
-      version = page.version;
-      observer.onPage(page, true);
-      observer.onUpToDate(subtractMs(sentAt, page.ageMs ?? 0), page);
-      return;
+      if (!isCurrent(callEpoch)) return false;
+      apply(page, true, sentAt);
+      return true;
     }
-    const changes = await feed.waitForChanges(version, options.waitMs);
-    if (!isCurrent()) return;
-    if (changes.kind === 'historyLost') {
-      version = undefined;
-      return;
-    }
-    version = Math.max(version, changes.page.version);
-    const isSnapshot = changes.kind === 'snapshot';
-    if (isSnapshot || changes.page.entries.length > 0) {
-      observer.onPage(changes.page, isSnapshot);
-    }
-    const {page} = changes;
-    observer.onUpToDate(subtractMs(sentAt, page.ageMs ?? 0), page);
+    const changes = await feed.waitForChanges(
+      version,
+      options.waitMs,
+      bookmark,
+    );
+    if (!isCurrent(callEpoch)) return false;
+    if (changes.kind === 'historyLost') version = undefined;
+    else apply(changes.page, changes.kind === 'snapshot', sentAt);
+    return true;
   };
   const run = async (callEpoch: number) => {
-    while (!isStopped && callEpoch === epoch) {
+    while (isCurrent(callEpoch)) {
       const startedAtMs = clock.monotonicMs();
       try {
-        await step(callEpoch);
+        if (!(await step(callEpoch))) return;
         retryDelayMs = MIN_RETRY_DELAY_MS;
         const nowMs = clock.monotonicMs();
         if (failingSinceMs !== undefined) {
@@ -94,7 +103,7 @@
         const leftMs = minIntervalMs() - (nowMs - startedAtMs);
         if (leftMs > 0) await sleep(leftMs);
       } catch (error) {
-        if (isStopped || callEpoch !== epoch) return;
+        if (!isCurrent(callEpoch)) return;
         failingSinceMs ??= startedAtMs;
         observer.onFailure(
           error instanceof Error ? error.message : String(error),
@@ -115,6 +124,7 @@
     restart() {
       epoch++;
       version = undefined;
+      bookmark = undefined;
       void run(epoch);
     },
   };
--- a/daemons/gateway/src/shared/shared_config.ts
+++ b/daemons/gateway/src/shared/shared_config.ts
@@ -120,7 +120,6 @@
   };
   return {
     name,
-    hasRemovedRecords: () => false,
     feed: {
       readAll: () => fetchPage(0, 0),
       async waitForChanges(version) {
--- a/daemons/gateway/src/shared/shared_upstreams.ts
+++ b/daemons/gateway/src/shared/shared_upstreams.ts
@@ -7,7 +7,7 @@
 import type {LivePeer} from '@sardinestile/ledger';
 import type {Logger} from '@sardinestile/logger';
 import type {UpstreamChanges} from '@sardinestile/peer';
-import type {FeedPage, RecordFeed} from '@sardinestile/ports';
+import type {FeedBookmark, FeedPage, RecordFeed} from '@sardinestile/ports';
 import {
   createFailoverFeed,
   createRecordLog,
@@ -166,28 +166,25 @@
   options: UpstreamReplicaOptions,
 ): FeedReplica<UpstreamRecord> {
   const {name, fetchFromPeer, maxAgeMs} = options;
-  let lastCursor: LogPosition['cursor'];
-  let hasRemovedRecords = false;
   const fetchFresh = async (since: LogPosition | undefined, waitMs: number) => {
-    const peerChanges = await fetchFromPeer(since, waitMs);
-    if (peerChanges.ageMs > maxAgeMs) {
-      throw new Error(`the replica is ${Math.round(peerChanges.ageMs)} ms old`);
+    const changes = await fetchFromPeer(since, waitMs);
+    if (changes.ageMs > maxAgeMs) {
+      throw new Error(`the replica is ${Math.round(changes.ageMs)} ms old`);
     }
-    // A gateway that read the store itself before may have a newer version than
-    // the peer.
-    if (since && peerChanges.version < since.version) return undefined;
-    lastCursor = {epoch: peerChanges.epoch, position: peerChanges.position};
-    hasRemovedRecords = peerChanges.hasLapsed;
-    return peerChanges;
+    return changes;
   };
   return {
     name,
-    hasRemovedRecords: () => hasRemovedRecords,
     feed: {
-      readAll: async () => toPage((await fetchFresh(undefined, 0))!),
-      async waitForChanges(version, waitMs) {
-        const changes = await fetchFresh({cursor: lastCursor, version}, waitMs);
-        if (!changes) return {kind: 'changes', page: {entries: [], version}};
+      readAll: async () => toPage(await fetchFresh(undefined, 0)),
+      async waitForChanges(version, waitMs, bookmark) {
+        const since = {cursor: bookmark && toCursor(bookmark), version};
+        const changes = await fetchFresh(since, waitMs);
+        // A gateway that read the store itself before may have a newer version than
+        // the peer.
+        if (changes.version < version) {
+          return {kind: 'changes', page: {entries: [], version, bookmark}};
+        }
         const kind = changes.isWhole ? 'snapshot' : 'changes';
         return {kind, page: toPage(changes)};
       },
@@ -195,9 +192,15 @@
   };
 }
 
+function toCursor({epoch, position}: FeedBookmark): LogPosition['cursor'] {
+  return {epoch, position};
+}
+
 function toPage(changes: UpstreamChanges): FeedPage<UpstreamRecord> {
+  const {version, epoch, position, hasLapsed: hasRemovedRecords} = changes;
   return {
-    version: changes.version,
+    version,
+    bookmark: {epoch, position, hasRemovedRecords},
     entries: [
       ...changes.changed.map(value => ({key: value.id, value, findings: []})),
       ...changes.removedKeys.map(key => ({
--- a/state/shared_feed/src/failover_feed.ts
+++ b/state/shared_feed/src/failover_feed.ts
@@ -6,8 +6,6 @@
   /** Name of the process that has the replica, for logs. */
   name: string;
   feed: RecordFeed<T>;
-  /** Whether the replica last contained records that the origin had already removed. */
-  hasRemovedRecords: () => boolean;
 }
 
 /** Options for createFailoverFeed. */
@@ -33,8 +31,8 @@
 /**
  * Creates a feed that reads a replica, and the origin while there is no replica or
  * after the replica failed. All sources use the versions of the origin, so the feed
- * continues at the last version when the source changes. If the last replica still
- * contained removed records, all records are read again: their removal has an
+ * continues at the last version when the source changes. If the last page of a replica
+ * still contained removed records, all records are read again: their removal has an
  * older version, so that the new source would not report it.
  */
 export function createFailoverFeed<T>(
@@ -43,7 +41,7 @@
   const {origin, clock} = options;
   let current: FeedReplica<T> | undefined;
   let originUntilMs = -Infinity;
-  /** Latest version that was returned; a replica with an older one counts as failed. */
+  /** Latest version that the reader has; a replica with an older one counts as failed. */
   let lastVersion = 0;
 
   const chooseSource = () =>
@@ -59,14 +57,13 @@
     options.onReplicaFailed(replica.name, reason);
     switchTo(undefined);
   };
-  const recordVersion = ({version}: FeedPage<T>) => {
+  const checkVersion = ({version}: FeedPage<T>) => {
     if (version < lastVersion) {
       throw new Error(`version ${version} is behind version ${lastVersion}`);
     }
-    lastVersion = version;
   };
-  const recordChanges = (changes: FeedChanges<T>) => {
-    if (changes.kind !== 'historyLost') recordVersion(changes.page);
+  const checkChanges = (changes: FeedChanges<T>) => {
+    if (changes.kind !== 'historyLost') checkVersion(changes.page);
     return changes;
   };
   return {
@@ -79,7 +76,7 @@
       if (replica) {
         try {
           const page = await replica.feed.readAll();
-          recordVersion(page);
+          checkVersion(page);
           return page;
         } catch (error) {
           fallBackToOrigin(replica, error);
@@ -89,24 +86,26 @@
       lastVersion = page.version;
       return page;
     },
-    async waitForChanges(afterVersion, waitMs) {
+    async waitForChanges(afterVersion, waitMs, bookmark) {
+      lastVersion = afterVersion;
+      const hasRemovedRecords = bookmark?.hasRemovedRecords ?? false;
       const previous = current;
       const replica = chooseSource();
       if (replica?.name !== previous?.name) {
         switchTo(replica);
-        if (previous?.hasRemovedRecords()) return {kind: 'historyLost'};
+        if (hasRemovedRecords) return {kind: 'historyLost'};
       }
       if (replica) {
         try {
-          return recordChanges(
-            await replica.feed.waitForChanges(afterVersion, waitMs),
+          return checkChanges(
+            await replica.feed.waitForChanges(afterVersion, waitMs, bookmark),
           );
         } catch (error) {
           fallBackToOrigin(replica, error);
-          if (replica.hasRemovedRecords()) return {kind: 'historyLost'};
+          if (hasRemovedRecords) return {kind: 'historyLost'};
         }
       }
-      return recordChanges(await origin.waitForChanges(afterVersion, waitMs));
+      return checkChanges(await origin.waitForChanges(afterVersion, waitMs));
     },
   };
 }
--- a/state/shared_feed/test/failover_feed_test.ts
+++ b/state/shared_feed/test/failover_feed_test.ts
@@ -7,12 +7,16 @@
 
 /** Creates a feed whose only record is its name; `state` sets its version and failure. */
 function createNamedFeed(name: string) {
-  const state = {isDown: false, calls: 0, version: 1};
+  const state = {isDown: false, calls: 0, version: 1, hasLapsed: false};
   const page = (): FeedPage<string> => {
     state.calls++;
     if (state.isDown) throw new Error(`${name} is down`);
-    const {version} = state;
-    return {entries: [{key: name, value: name, findings: []}], version};
+    const {version, hasLapsed: hasRemovedRecords} = state;
+    return {
+      entries: [{key: name, value: name, findings: []}],
+      version,
+      bookmark: {epoch: name, position: state.calls, hasRemovedRecords},
+    };
   };
   const feed: RecordFeed<string> = {
     readAll: async () => page(),
@@ -26,11 +30,10 @@
   const replica = createNamedFeed('copy');
   const failures: string[] = [];
   const sources: string[] = [];
-  const state = {nowMs: 0, hasReplica: true, hasLapsed: false};
+  const state = {nowMs: 0, hasReplica: true};
   const feedReplica: FeedReplica<string> = {
     name: 'copy',
     feed: replica.feed,
-    hasRemovedRecords: () => state.hasLapsed,
   };
   const feed = createFailoverFeed({
     origin: origin.feed,
@@ -69,14 +72,33 @@
   });
 
   it('reads all records again after a replica that contained removed records', async () => {
-    const {feed, replica, state} = createTestFeed();
-    await feed.readAll();
-    state.hasLapsed = true;
+    const {feed, replica} = createTestFeed();
+    replica.state.hasLapsed = true;
+    const {bookmark} = await feed.readAll();
     replica.state.isDown = true;
-    expect(sourceOf(await feed.waitForChanges(1, 10))).toEqual('historyLost');
+    expect(sourceOf(await feed.waitForChanges(1, 10, bookmark))).toEqual(
+      'historyLost',
+    );
     expect(keysOf(await feed.readAll())).toEqual(['origin']);
   });
 
+  it('goes by the page that its reader applied, not by one that it dropped', async () => {
+    const {feed, replica} = createTestFeed();
+    replica.state.hasLapsed = true;
+    const {bookmark} = await feed.readAll();
+    replica.state.hasLapsed = false;
+    replica.state.version = 2;
+    await feed.waitForChanges(1, 10, bookmark);
+    replica.state.version = 1;
+    expect(sourceOf(await feed.waitForChanges(1, 10, bookmark))).toEqual(
+      'copy',
+    );
+    replica.state.isDown = true;
+    expect(sourceOf(await feed.waitForChanges(1, 10, bookmark))).toEqual(
+      'historyLost',
+    );
+  });
+
   it('rejects a replica whose version is older than the last one returned', async () => {
     const {feed, origin, replica, state, failures} = createTestFeed();
     state.hasReplica = false;
