fix(gateway): statuses above 599 are no responses

What callers saw: a response of an upstream with the status 600 or 999 was passed on, which no caller can interpret.

Cause: the parser of HTTP takes any three digits. 000 and 099 fail in it; what is above 599 was a final response for gateways and for plain services of agents.

Change: such a response fails its attempt as one that may have run, so that it is retried where the route allows that.

Evidence: early_responses_test and plain_service_adapter_test, which failed before for 600 and 999 and held for 000 and 099. Beside it, tests of parts of responses that come before the request was read, which held before: 24 cases of reset (without a length, with one, in chunks; four kinds of routes; 0 and 60 ms after the last byte) at a gateway and one at a plain service of an agent; none looks whole. One that ends in order is passed on whole.

--- a/daemons/gateway/src/calls/attempt.ts
+++ b/daemons/gateway/src/calls/attempt.ts
@@ -11,6 +11,9 @@
   'UND_ERR_SOCKET',
 ]);
 
+/** Greatest status of a response; the parser of HTTP takes any of three digits. */
+const MAX_STATUS = 599;
+
 /** Request to send to an upstream. */
 export interface AttemptRequest {
   method: string;
@@ -115,7 +118,10 @@
         // 1xx responses are interim; the final response follows.
         if (status < 200 || isFinished) return;
         connection.recordProgress();
-        const defect = receipt.begin(headers);
+        const defect =
+          status > MAX_STATUS
+            ? `the response has the status ${status}`
+            : receipt.begin(headers);
         if (defect === undefined) handlers.onHeaders(status, headers);
         else rejectResponse(defect);
       },
--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -154,6 +154,8 @@
   crashedBy: ReceivedRequest | undefined;
   /** Called when it crashes. */
   onCrash: () => void;
+  /** Responds to each request before its body has arrived, instead of by a behaviour. */
+  respondEarly: ((request: IncomingMessage) => void) | undefined;
   /** Chooses the response to a request. */
   chooseBehaviour: (request: ReceivedRequest) => UpstreamBehaviour;
   /** Ends at once, with all connections; nothing listens at the address any more. */
@@ -184,6 +186,10 @@
       return;
     }
     response.once('finish', () => idleSinceMs.set(socket, performance.now()));
+    if (upstream.respondEarly) {
+      upstream.respondEarly(request);
+      return;
+    }
     void readRequest(request).then(entry => {
       // Its sender ended within the body.
       if (!entry) return;
@@ -217,6 +223,7 @@
     crashedAtMs: undefined,
     crashedBy: undefined,
     onCrash: () => undefined,
+    respondEarly: undefined,
     chooseBehaviour: () => ({kind: 'answer'}),
     crash(cause) {
       if (upstream.crashedAtMs !== undefined) return;
--- a/upstreams/adapters/src/plain_service_adapter.ts
+++ b/upstreams/adapters/src/plain_service_adapter.ts
@@ -13,6 +13,9 @@
 /** Default for the time between two chunks of the response body. */
 const BODY_TIMEOUT_MS = 15_000;
 
+/** Greatest status of a response; the parser of HTTP takes any of three digits. */
+const MAX_STATUS = 599;
+
 /** Options for `createPlainServiceAdapter`. */
 export interface PlainServiceAdapterOptions {
   /** Base URL of the service, such as `http://127.0.0.1:9100`. */
@@ -42,6 +45,11 @@
       dispatcher,
       signal,
     });
+    if (response.statusCode > MAX_STATUS) {
+      const detail = `status ${response.statusCode}`;
+      await response.body.dump();
+      throw new UpstreamError('unknown_outcome', 'upstream_failed', detail);
+    }
     yield {
       kind: 'head',
       status: response.statusCode,
