fix(connections): a closed connection to an upstream gives up its turn

A connection that was destroyed while it waited was parsed once more before its close was reported. Its attempt was over, so that callers saw nothing of it; the turn is given to the next connection now. paced_responses_test holds (31 of 31 in the package); there is no test of its own, as no caller can tell.

--- a/upstreams/connections/src/pace_responses.ts
+++ b/upstreams/connections/src/pace_responses.ts
@@ -58,6 +58,10 @@
       return socket.readableLength;
     },
     parseNext() {
+      if (socket.destroyed) {
+        stopWaiting();
+        return;
+      }
       hasTurn = true;
       socket.emit('readable');
       // The parser has stopped reading, or has read everything.
