fix(gateway): a feed that is restarted while a page is applied forgets its place

Since the place moves once a page was applied, an observer that restarts the feed in between had the old place written over the reset. If the first read after the restart failed, the next call waited for changes instead of reading everything. Found by reading; no observer restarts its feed synchronously today, so that no caller has seen it. The new case of followed_upstreams_test failed before.

--- a/daemons/gateway/src/shared/follow_feed.ts
+++ b/daemons/gateway/src/shared/follow_feed.ts
@@ -59,6 +59,7 @@
   const isCurrent = (callEpoch: number) => callEpoch === epoch && !isStopped;
   /** Moves the place on only once the page was applied, so that a failure repeats it. */
   const apply = (
+    callEpoch: number,
     page: FeedPage<T>,
     isSnapshot: boolean,
     sentAt: ClockReading,
@@ -66,6 +67,8 @@
     if (isSnapshot || page.entries.length > 0) {
       observer.onPage(page, isSnapshot);
     }
+    // The observer may have restarted the feed.
+    if (!isCurrent(callEpoch)) return;
     version = Math.max(version ?? page.version, page.version);
     bookmark = page.bookmark;
     observer.onUpToDate(subtractMs(sentAt, page.ageMs ?? 0), page);
@@ -76,7 +79,7 @@
     if (version === undefined) {
       const page = await feed.readAll();
       if (!isCurrent(callEpoch)) return false;
-      apply(page, true, sentAt);
+      apply(callEpoch, page, true, sentAt);
       return true;
     }
     const changes = await feed.waitForChanges(
@@ -86,7 +89,7 @@
     );
     if (!isCurrent(callEpoch)) return false;
     if (changes.kind === 'historyLost') version = undefined;
-    else apply(changes.page, changes.kind === 'snapshot', sentAt);
+    else apply(callEpoch, changes.page, changes.kind === 'snapshot', sentAt);
     return true;
   };
   const run = async (callEpoch: number) => {
--- a/daemons/gateway/test/followed_upstreams_test.ts
+++ b/daemons/gateway/test/followed_upstreams_test.ts
@@ -125,3 +125,37 @@
     });
   },
 );
+
+describe('a feed that is restarted while a page is applied', () => {
+  it('is read as a whole, also if the first read fails', async () => {
+    const calls: string[] = [];
+    const feed: RecordFeed<string> = {
+      async readAll() {
+        calls.push('readAll');
+        if (calls.length === 2) throw new Error('not read');
+        return {entries: [], version: 1};
+      },
+      async waitForChanges(version, waitMs) {
+        calls.push('waitForChanges');
+        await sleep(waitMs);
+        return {kind: 'changes', page: {entries: [], version}};
+      },
+    };
+    const followed = followFeed({
+      feed,
+      clock,
+      waitMs: 1_000,
+      observer: {
+        onPage() {
+          if (calls.length === 1) followed.restart();
+        },
+        onUpToDate: () => undefined,
+        onFailure: () => undefined,
+        onRecovered: () => undefined,
+      },
+    });
+    await sleep(300);
+    followed.stop();
+    expect(calls).toEqual(['readAll', 'readAll', 'readAll', 'waitForChanges']);
+  });
+});
