--- a/upstreams/connections/src/index.ts
+++ b/upstreams/connections/src/index.ts
@@ -4,6 +4,6 @@
   NoProgressError,
   type ResponseProgress,
 } from './pace_responses.js';
-export * from './paced_responses.js';
+export * from './with_paced_responses.js';
 export * from './reliable_ends.js';
 export {RESET_BY_UPSTREAM_CODE, ResetByUpstreamError} from './report_resets.js';
