test(connections): a destroyed connection gives up its turn

This one fails without its check: the rest of the response is parsed, and the connection keeps waiting until its close is reported.

--- a/upstreams/connections/test/paced_responses_test.ts
+++ b/upstreams/connections/test/paced_responses_test.ts
@@ -223,6 +223,21 @@
       await takeTurns(() => bodyBytes !== undefined);
       expect(bodyBytes).toEqual(2);
     });
+
+    // Guards against turns that are spent on connections of which nobody reads the rest.
+    it('give up their turn, unparsed, once their connection is destroyed', async () => {
+      respond = socket => socket.write(`${HEAD}content-length: 2\r\n\r\nok`);
+      void receive();
+      while (!waiting) await new Promise(setImmediate);
+      const connection = waiting;
+      const isWaiting = () => waiting !== undefined;
+      let isParsed = false;
+      connected.once('readable', () => (isParsed = true));
+      connected.destroy();
+      connection.parseNext();
+      expect(isWaiting()).toEqual(false);
+      expect(isParsed).toEqual(false);
+    });
   });
 
   // Guards against upstreams whose bytes keep the event loop from everything else.
