--- a/testing/end_to_end/src/deployment.ts
+++ b/testing/end_to_end/src/deployment.ts
@@ -28,10 +28,18 @@
 /** One of the example configurations. */
 export type Deployment = (typeof DEPLOYMENTS)[number];
 
+/** Options for startDeployment. */
+export interface StartDeploymentOptions {
+  /** Environment variables added to those of each process. */
+  environment?: NodeJS.ProcessEnv;
+  /** Port of the plain service behind its agent; that of the stand-in by default. */
+  plainServicePort?: number;
+}
+
 /** Starts two entries and three agents, and waits until every session is open. */
 export async function startDeployment(
   deployment: Deployment,
-  environment?: NodeJS.ProcessEnv,
+  {environment, plainServicePort}: StartDeploymentOptions = {},
 ): Promise<TestCluster> {
   const {zones, engineService, plainService} = deployment;
   const textFile = new URL(
@@ -60,7 +68,7 @@
       zone: zones[2],
       service: plainService,
       kind: 'plain',
-      upstreamPort: plainServices[0].port,
+      upstreamPort: plainServicePort ?? plainServices[0].port,
     }),
   ]);
   await Promise.all([
--- a/testing/end_to_end/test/process_ends_test.ts
+++ b/testing/end_to_end/test/process_ends_test.ts
@@ -32,7 +32,9 @@
 describe('an entry and its agents', () => {
   let cluster: TestCluster;
   beforeEach(async () => {
-    cluster = await startDeployment(DEPLOYMENT, THROWING);
+    cluster = await startDeployment(DEPLOYMENT, {
+      environment: THROWING,
+    });
   });
   afterEach(() => cluster.stop());
 
