test(known_red): a failure at times is told from others by its message

The entry names a part of the message now, and any other failure counts.

The options of startDeployment stand on one line again.

--- a/testing/end_to_end/test/alone/uncooperative_callers_test.ts
+++ b/testing/end_to_end/test/alone/uncooperative_callers_test.ts
@@ -81,9 +81,7 @@
   let sockets: Socket[] = [];
 
   beforeEach(async () => {
-    cluster = await startDeployment(DEPLOYMENT, {
-      environment: LIMITS,
-    });
+    cluster = await startDeployment(DEPLOYMENT, {environment: LIMITS});
     entry = entriesOf(cluster)[0].process;
     const ownExits: Array<number | null> = (exits = []);
     void entry.exited.then(code => ownExits.push(code));
--- a/testing/end_to_end/test/crowded_entry_test.ts
+++ b/testing/end_to_end/test/crowded_entry_test.ts
@@ -89,9 +89,7 @@
     }
   };
   beforeEach(async () => {
-    cluster = await startDeployment(DEPLOYMENT, {
-      environment: SMALL_HEAP,
-    });
+    cluster = await startDeployment(DEPLOYMENT, {environment: SMALL_HEAP});
     secret = cluster.secrets.get(organisation)!;
     entry = entriesOf(cluster)[0].process;
     const ownExits: string[] = (exits = []);
--- a/testing/end_to_end/test/crowded_ports_test.ts
+++ b/testing/end_to_end/test/crowded_ports_test.ts
@@ -153,9 +153,7 @@
   let exits: string[];
 
   beforeEach(async () => {
-    cluster = await startDeployment(DEPLOYMENT, {
-      environment: SMALL_HEAP,
-    });
+    cluster = await startDeployment(DEPLOYMENT, {environment: SMALL_HEAP});
     const ownExits: string[] = (exits = []);
     for (const {instance, process} of cluster.members) {
       void process.exited.then(code =>
--- a/testing/end_to_end/test/process_ends_test.ts
+++ b/testing/end_to_end/test/process_ends_test.ts
@@ -32,9 +32,7 @@
 describe('an entry and its agents', () => {
   let cluster: TestCluster;
   beforeEach(async () => {
-    cluster = await startDeployment(DEPLOYMENT, {
-      environment: THROWING,
-    });
+    cluster = await startDeployment(DEPLOYMENT, {environment: THROWING});
   });
   afterEach(() => cluster.stop());
 
--- a/testing/known_red/src/known_red.ts
+++ b/testing/known_red/src/known_red.ts
@@ -3,14 +3,17 @@
 
 const LIST_URL = new URL('../../../KNOWN-RED.txt', import.meta.url);
 const TEST_PREFIX = 'test: ';
-const UNSTEADY_TEST_PREFIX = 'test at times: ';
+const UNSTEADY_TEST_PATTERN = /^test at times: (.+)\nfails with: (.+)$/gm;
 
 /** Tests that are known to fail. */
 export interface KnownFailures {
   /** Names of tests that fail each time. */
   readonly steady: ReadonlySet<string>;
-  /** Names of tests that fail in some runs, for a fault that is known to be real. */
-  readonly unsteady: ReadonlySet<string>;
+  /**
+   * Tests that fail in some runs, for a fault that is known to be real: the part of the message
+   * that tells this failure from others, by name.
+   */
+  readonly unsteady: ReadonlyMap<string, string>;
 }
 
 /** Returns the tests listed in KNOWN-RED.txt. */
@@ -20,28 +23,26 @@
 
 /** Returns the tests listed in a text with the form of KNOWN-RED.txt. */
 export function parseKnownFailures(text: string): KnownFailures {
-  const lines = text.split('\n');
-  const namesAfter = (prefix: string) =>
-    new Set(
-      lines
-        .filter(line => line.startsWith(prefix))
-        .map(line => line.slice(prefix.length).trim()),
-    );
-  return {
-    steady: namesAfter(TEST_PREFIX),
-    unsteady: namesAfter(UNSTEADY_TEST_PREFIX),
-  };
+  const steady = text
+    .split('\n')
+    .filter(line => line.startsWith(TEST_PREFIX))
+    .map(line => line.slice(TEST_PREFIX.length).trim());
+  const unsteady = [...text.matchAll(UNSTEADY_TEST_PATTERN)].map(
+    ([, name, message]) => [name.trim(), message.trim()] as const,
+  );
+  return {steady: new Set(steady), unsteady: new Map(unsteady)};
 }
 
 /**
  * Declares a test. A test that is listed in KNOWN-RED.txt may fail; its error is
  * then printed as a diagnostic. A listed test that passes is reported as failed,
- * so that it is removed from the list, unless it is listed as failing at times:
- * then it is printed that it passed.
+ * so that it is removed from the list. One that is listed as failing at times may
+ * pass, which is printed, and may fail with the listed message only.
  */
 export function itOrKnownRed(name: string, run: () => void | Promise<void>) {
   const {steady, unsteady} = readKnownFailures();
-  const isUnsteady = unsteady.has(name);
+  const unsteadyMessage = unsteady.get(name);
+  const isUnsteady = unsteadyMessage !== undefined;
   if (!isUnsteady && !steady.has(name)) {
     void it(name, run);
     return;
@@ -51,7 +52,9 @@
     try {
       await run();
     } catch (error) {
-      context.diagnostic(`KNOWN RED: ${name}: ${(error as Error).message}`);
+      const {message} = error as Error;
+      if (isUnsteady && !message.includes(unsteadyMessage)) throw error;
+      context.diagnostic(`KNOWN RED: ${name}: ${message}`);
       return;
     }
     if (!isUnsteady) {
