fix(gateway): versions read after a restore are no knowledge of before

Callers whose stream a lost version had begun got events of another version: all gateways lost, the store restored from a copy of before a release, and a second resume half a second after the first.

Cause: a gateway kept each row of served versions that it read as its own knowledge, also one of an earlier generation of the store. Its next write took that for what it knew before the restore and stated the versions as complete. Ruled out: that the row of the copy itself counts; the first resume is refused.

A row counts as known only in the store's current generation.

--- a/daemons/gateway/src/shared/served_version_store.ts
+++ b/daemons/gateway/src/shared/served_version_store.ts
@@ -57,7 +57,7 @@
   options: ServedVersionStoreOptions,
 ): ServedVersionStore {
   const {table, restores, clock, logger} = options;
-  /** What was read or written last. */
+  /** What was read or written last, in the generation of the store that it states. */
   let known: ServedVersions | undefined;
   let retryAtMs = -Infinity;
   let isWriting = false;
@@ -108,7 +108,8 @@
   const read = async () => {
     const row = await table.get(VERSIONS_KEY);
     const stored = row && decode(row.value);
-    if (stored) known = stored;
+    // A row of before a restore shows what the copy has, not what this gateway knew.
+    if (stored?.generation === restores.generation) known = stored;
     return stored;
   };
   /** Reads the row; calls at about the same time share one read. */
--- a/testing/hosting/test/stream_resumes_after_loss_test.ts
+++ b/testing/hosting/test/stream_resumes_after_loss_test.ts
@@ -193,6 +193,30 @@
           expectRefused(await resume(successor, stream, isNamed));
         }
       });
+
+      // Guards against a row that a gateway read after the restore and takes for its own knowledge.
+      it('is refused as not run also when the versions were written again after such a restore', async () => {
+        await startUpstreams('v1');
+        const first = await cluster.startGateway();
+        await waitUntil('the version to be recorded', () => isRecorded('v1'));
+        const copy = cluster.store.copy();
+        await startUpstreams('v2', 'v2');
+        cluster.store.remove('servers', 'u1');
+        await waitUntil('the new version to be recorded', () =>
+          isRecorded('v2'),
+        );
+        const begun = await loseAll([first]);
+        cluster.store.restore(copy);
+        const successor = await cluster.startGateway();
+        expectRefused(await resume(successor, begun[0], isNamed));
+        await waitUntil('the versions to be written again', () =>
+          successor.logs.some(line =>
+            line.includes('event=stream_versions_recorded'),
+          ),
+        );
+        await new Promise(resolve => setTimeout(resolve, 600));
+        expectRefused(await resume(successor, begun[0], isNamed));
+      });
     });
   }
 
