fix(gateway): the only version of a service counts once the store confirms it

Cause: the gateway took the only version in its own list for the only one that served, though the list was up to the drain limit old and its last observation counted for 3 s more. It did not remember the streams, since the ledger names the upstream only and the version was looked up in a list that lacked it. Peers that were asked gave the same conclusion as if they remembered the stream. Ruled out: a wrong version in the memory of streams, and the row in the store; no line has either.

Now the conclusion needs the registrations in the store, read after the resume arrived; the sender of a first event states the version; gateways answer each other from memory only. The list counts by the time up to which it is complete. stream_continued and sardinestile_streams_continued_total name the source.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -186,6 +186,16 @@
      */
     configAgeMs?: number;
   };
+  /** The software version at which the stream that a caller resumes goes on is known. */
+  stream_continued: {
+    requestId: string;
+    /** Request that brought the first event of the stream; absent if the caller names none. */
+    resumedRequest?: string;
+    service: string;
+    softwareVersion: string;
+    /** How it is known: `memory`, `gateway` or `servedVersions`. */
+    source: string;
+  };
   attempt_started: {
     requestId: string;
     attempt: number;
--- a/daemons/gateway/src/calls/prepare_continuation.ts
+++ b/daemons/gateway/src/calls/prepare_continuation.ts
@@ -1,6 +1,7 @@
 import type {Call, InterruptReason} from './call.js';
 import {endInterrupted} from './finish_call.js';
 import type {GatewayContext} from '../gateway_context.js';
+import type {FoundVersion} from '../shared/stream_continuations.js';
 import {refuse} from './refuse.js';
 
 /**
@@ -24,15 +25,17 @@
   });
   const found = context.continuations
     .findVersion({requestId: resumedRequestId, service: call.service})
-    .then(softwareVersion => ({softwareVersion}));
+    .then(version => ({version}));
   const result = await Promise.race([found, interrupted]);
   call.onInterrupt = undefined;
   if (typeof result === 'string') {
     endInterrupted(context, call, result);
     return false;
   }
-  call.streamVersion = result.softwareVersion;
-  if (call.streamVersion !== undefined) return true;
+  if (result.version) {
+    recordContinuation(context, call, result.version);
+    return true;
+  }
   recordRefusal(context, call, 'versionUnknown');
   refuse(context, call, 'streamVersionUnknown', {
     retryAfterMs: VERSION_RETRY_AFTER_MS,
@@ -41,6 +44,25 @@
   return false;
 }
 
+/** Limits a call to the version at which its stream has to go on. */
+function recordContinuation(
+  {metrics, logger}: GatewayContext,
+  call: Call,
+  {softwareVersion, source}: FoundVersion,
+): void {
+  call.streamVersion = softwareVersion;
+  const {requestId, service} = call;
+  const {resumedRequestId: resumedRequest} = call.requestMetadata;
+  metrics.increment('sardinestile_streams_continued_total', {service, source});
+  logger.info('stream_continued', {
+    requestId,
+    resumedRequest,
+    service,
+    softwareVersion,
+    source,
+  });
+}
+
 /**
  * Refuses a call that has not run if no upstream of the version that began its stream
  * takes it. Returns whether it did.
--- a/daemons/gateway/src/calls/run_attempt.ts
+++ b/daemons/gateway/src/calls/run_attempt.ts
@@ -54,7 +54,12 @@
             firstEventMs = nowMs - startedAtMs;
             call.lastEventAtMs = nowMs;
             recordStreamStart(context, call, placement, nowMs);
-            reporter.recordFirstEvent(upstreamId, requestId, nowMs);
+            reporter.recordFirstEvent(
+              upstreamId,
+              requestId,
+              call.streamVersion,
+              nowMs,
+            );
             countUsage(context, call);
           },
           onEvent(nowMs) {
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -302,10 +302,13 @@
   const servedVersions = createServedVersionStore({
     table,
     restores: storeRestores,
-    currentUpstreams: () =>
-      upstreams.ageMs() <= options.drainLimitMs
-        ? fleet.membership.all()
-        : undefined,
+    listedUpstreams: () => fleet.membership.all(),
+    listAgeMs: () => upstreams.ageMs(),
+    maxListAgeMs: options.drainLimitMs,
+    async readRegistered() {
+      const {entries} = await options.upstreams.readAll();
+      return entries.flatMap(({value}) => value ?? []);
+    },
     isWriter: () => chooseStoreReader(instance, link.livePeers()) === undefined,
     isFirstStart: options.isFirstStart ?? false,
     fleetTimeMs: peerAdjustedTimeMs,
@@ -314,9 +317,6 @@
   });
   const continuations = createStreamContinuations({
     instance,
-    membership: fleet.membership,
-    upstreamsAgeMs: () => upstreams.ageMs(),
-    maxUpstreamsAgeMs: options.drainLimitMs,
     registeredGateways: () => registeredGateways,
     fetchStreamVersion: peerClient.fetchStreamVersion,
     servedVersions,
@@ -457,8 +457,11 @@
       config.getConfirmedConfig(haveVersion, waitMs),
     getUpstreamChanges: (since, waitMs) =>
       sharedUpstreams.getUpstreamChanges(since, waitMs),
-    getStreamVersion(requestId, service) {
-      const softwareVersion = continuations.knownVersion({requestId, service});
+    getStreamVersion(requestId) {
+      const softwareVersion = continuations.origins.versionOf(
+        requestId,
+        clock.monotonicMs(),
+      );
       return softwareVersion === undefined ? undefined : {softwareVersion};
     },
     getCachedParts: () => cacheRecovery.getCachedParts(),
@@ -508,7 +511,7 @@
     pauseDetector.check();
     processMemory.refresh();
     memoryWatch.check();
-    continuations.observeVersions();
+    servedVersions.update();
     sharedQuarantine.quarantine.evaluate();
     config.askPeersIfStale();
     upstreams.removeExpired();
--- a/daemons/gateway/src/shared/fleet_reporter.ts
+++ b/daemons/gateway/src/shared/fleet_reporter.ts
@@ -19,7 +19,13 @@
 /** Records the progress of requests in the fleet models of this gateway and its peers. */
 export interface FleetReporter {
   recordPlacement(request: PlacedRequest, nowMs: number): void;
-  recordFirstEvent(upstreamId: string, requestId: string, nowMs: number): void;
+  /** `softwareVersion` is the one that began the stream; undefined if it is unknown. */
+  recordFirstEvent(
+    upstreamId: string,
+    requestId: string,
+    softwareVersion: string | undefined,
+    nowMs: number,
+  ): void;
   /** `hasFailed` is undefined if the outcome says nothing about the upstream. */
   recordEnd(
     upstreamId: string,
@@ -83,15 +89,19 @@
     const record = fleet.membership.get(upstreamId);
     return record !== undefined && fleet.isSharedByGroups(record.service);
   };
+  /** Returns the version by this gateway's own list, for peers that state none. */
+  const listedVersion = (upstreamId: string) => {
+    const record = fleet.membership.get(upstreamId);
+    return record && fleet.coldUpstreams.versionOf(record);
+  };
   const handlers: PeerUpdateHandlers = {
     placed: (peer, event, isFromOtherGroup) =>
       fleet.recordPlacement(peer, event, clock.monotonicMs(), isFromOtherGroup),
-    firstEvent(_peer, {upstreamId, requestId}) {
+    firstEvent(_peer, {upstreamId, requestId, softwareVersion}) {
       const nowMs = clock.monotonicMs();
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
-      const record = fleet.membership.get(upstreamId);
-      const version = record && fleet.coldUpstreams.versionOf(record);
-      options.streamOrigins().record(requestId, version, nowMs);
+      const version = softwareVersion ?? listedVersion(upstreamId);
+      options.streamOrigins().record(requestId, version || undefined, nowMs);
     },
     leaving: (_peer, {upstreamId, startedAtWallMs}) =>
       void fleet.membership.markLeaving({id: upstreamId, startedAtWallMs}),
@@ -132,14 +142,20 @@
       if (isForAllGroups) toldToAll.add(requestKey(upstreamId, requestId));
       link.send(event, true, isForAllGroups);
     },
-    recordFirstEvent(upstreamId, requestId, nowMs) {
+    recordFirstEvent(upstreamId, requestId, softwareVersion, nowMs) {
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
       const record = fleet.membership.get(upstreamId);
-      // Peers would record the version in the registration, which may be outdated.
+      // Peers of an older build would record the version in the registration, which may
+      // be outdated.
       if (record && fleet.coldUpstreams.isInDoubt(record)) return;
       const isForAllGroups = toldToAll.has(requestKey(upstreamId, requestId));
       link.send(
-        {kind: 'firstEvent', requestId, upstreamId},
+        {
+          kind: 'firstEvent',
+          requestId,
+          upstreamId,
+          softwareVersion: softwareVersion ?? '',
+        },
         false,
         isForAllGroups,
       );
--- a/daemons/gateway/src/shared/served_version_store.ts
+++ b/daemons/gateway/src/shared/served_version_store.ts
@@ -1,4 +1,6 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
+  createVersionHistory,
   mergeServedVersions,
   onlyServedVersion,
   servedVersionsSchema,
@@ -19,18 +21,26 @@
 const RETRY_INTERVAL_MS = 1_000;
 
 /**
- * Time for which a row that was read answers further resumes, in milliseconds. Callers
- * return together after a loss, and a version that begins to serve meanwhile is in the
- * gateway's own list of upstreams.
+ * Shortest time between two reads for resumes, in milliseconds. Callers return together
+ * after a loss, and those that come meanwhile share the next read.
  */
-const READ_LIFETIME_MS = 500;
+const READ_INTERVAL_MS = 200;
+
+/** Interval at which the list of upstreams is observed, in milliseconds. */
+const OBSERVATION_INTERVAL_MS = 1_000;
 
 /** Options for `createServedVersionStore`. */
 export interface ServedVersionStoreOptions {
   table: TableService;
   restores: StoreRestores;
-  /** All registered upstreams; undefined while the list may be out of date. */
-  currentUpstreams: () => readonly VersionedUpstream[] | undefined;
+  /** All upstreams in the list that this gateway follows. */
+  listedUpstreams: () => readonly VersionedUpstream[];
+  /** Upper bound of the age of that list, in milliseconds. */
+  listAgeMs: () => number;
+  /** Greatest age at which the list counts as up to date, in milliseconds. */
+  maxListAgeMs: number;
+  /** Reads all registered upstreams from the store; rejects if it cannot be read. */
+  readRegistered: () => Promise<readonly VersionedUpstream[]>;
   /** Whether this gateway writes for its group. */
   isWriter: () => boolean;
   /** Whether no gateway of this fleet ran before this process started. */
@@ -41,27 +51,42 @@
   logger: Logger;
 }
 
-/** Software versions in the store, for streams of before the loss of all gateways. */
+/** Software versions that served, for streams that no gateway remembers. */
 export interface ServedVersionStore {
-  /** Writes versions that the store lacks; called when upstreams may have changed. */
+  /**
+   * Observes which versions serve, and writes those that the store lacks; called at short
+   * intervals and when upstreams may have changed.
+   */
   update(): void;
   /**
-   * Returns the only version that a service has served with lately; undefined if there
-   * were several, it is not certain, or the store cannot be read.
+   * Returns the version that began all streams of a service which a caller may resume
+   * now; undefined if there were several, it is not certain, or the store cannot be read.
    */
   onlyVersion(service: string): Promise<string | undefined>;
 }
 
+/** What the store has for resumes that arrived before it was read. */
+interface StoreReading {
+  /** The row of the versions; absent if it is missing or invalid. */
+  served: ServedVersions | undefined;
+  registered: readonly VersionedUpstream[];
+  /** Monotonic time at which the read began, in milliseconds. */
+  sentAtMs: number;
+}
+
 /** Creates the store of the versions, and writes nothing until `update`. */
 export function createServedVersionStore(
   options: ServedVersionStoreOptions,
 ): ServedVersionStore {
   const {table, restores, clock, logger} = options;
+  let history = createVersionHistory();
+  let observedAtMs = -Infinity;
   /** What was read or written last, in the generation of the store that it states. */
   let known: ServedVersions | undefined;
   let retryAtMs = -Infinity;
   let isWriting = false;
-  let reading: Promise<ServedVersions | undefined> | undefined;
+  /** The read that has not begun yet. */
+  let nextReading: Promise<StoreReading | undefined> | undefined;
   let readAtMs = -Infinity;
 
   const decode = (value: string): ServedVersions | undefined => {
@@ -74,15 +99,29 @@
   };
   const reportFailure = (operation: string, error: unknown) =>
     logger.warn('store_failed', {operation, reason: (error as Error).message});
+  const currentUpstreams = () =>
+    options.listAgeMs() <= options.maxListAgeMs
+      ? options.listedUpstreams()
+      : undefined;
   const observe = (upstreams: readonly VersionedUpstream[]) => ({
     upstreams,
     generation: restores.generation,
     nowMs: options.fleetTimeMs(),
   });
+  const observeList = () => {
+    const nowMs = clock.monotonicMs();
+    if (nowMs - observedAtMs < OBSERVATION_INTERVAL_MS) return;
+    observedAtMs = nowMs;
+    history.observe(options.listedUpstreams(), nowMs - options.listAgeMs());
+  };
+  restores.subscribe(() => {
+    // Upstreams that registered just before the restore may be missing in it.
+    history = createVersionHistory();
+  });
   const write = async () => {
     for (let i = 0; i < MAX_WRITE_TRIES; i++) {
       const row = await table.get(VERSIONS_KEY);
-      const upstreams = options.currentUpstreams();
+      const upstreams = currentUpstreams();
       if (!upstreams) return;
       const stored = row && decode(row.value);
       const next = mergeServedVersions(stored, {
@@ -105,29 +144,40 @@
       return;
     }
   };
-  const read = async () => {
+  const readRow = async () => {
     const row = await table.get(VERSIONS_KEY);
     const stored = row && decode(row.value);
     // A row of before a restore shows what the copy has, not what this gateway knew.
     if (stored?.generation === restores.generation) known = stored;
     return stored;
   };
-  /** Reads the row; calls at about the same time share one read. */
+  const read = async (): Promise<StoreReading> => {
+    const sentAtMs = clock.monotonicMs();
+    const [served, registered] = await Promise.all([
+      readRow(),
+      options.readRegistered(),
+    ]);
+    return {served, registered, sentAtMs};
+  };
+  /** Reads what the store has from now on; calls at about the same time share one read. */
   const readShared = () => {
-    const nowMs = clock.monotonicMs();
-    if (reading && nowMs - readAtMs < READ_LIFETIME_MS) return reading;
-    readAtMs = nowMs;
-    reading = read().catch(error => {
-      reading = undefined;
-      reportFailure('read the software versions that served', error);
-      return undefined;
-    });
-    return reading;
+    nextReading ??= (async () => {
+      const sinceMs = clock.monotonicMs() - readAtMs;
+      await sleep(Math.max(0, READ_INTERVAL_MS - sinceMs));
+      nextReading = undefined;
+      readAtMs = clock.monotonicMs();
+      return read().catch(error => {
+        reportFailure('read the software versions that served', error);
+        return undefined;
+      });
+    })();
+    return nextReading;
   };
   return {
     update() {
+      observeList();
       const nowMs = clock.monotonicMs();
-      const upstreams = options.currentUpstreams();
+      const upstreams = currentUpstreams();
       if (isWriting || !upstreams || !options.isWriter()) return;
       if (nowMs < retryAtMs) return;
       const isFirstStart = false;
@@ -142,10 +192,15 @@
         .finally(() => (isWriting = false));
     },
     async onlyVersion(service) {
-      const stored = await readShared();
-      const upstreams = options.currentUpstreams();
-      if (!upstreams) return undefined;
-      return onlyServedVersion(stored, service, observe(upstreams));
+      const reading = await readShared();
+      if (!reading) return undefined;
+      const {served, registered, sentAtMs} = reading;
+      const upstreams = [...registered, ...options.listedUpstreams()];
+      history.observe(upstreams, sentAtMs);
+      return (
+        history.onlyVersion(service, sentAtMs) ??
+        onlyServedVersion(served, service, observe(upstreams))
+      );
     },
   };
 }
--- a/daemons/gateway/src/shared/stream_continuations.ts
+++ b/daemons/gateway/src/shared/stream_continuations.ts
@@ -1,19 +1,15 @@
 import {
   createStreamOrigins,
-  createVersionHistory,
   type StreamOrigins,
 } from '@sardinestile/continuation';
-import {divideIntoGroups, type Membership} from '@sardinestile/fleet';
+import {divideIntoGroups} from '@sardinestile/fleet';
 import type {Logger} from '@sardinestile/logger';
-import type {PeerClient, StreamVersion} from '@sardinestile/peer';
+import type {PeerClient} from '@sardinestile/peer';
 import type {Clock} from '@sardinestile/types';
 import type {RegisteredGateway} from './peer_registry.js';
 import type {ServedVersionStore} from './served_version_store.js';
 import {shuffle} from './shuffle.js';
 
-/** Interval at which the versions of the upstreams are observed, in milliseconds. */
-const OBSERVATION_INTERVAL_MS = 1_000;
-
 /**
  * Time for the answers of other gateways and of the store, in milliseconds. A busy one may take a while,
  * and a caller loses more by a refusal than by the wait.
@@ -36,53 +32,48 @@
 /** Options for `createStreamContinuations`. */
 export interface StreamContinuationsOptions {
   instance: string;
-  membership: Membership;
-  /** Upper bound of the age of the list of upstreams, in milliseconds. */
-  upstreamsAgeMs: () => number;
-  /** Greatest age at which the list counts as up to date, in milliseconds. */
-  maxUpstreamsAgeMs: number;
   /** All registered gateways of the fleet. */
   registeredGateways: () => readonly RegisteredGateway[];
   fetchStreamVersion: PeerClient['fetchStreamVersion'];
-  /** Versions that served before this process started. */
+  /** Versions that served, for streams that no gateway remembers. */
   servedVersions: ServedVersionStore;
   clock: Clock;
   logger: Logger;
 }
 
+/** How a gateway knows the software version at which a stream has to go on. */
+export type VersionSource =
+  /** It saw the first event, or was told of it. */
+  | 'memory'
+  /** Another gateway remembers the stream. */
+  | 'gateway'
+  /** The service has served with this version only. */
+  | 'servedVersions';
+
+/** Software version at which a stream has to go on. */
+export interface FoundVersion {
+  softwareVersion: string;
+  source: VersionSource;
+}
+
 /** Knowledge of the software versions at which streams have to go on. */
 export interface StreamContinuations {
+  /** Streams that this gateway remembers; what it answers to others. */
   readonly origins: StreamOrigins;
-  /** Returns the version at which a stream has to go on, as far as this gateway knows. */
-  knownVersion(stream: ResumedStream): string | undefined;
-  /** Returns that version, asking other gateways if this one does not know it. */
-  findVersion(stream: ResumedStream): Promise<string | undefined>;
-  /** Observes which versions serve; called at short intervals. */
-  observeVersions(): void;
+  /**
+   * Returns the version at which a stream has to go on, asking other gateways and the
+   * store if this gateway does not remember it; undefined if nobody knows.
+   */
+  findVersion(stream: ResumedStream): Promise<FoundVersion | undefined>;
 }
 
 /** Creates the knowledge of a gateway that has just started. */
 export function createStreamContinuations(
   options: StreamContinuationsOptions,
 ): StreamContinuations {
-  const {instance, membership, clock, logger} = options;
+  const {instance, servedVersions, clock, logger} = options;
   const origins = createStreamOrigins();
-  const history = createVersionHistory();
-  let observedAtMs = -Infinity;
 
-  const observeNow = () => {
-    if (options.upstreamsAgeMs() > options.maxUpstreamsAgeMs) return;
-    observedAtMs = clock.monotonicMs();
-    history.observe(membership.all(), observedAtMs);
-  };
-  const knownVersion = ({requestId, service}: ResumedStream) => {
-    const nowMs = clock.monotonicMs();
-    const origin =
-      requestId === undefined ? undefined : origins.versionOf(requestId, nowMs);
-    if (origin !== undefined) return origin;
-    observeNow();
-    return history.onlyVersion(service, nowMs);
-  };
   const chooseGateways = () => {
     const gateways = options.registeredGateways();
     return divideIntoGroups(gateways, gateway => gateway.instance).flatMap(
@@ -93,42 +84,59 @@
         ),
     );
   };
-  const askGateways = async (stream: {requestId: string; service: string}) => {
+  const askGateways = async (
+    requestId: string,
+  ): Promise<FoundVersion | undefined> => {
     const answers = chooseGateways().map(({address: {host, port}}) =>
-      options.fetchStreamVersion(`${host}:${port}`, stream),
+      options.fetchStreamVersion(`${host}:${port}`, requestId),
     );
-    // Gateways that are lost, or know no more than this one, are the usual case.
-    const answered: Promise<StreamVersion | undefined> = Promise.any(
-      answers,
-    ).catch((error: AggregateError) => {
+    try {
+      const {softwareVersion} = await Promise.any(answers);
+      return {softwareVersion, source: 'gateway'};
+    } catch (error) {
+      // Gateways that are lost, or know no more than this one, are the usual case.
+      const {errors} = error as AggregateError;
       const operation = 'ask for the software version of a stream';
-      const reason = error.errors.map(String).join('; ') || 'no other gateway';
+      const reason = errors.map(String).join('; ') || 'no other gateway';
       logger.info('peer_failed', {operation, reason});
       return undefined;
-    });
-    return (await within(answered))?.softwareVersion;
+    }
+  };
+  const concludeVersion = async (
+    service: string,
+  ): Promise<FoundVersion | undefined> => {
+    const softwareVersion = await servedVersions.onlyVersion(service);
+    return softwareVersion === undefined
+      ? undefined
+      : {softwareVersion, source: 'servedVersions'};
   };
   return {
     origins,
-    knownVersion,
-    async findVersion(stream) {
-      const {requestId, service} = stream;
-      const known = knownVersion(stream);
-      if (known !== undefined) return known;
-      const only = options.servedVersions.onlyVersion(service);
-      if (requestId === undefined) return within(only);
-      // Other gateways may know a stream also beside several versions.
-      const asked = askGateways({requestId, service});
-      return (await within(only)) ?? asked;
-    },
-    observeVersions() {
-      options.servedVersions.update();
-      const sinceMs = clock.monotonicMs() - observedAtMs;
-      if (sinceMs >= OBSERVATION_INTERVAL_MS) observeNow();
+    async findVersion({requestId, service}) {
+      if (requestId === undefined) return within(concludeVersion(service));
+      const softwareVersion = origins.versionOf(requestId, clock.monotonicMs());
+      if (softwareVersion !== undefined) {
+        return {softwareVersion, source: 'memory'};
+      }
+      return within(
+        firstKnown([askGateways(requestId), concludeVersion(service)]),
+      );
     },
   };
 }
 
+/** Resolves to the first result that is not undefined, or to undefined if all are. */
+async function firstKnown<T>(
+  results: ReadonlyArray<Promise<T | undefined>>,
+): Promise<T | undefined> {
+  const known = results.map(async result => {
+    const value = await result;
+    if (value === undefined) throw new Error('the result is not known');
+    return value;
+  });
+  return Promise.any(known).catch(() => undefined);
+}
+
 /** Resolves to undefined if there is no result within the time limit. */
 function within<T>(result: Promise<T | undefined>): Promise<T | undefined> {
   const limit = new Promise<undefined>(resolve =>
--- a/daemons/gateway/test/fleet_reporter_test.ts
+++ b/daemons/gateway/test/fleet_reporter_test.ts
@@ -13,7 +13,7 @@
     traitsOf: () => undefined,
     shortestTargetGapMs: () => Infinity,
   });
-  const putUpstream = (i: number) =>
+  const putUpstream = (i: number, softwareVersion?: string) =>
     fleet.membership.put(
       {
         id: `u${i}`,
@@ -24,12 +24,14 @@
         isLeaving: false,
         coldMs: 0,
         startedAtWallMs: 1,
+        softwareVersion,
       },
       0,
     );
   for (let i = 0; i < upstreams; i++) putUpstream(i);
   fleet.setGroup(TWO_GROUPS);
   const sent: Array<{kind: string; isForAllGroups: boolean}> = [];
+  const origins = createStreamOrigins();
   const reporter = createFleetReporter({
     instance: 'self',
     fleet,
@@ -43,13 +45,13 @@
       close: () => undefined,
     },
     clock: createSystemClock(),
-    streamOrigins: () => createStreamOrigins(),
+    streamOrigins: () => origins,
     onUsage: () => undefined,
     onEvidence: () => {
       throw new Error('unexpected evidence');
     },
   });
-  return {fleet, reporter, sent, putUpstream};
+  return {fleet, reporter, sent, origins, putUpstream};
 }
 
 const placedAt = (upstreamId: string, requestId = 'r'): PlacedRequest => ({
@@ -63,7 +65,7 @@
 
 const runOneRequest = ({reporter}: ReturnType<typeof createReporter>) => {
   reporter.recordPlacement(placedAt('u0'), 0);
-  reporter.recordFirstEvent('u0', 'r', 1);
+  reporter.recordFirstEvent('u0', 'r', 'v1', 1);
   reporter.recordEnd('u0', 'r', false, 2);
 };
 
@@ -107,6 +109,45 @@
     });
   });
 
+  describe('the first event of a stream at a peer', () => {
+    const firstEvent = {
+      kind: 'firstEvent',
+      requestId: 'r',
+      upstreamId: 'u9',
+    } as const;
+    const versionOf = (
+      {reporter, origins}: ReturnType<typeof createReporter>,
+      event: Extract<LedgerUpdate, {kind: 'firstEvent'}>,
+    ) => {
+      reporter.applyPeerUpdate('peer', event, false);
+      return origins.versionOf('r', createSystemClock().monotonicMs());
+    };
+
+    // Guards against a resume that is placed by a list which is behind that of the peer.
+    it('is remembered with the version that the peer states, also of an unknown upstream', () => {
+      const event = {...firstEvent, softwareVersion: 'v2'};
+      expect(versionOf(createReporter(1), event)).toEqual('v2');
+      const listed = {...event, upstreamId: 'u0'};
+      const gateway = createReporter(1);
+      gateway.putUpstream(0, 'v1');
+      expect(versionOf(gateway, listed)).toEqual('v2');
+    });
+
+    it('is not remembered if the peer does not know the version', () => {
+      const gateway = createReporter(1);
+      gateway.putUpstream(0, 'v1');
+      const event = {...firstEvent, upstreamId: 'u0', softwareVersion: ''};
+      expect(versionOf(gateway, event)).toEqual(undefined);
+    });
+
+    it('is remembered with the listed version if the build of the peer states none', () => {
+      const gateway = createReporter(1);
+      gateway.putUpstream(0, 'v1');
+      const event = {...firstEvent, upstreamId: 'u0'};
+      expect(versionOf(gateway, event)).toEqual('v1');
+    });
+  });
+
   it('tells its group only in a fleet with one group', () => {
     const gateway = createReporter(3);
     gateway.fleet.setGroup({index: 0, count: 1, gateways: 32});
--- a/protocol/ledger/src/ledger_update.ts
+++ b/protocol/ledger/src/ledger_update.ts
@@ -26,6 +26,11 @@
   kind: z.literal('firstEvent'),
   requestId: z.string(),
   upstreamId: z.string(),
+  /**
+   * Software version that began the stream, as the sender knows it; empty if it is
+   * unknown. Absent from gateways whose build does not state it.
+   */
+  softwareVersion: z.string().optional(),
 });
 
 /** A request ended at an upstream. */
--- a/protocol/ledger/src/update_rows.ts
+++ b/protocol/ledger/src/update_rows.ts
@@ -38,8 +38,16 @@
   },
   firstEvent: {
     code: 'f',
-    encode: ({requestId, upstreamId}) => [requestId, upstreamId],
-    decode: ([requestId, upstreamId]) => ({requestId, upstreamId}),
+    encode: ({requestId, upstreamId, softwareVersion}) => [
+      requestId,
+      upstreamId,
+      ...(softwareVersion === undefined ? [] : [softwareVersion]),
+    ],
+    decode: ([requestId, upstreamId, softwareVersion]) => ({
+      requestId,
+      upstreamId,
+      ...(softwareVersion !== undefined && {softwareVersion}),
+    }),
   },
   ended: {
     code: 'e',
--- a/protocol/ledger/test/ledger_codec_test.ts
+++ b/protocol/ledger/test/ledger_codec_test.ts
@@ -58,6 +58,12 @@
       },
     ],
   },
+  {
+    kind: 'firstEvent',
+    requestId: 'r',
+    upstreamId: 'u',
+    softwareVersion: 'v1',
+  },
 ];
 
 const messageWith = (...updates: LedgerUpdate[]): LedgerMessage => ({
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -67,11 +67,11 @@
   fetchCachedParts(address: string): Promise<CachedParts>;
   /**
    * Fetches the software version at which the stream that a request began has to go
-   * on; rejects if the peer does not know it.
+   * on; rejects if the peer does not remember the stream.
    */
   fetchStreamVersion(
     address: string,
-    stream: {requestId: string; service: string},
+    requestId: string,
   ): Promise<StreamVersion>;
   /** Tells the peer which prompt parts engines have in their caches. */
   sendCachedParts(address: string, cached: CachedParts): Promise<void>;
@@ -162,8 +162,9 @@
     },
     fetchCachedParts: async address =>
       cachedPartsSchema.parse(await call('GET', address, CACHED_PARTS_PATH)),
-    async fetchStreamVersion(address, {requestId, service}) {
-      const query = new URLSearchParams({request: requestId, service});
+    async fetchStreamVersion(address, requestId) {
+      // Peers of an older build conclude a version from the service, if it is named.
+      const query = new URLSearchParams({request: requestId});
       const path = `${STREAM_VERSION_PATH}?${query}`;
       return streamVersionSchema.parse(await call('GET', address, path));
     },
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -69,11 +69,8 @@
     since: LogPosition | undefined,
     waitMs: number,
   ) => Promise<UpstreamChanges | undefined>;
-  /** Returns the software version of a stream; undefined if this gateway does not know it. */
-  getStreamVersion: (
-    requestId: string,
-    service: string,
-  ) => StreamVersion | undefined;
+  /** Returns the software version of a stream; undefined if this gateway does not remember it. */
+  getStreamVersion: (requestId: string) => StreamVersion | undefined;
   /** Returns the cached prompt parts; undefined if this gateway knows too little. */
   getCachedParts: () => CachedParts | undefined;
   /** Takes over cached prompt parts that another gateway has read. */
@@ -118,10 +115,7 @@
       return options.getCachedParts();
     },
     async [`GET ${STREAM_VERSION_PATH}`]({searchParams}) {
-      return options.getStreamVersion(
-        searchParams.get('request') ?? '',
-        searchParams.get('service') ?? '',
-      );
+      return options.getStreamVersion(searchParams.get('request') ?? '');
     },
     async [`POST ${CACHED_PARTS_PATH}`](_url, request) {
       options.applyCachedParts(
--- a/routing/continuation/src/version_history.ts
+++ b/routing/continuation/src/version_history.ts
@@ -5,8 +5,8 @@
 export const STREAM_LIFETIME_MS = 60_000;
 
 /**
- * Longest time between two observations, in milliseconds. An upstream that comes and
- * goes within it is registered for longer.
+ * Longest time between the lists of two observations, in milliseconds. An upstream that
+ * comes and goes within it is registered for longer.
  */
 const MAX_OBSERVATION_GAP_MS = 3_000;
 
@@ -20,15 +20,17 @@
 /** Software versions that served lately. */
 export interface VersionHistory {
   /**
-   * Records all registered upstreams, those that are leaving included. The list must
-   * be up to date: after a gap the history begins anew.
+   * Records all registered upstreams, those that are leaving included, as a list that
+   * is complete up to `asOfMs`. After a gap the history begins anew; a list that is much
+   * older than the one before shows a pause that the clock does not count.
    */
-  observe(upstreams: readonly VersionedUpstream[], nowMs: number): void;
+  observe(upstreams: readonly VersionedUpstream[], asOfMs: number): void;
   /**
-   * Returns the version of all upstreams of a service that served during the lifetime
-   * of any stream; undefined if there were several or it is not certain.
+   * Returns the version of all upstreams of a service that may have begun a stream
+   * before `beforeMs` which can still be resumed; undefined if there were several or it
+   * is not certain, as no list is known to be complete up to then.
    */
-  onlyVersion(service: string, nowMs: number): string | undefined;
+  onlyVersion(service: string, beforeMs: number): string | undefined;
 }
 
 /** Creates an empty history. Times are monotonic, in milliseconds. */
@@ -38,26 +40,32 @@
   let observedSinceMs = Infinity;
   let observedAtMs = -Infinity;
   return {
-    observe(upstreams, nowMs) {
-      const hasGap = nowMs - observedAtMs > MAX_OBSERVATION_GAP_MS;
-      if (hasGap) observedSinceMs = nowMs;
-      observedAtMs = nowMs;
+    observe(upstreams, asOfMs) {
+      const gapMs = Math.abs(asOfMs - observedAtMs);
+      if (gapMs <= MAX_OBSERVATION_GAP_MS) {
+        observedAtMs = Math.max(observedAtMs, asOfMs);
+      } else {
+        observedSinceMs = asOfMs;
+        observedAtMs = asOfMs;
+      }
       for (const {service, softwareVersion} of upstreams) {
         const versions = lastSeenMs.get(service) ?? new Map();
-        lastSeenMs.set(service, versions.set(softwareVersion, nowMs));
+        lastSeenMs.set(service, versions.set(softwareVersion, observedAtMs));
       }
       for (const [service, versions] of lastSeenMs) {
         for (const [version, atMs] of versions) {
-          if (nowMs - atMs > STREAM_LIFETIME_MS) versions.delete(version);
+          if (observedAtMs - atMs > STREAM_LIFETIME_MS) {
+            versions.delete(version);
+          }
         }
         if (versions.size === 0) lastSeenMs.delete(service);
       }
     },
-    onlyVersion(service, nowMs) {
-      const isCurrent = nowMs - observedAtMs <= MAX_OBSERVATION_GAP_MS;
-      if (!isCurrent || nowMs - observedSinceMs < STREAM_LIFETIME_MS) {
-        return undefined;
-      }
+    onlyVersion(service, beforeMs) {
+      const isComplete =
+        observedAtMs >= beforeMs &&
+        beforeMs - observedSinceMs >= STREAM_LIFETIME_MS;
+      if (!isComplete) return undefined;
       const versions = [...(lastSeenMs.get(service)?.keys() ?? [])];
       return versions.length === 1 ? versions[0] : undefined;
     },
--- a/routing/continuation/test/version_history_test.ts
+++ b/routing/continuation/test/version_history_test.ts
@@ -28,7 +28,8 @@
       );
     }
   };
-  const onlyVersion = () => history.onlyVersion('pool', nowMs);
+  /** Returns the only version for streams that were resumed when the list was last read. */
+  const onlyVersion = () => history.onlyVersion('pool', nowMs - STEP_MS);
 
   it('is sure of the only version after the lifetime of a stream', () => {
     observeFor(STREAM_LIFETIME_MS - STEP_MS, 'v1', 'v1');
@@ -55,6 +56,25 @@
     expect(onlyVersion()).toEqual(undefined);
   });
 
+  it('is not sure for a stream that was resumed after the list was last read', () => {
+    // A version that registers after the list was read may have begun the stream.
+    observeFor(2 * STREAM_LIFETIME_MS, 'v1');
+    expect(onlyVersion()).toEqual('v1');
+    expect(history.onlyVersion('pool', nowMs)).toEqual(undefined);
+    history.observe([{service: 'pool', softwareVersion: 'v1'}], nowMs);
+    expect(history.onlyVersion('pool', nowMs)).toEqual('v1');
+  });
+
+  it('is not sure after a list of before the one that was observed last', () => {
+    observeFor(2 * STREAM_LIFETIME_MS, 'v1');
+    history.observe(
+      [{service: 'pool', softwareVersion: 'v1'}],
+      nowMs - 10 * STEP_MS,
+    );
+    observeFor(2 * STEP_MS, 'v1');
+    expect(onlyVersion()).toEqual(undefined);
+  });
+
   it('is not sure of upstreams that state no version', () => {
     observeFor(2 * STREAM_LIFETIME_MS, undefined);
     expect(onlyVersion()).toEqual(undefined);
--- a/testing/hosting/test/stream_versions_test.ts
+++ b/testing/hosting/test/stream_versions_test.ts
@@ -148,6 +148,26 @@
     await expectWhole(successor, begun);
   });
 
+  // Guards against a peer's stream whose version is looked up in a list that lacks its upstream.
+  it('goes on at a gateway that hears of its upstream only after it began', async () => {
+    await startUpstreams('v1', 'v1');
+    const [first, second] = await startConnectedGateways(cluster, 2);
+    const waitForNewVersion = (gateway: TestGateway) =>
+      waitUntil('new streams to begin at the new version', async () => {
+        const response = await begin(gateway, `n${performance.now()}`);
+        return versionsOf(response).has('v2');
+      });
+    second.store.mode = 'busy';
+    await startUpstreams('v2', 'v2');
+    await waitForNewVersion(first);
+    const begun = await loseGateway(first);
+    second.store.mode = 'up';
+    await waitForNewVersion(second);
+    const versions = versionsOf(...begun.map(({broken}) => broken));
+    expect(versions.has('v2')).toEqual(true);
+    await expectWhole(second, begun);
+  });
+
   it('is refused as not run when nobody knows which version began it', async () => {
     await startUpstreams('v1', 'v1', 'v2', 'v2');
     const first = await cluster.startGateway();
