fix(gateway): names that other writers choose are keys of maps

Cause: the row of served versions was built from plain objects, so that this name wrote into Object.prototype; metrics then rejected the labels that every object had. Ruled out: the loop that follows the list, which logs no failure, and placement, as no route leads there. Each line of level error names the label.

Names of services, versions and organisations are keys of maps. nameMapOf reads them from JSON and stringifyNameMaps writes them, since z.record drops __proto__. A rule of the linter rejects object[name] for any text; it found 29 places, among them the sums of usage, which lost such an organisation, and the headers of responses. Tests of usage and of served versions build maps now where they built objects, and compare the same.

--- a/cli/sardinestile/src/gateway_environment.ts
+++ b/cli/sardinestile/src/gateway_environment.ts
@@ -54,9 +54,10 @@
 ): GatewayEnvironment {
   const result = environmentSchema.safeParse(environment);
   if (!result.success) {
+    const values = new Map(Object.entries(environment));
     const problems = result.error.issues.map(
       ({path, message}) =>
-        `${path.join('.')} is "${environment[String(path[0])]}": ${message}`,
+        `${path.join('.')} is "${values.get(String(path[0]))}": ${message}`,
     );
     throw new SardinestileError({
       code: 'SETTINGS_INVALID',
--- a/config/checks/src/compare_versions.ts
+++ b/config/checks/src/compare_versions.ts
@@ -44,6 +44,7 @@
 ): VersionDifference[] {
   return sections.flatMap(section => {
     const {section: name, listEntries} = section;
+    const fieldEffects = new Map(Object.entries(section.fieldEffects ?? {}));
     const oldEntries = indexEntries(listEntries(before));
     const newEntries = indexEntries(listEntries(after));
     const differences: VersionDifference[] = [];
@@ -63,9 +64,7 @@
       const changed = listChangedFields(oldFields, fields);
       if (changed.length === 0) continue;
       const effects = new Set(
-        changed.map(
-          field => section.fieldEffects?.[field] ?? section.changedEffect,
-        ),
+        changed.map(field => fieldEffects.get(field) ?? section.changedEffect),
       );
       differences.push({
         kind: 'changed',
@@ -104,7 +103,9 @@
   before: ComparedEntry['fields'],
   after: ComparedEntry['fields'],
 ): string[] {
+  const values = new Map(Object.entries(before));
+  const newValues = new Map(Object.entries(after));
   return Object.keys({...before, ...after}).filter(
-    name => !isDeepStrictEqual(before[name], after[name]),
+    name => !isDeepStrictEqual(values.get(name), newValues.get(name)),
   );
 }
--- a/core/connections/src/refuse_input.ts
+++ b/core/connections/src/refuse_input.ts
@@ -8,11 +8,11 @@
 const PEER_ENDED_CODE = 'HPE_INVALID_EOF_STATE';
 
 /** Statuses of node:http for input that it refuses, by the code of its error. */
-const STATUS_LINES: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
-  [TIMEOUT_CODE]: '408 Request Timeout',
-};
+const STATUS_LINES: ReadonlyMap<string, string> = new Map([
+  ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
+  ['HPE_CHUNK_EXTENSIONS_OVERFLOW', '413 Payload Too Large'],
+  [TIMEOUT_CODE, '408 Request Timeout'],
+]);
 
 const DEFAULT_STATUS_LINE = '400 Bad Request';
 
@@ -32,7 +32,7 @@
 ): void {
   const hasBegun = connection?.openResponses().some(r => r.headersSent);
   if (socket.writable && !hasBegun) {
-    const statusLine = STATUS_LINES[code] ?? DEFAULT_STATUS_LINE;
+    const statusLine = STATUS_LINES.get(code) ?? DEFAULT_STATUS_LINE;
     socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
   }
   socket.destroy();
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -307,7 +307,11 @@
         adminKey,
         replica,
         store,
-        readUsage: windowId => readSealedUsage(table, windowId),
+        readUsage: async windowId =>
+          (await readSealedUsage(table, windowId)).map(window => ({
+            ...window,
+            sums: Object.fromEntries(window.sums),
+          })),
       }),
   });
 }
--- a/daemons/gateway/src/shared/served_version_store.ts
+++ b/daemons/gateway/src/shared/served_version_store.ts
@@ -1,9 +1,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   createVersionHistory,
+  decodeServedVersions,
+  encodeServedVersions,
   mergeServedVersions,
   onlyServedVersion,
-  servedVersionsSchema,
   type ServedVersions,
   type VersionedUpstream,
 } from '@sardinestile/continuation';
@@ -91,7 +92,7 @@
 
   const decode = (value: string): ServedVersions | undefined => {
     try {
-      return servedVersionsSchema.parse(JSON.parse(value));
+      return decodeServedVersions(value);
     } catch (error) {
       reportFailure(`decode the row ${VERSIONS_KEY}`, error);
       return undefined;
@@ -133,7 +134,7 @@
         known = stored;
         return;
       }
-      const value = JSON.stringify(next);
+      const value = encodeServedVersions(next);
       const expectedVersion = row?.version ?? 0;
       const {committed} = await table.transact([
         {key: VERSIONS_KEY, value, expectedVersion},
@@ -206,9 +207,9 @@
 }
 
 function describe({services}: ServedVersions): string {
-  return Object.entries(services)
+  return [...services]
     .map(
-      ([service, versions]) => `${service}: ${Object.keys(versions).join(' ')}`,
+      ([service, versions]) => `${service}: ${[...versions.keys()].join(' ')}`,
     )
     .join('; ');
 }
--- a/daemons/gateway/test/peer_calls_test.ts
+++ b/daemons/gateway/test/peer_calls_test.ts
@@ -5,7 +5,7 @@
 import {expect} from 'earl';
 import {createPeerCalls} from '../src/shared/peer_calls.js';
 
-const USAGE: RelayedUsage = {source: 'front-1', windowId: '1', sums: {}};
+const USAGE: RelayedUsage = {source: 'front-1', windowId: '1', sums: new Map()};
 
 /** Creates calls to four peers, of which the store serves the ones with these ports. */
 function createCalls(servedPorts: readonly number[]) {
--- a/daemons/gateway/test/stream_continuations_test.ts
+++ b/daemons/gateway/test/stream_continuations_test.ts
@@ -78,7 +78,7 @@
   });
   /** Follows the list of upstreams for a time; it is confirmed only while the store can be read. */
   const followFor = (durationMs: number) => {
-    for (const endMs = world.nowMs + durationMs; world.nowMs < endMs; ) {
+    for (const endMs = world.nowMs + durationMs; world.nowMs < endMs;) {
       world.nowMs += STEP_MS;
       if (world.registered) {
         world.listed = world.registered;
--- a/development/hosting_stand_ins/src/store_stand_in.ts
+++ b/development/hosting_stand_ins/src/store_stand_in.ts
@@ -73,6 +73,7 @@
       respond();
     },
   };
+  const handlersByCall = new Map(Object.entries(handlers));
   /** The era of a response is that of the time at which it is sent. */
   const setEraWhenSent = (response: ServerResponse) => {
     const writeHead = response.writeHead.bind(response);
@@ -84,7 +85,7 @@
   };
   return startListener((request, response) => {
     const url = new URL(request.url ?? '/', 'http://store');
-    const handler = handlers[`${request.method} ${url.pathname}`];
+    const handler = handlersByCall.get(`${request.method} ${url.pathname}`);
     setEraWhenSent(response);
     if (handler) handler(url, request, response);
     else response.writeHead(404).end();
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,4 +1,5 @@
 import tseslint from 'typescript-eslint';
+import {noOpenPropertyName} from './eslint_rules/no_open_property_name.js';
 
 export default tseslint.config(
   {
@@ -40,4 +41,19 @@
       curly: ['error', 'multi-line'],
     },
   },
+  {
+    files: ['*/*/src/**/*.ts'],
+    plugins: {sardinestile: {rules: {noOpenPropertyName}}},
+    rules: {
+      'sardinestile/noOpenPropertyName': 'error',
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector:
+            "CallExpression[callee.object.name='z'][callee.property.name='record']",
+          message: 'It drops the name `__proto__`; use nameMapOf.',
+        },
+      ],
+    },
+  },
 );
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -1,6 +1,6 @@
 import {SardinestileError} from '@sardinestile/errors';
 import type {LogPosition} from '@sardinestile/shared_feed';
-import {parseJson, withTimeout} from '@sardinestile/types';
+import {parseJson, stringifyNameMaps, withTimeout} from '@sardinestile/types';
 import {Agent, request} from 'undici';
 import {
   CACHED_PARTS_PATH,
@@ -123,7 +123,7 @@
       method,
       dispatcher: waitMs === undefined ? dispatcher : longPollDispatcher,
       headers: {[FLEET_HEADER]: fleetId() ?? ''},
-      body: body === undefined ? undefined : JSON.stringify(body),
+      body: body === undefined ? undefined : stringifyNameMaps(body),
       signal,
     });
     const text = await response.body.text();
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -93,14 +93,15 @@
   close(): Promise<void>;
 }
 
+/** Returns the body of the response; undefined if this gateway knows too little. */
+type PeerRequestHandler = (
+  url: URL,
+  request: IncomingMessage,
+) => Promise<object | undefined>;
+
 /** Creates the HTTP server for other gateways, which serves none until it is opened. */
 export function createPeerServer(options: PeerServerOptions): PeerServer {
-  const handlers: Readonly<
-    Record<
-      string,
-      (url: URL, request: IncomingMessage) => Promise<object | undefined>
-    >
-  > = {
+  const handlers: Readonly<Record<string, PeerRequestHandler>> = {
     async [`GET ${CONFIG_PATH}`]({searchParams}) {
       return options.getConfirmedConfig(
         Number(searchParams.get('have') ?? 0),
@@ -133,6 +134,7 @@
       return {};
     },
   };
+  const handlersByCall = new Map(Object.entries(handlers));
   let isClosing = false;
   const server = createBoundedServer({
     maxConnections: MAX_CONNECTIONS,
@@ -149,7 +151,8 @@
       const url = URL.canParse(target, BASE_URL)
         ? new URL(target, BASE_URL)
         : undefined;
-      const handle = url && handlers[`${request.method} ${url.pathname}`];
+      const handle =
+        url && handlersByCall.get(`${request.method} ${url.pathname}`);
       const isSameFleet =
         options.fleetId() !== undefined &&
         request.headers[FLEET_HEADER] === options.fleetId();
--- a/protocol/peer/test/peer_client_test.ts
+++ b/protocol/peer/test/peer_client_test.ts
@@ -50,7 +50,7 @@
 
   const calls: Record<string, () => Promise<unknown>> = {
     'a relay of usage': () =>
-      client.relayUsage(address, {source: 's', windowId: '1', sums: {}}),
+      client.relayUsage(address, {source: 's', windowId: '1', sums: new Map()}),
     'a call for the configuration': () => client.fetchConfig(address, 0),
     'a long poll for the configuration': () =>
       client.fetchConfig(address, 0, 200),
--- a/routing/continuation/src/served_versions.ts
+++ b/routing/continuation/src/served_versions.ts
@@ -1,3 +1,4 @@
+import {nameMapOf, stringifyNameMaps} from '@sardinestile/types';
 import {z} from 'zod';
 import {STREAM_LIFETIME_MS, type VersionedUpstream} from './version_history.js';
 
@@ -21,18 +22,28 @@
 const UNKNOWN_VERSION = '';
 
 /** Schema of ServedVersions. */
-export const servedVersionsSchema = z.object({
+const servedVersionsSchema = z.object({
   /** Store generation in which it was written; a restore may have undone changes of earlier ones. */
   generation: z.number().int(),
   /** Unix time since which the versions are complete; 0 for the whole life of the fleet. */
   completeSinceMs: z.number(),
   /** Unix time at which each version was last registered, by service and version. */
-  services: z.record(z.string(), z.record(z.string(), z.number())),
+  services: nameMapOf(nameMapOf(z.number())),
 });
 
 /** Software versions that served lately, as the gateways of a fleet record them. */
 export type ServedVersions = z.infer<typeof servedVersionsSchema>;
 
+/** Decodes the versions; throws if the text does not hold any. */
+export function decodeServedVersions(text: string): ServedVersions {
+  return servedVersionsSchema.parse(JSON.parse(text));
+}
+
+/** Encodes the versions as JSON. */
+export function encodeServedVersions(served: ServedVersions): string {
+  return stringifyNameMaps(served);
+}
+
 /** What a gateway observes when it writes the versions. */
 export interface VersionObservation {
   /** All registered upstreams, those that are leaving included. */
@@ -59,22 +70,23 @@
 ): ServedVersions | undefined {
   const {upstreams, generation, nowMs, known} = observation;
   const isCurrent = stored?.generation === generation;
-  const services: Record<string, Record<string, number>> = {};
+  const services: ServedVersions['services'] = new Map();
   const raise = (service: string, version: string, atMs: number) => {
-    const versions = (services[service] ??= {});
-    versions[version] = Math.max(versions[version] ?? 0, atMs);
+    const versions = services.get(service) ?? new Map<string, number>();
+    versions.set(version, Math.max(versions.get(version) ?? 0, atMs));
+    services.set(service, versions);
   };
   let hasChanged = !isCurrent;
   for (const source of [stored, isCurrent ? undefined : known]) {
-    for (const [service, versions] of Object.entries(source?.services ?? {})) {
-      for (const [version, atMs] of Object.entries(versions)) {
+    for (const [service, versions] of source?.services ?? []) {
+      for (const [version, atMs] of versions) {
         if (nowMs - atMs < VERSION_LIFETIME_MS) raise(service, version, atMs);
       }
     }
   }
   for (const {service, softwareVersion} of upstreams) {
     const version = softwareVersion ?? UNKNOWN_VERSION;
-    const atMs = services[service]?.[version] ?? 0;
+    const atMs = services.get(service)?.get(version) ?? 0;
     if (nowMs - atMs < RENEWAL_INTERVAL_MS) continue;
     raise(service, version, nowMs);
     hasChanged = true;
@@ -116,7 +128,7 @@
     nowMs - stored.completeSinceMs >= VERSION_LIFETIME_MS;
   if (!isComplete) return undefined;
   const versions = new Set(
-    Object.entries(stored.services[service] ?? {})
+    [...(stored.services.get(service) ?? [])]
       .filter(([, atMs]) => nowMs - atMs < VERSION_LIFETIME_MS)
       .map(([version]) => version),
   );
--- a/routing/continuation/test/served_versions_test.ts
+++ b/routing/continuation/test/served_versions_test.ts
@@ -1,6 +1,8 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
+  decodeServedVersions,
+  encodeServedVersions,
   mergeServedVersions,
   onlyServedVersion,
   STREAM_LIFETIME_MS,
@@ -29,16 +31,20 @@
 const stored = (versions: Record<string, number>): ServedVersions => ({
   generation: GENERATION,
   completeSinceMs: 0,
-  services: {pool: versions},
+  services: new Map([['pool', new Map(Object.entries(versions))]]),
 });
 
+const versionsOfPool = (served: ServedVersions | undefined) => [
+  ...(served?.services.get('pool')?.keys() ?? []),
+];
+
 describe('mergeServedVersions', () => {
   it('keeps a version that is no longer registered', () => {
     const next = mergeServedVersions(
       stored({v1: START_MS - 1_000}),
       observe({upstreams: pool('v2')}),
     );
-    expect(Object.keys(next?.services.pool ?? {})).toEqual(['v1', 'v2']);
+    expect(versionsOfPool(next)).toEqual(['v1', 'v2']);
   });
 
   it('changes nothing while all registered versions are recorded', () => {
@@ -52,7 +58,7 @@
       stored({v1: START_MS - FORGOTTEN_AFTER_MS}),
       observe({upstreams: pool('v2')}),
     );
-    expect(Object.keys(next?.services.pool ?? {})).toEqual(['v2']);
+    expect(versionsOfPool(next)).toEqual(['v2']);
   });
 
   it('restores versions that a restore of the store has lost', () => {
@@ -62,7 +68,7 @@
       observe({generation: GENERATION + 1, known}),
     );
     expect(next?.generation).toEqual(GENERATION + 1);
-    expect(Object.keys(next?.services.pool ?? {})).toEqual(['v1', 'v2']);
+    expect(versionsOfPool(next)).toEqual(['v1', 'v2']);
     expect(next?.completeSinceMs).toEqual(0);
   });
 
@@ -86,6 +92,27 @@
   });
 });
 
+describe('versions of services with odd names', () => {
+  for (const service of ['__proto__', 'constructor', 'toString', '']) {
+    // Guards against a registration that changes all objects of the process.
+    it(`are recorded for ${JSON.stringify(service)}, and change no other object`, () => {
+      const upstreams = [{service, softwareVersion: '__proto__'}];
+      const next = mergeServedVersions(undefined, observe({upstreams}));
+      expect(Object.keys(Object.prototype)).toEqual([]);
+      expect({}).toEqual({});
+      const read = decodeServedVersions(encodeServedVersions(next!));
+      expect(mergeServedVersions(read, observe({upstreams}))).toEqual(
+        undefined,
+      );
+      expect([...read.services].map(([name]) => name)).toEqual([service]);
+      const restarted = {...read, completeSinceMs: 0};
+      expect(onlyServedVersion(restarted, service, observe({}))).toEqual(
+        '__proto__',
+      );
+    });
+  }
+});
+
 describe('onlyServedVersion', () => {
   const onlyVersion = (
     row: ServedVersions | undefined,
--- a/state/usage/src/keep_larger.ts
+++ b/state/usage/src/keep_larger.ts
@@ -5,10 +5,12 @@
  * window only rise, so the larger ones are the newer ones.
  */
 export function keepLarger(one: UsageSums, other: UsageSums): UsageSums {
-  const larger: UsageSums = {...one};
-  for (const [organisation, usage] of Object.entries(other)) {
-    const prior = larger[organisation];
-    if (!prior || prior.requests < usage.requests) larger[organisation] = usage;
+  const larger: UsageSums = new Map(one);
+  for (const [organisation, usage] of other) {
+    const prior = larger.get(organisation);
+    if (!prior || prior.requests < usage.requests) {
+      larger.set(organisation, usage);
+    }
   }
   return larger;
 }
--- a/state/usage/src/read_sealed_usage.ts
+++ b/state/usage/src/read_sealed_usage.ts
@@ -1,6 +1,6 @@
 import type {TableService} from '@sardinestile/ports';
 import {prefixEnd, SEAL_PREFIX} from './usage_keys.js';
-import {usageSumsSchema, type UsageSums} from './usage_sums.js';
+import {decodeUsageSums, type UsageSums} from './usage_sums.js';
 
 /** Largest number of windows that one call returns. */
 const MAX_WINDOWS = 500;
@@ -20,6 +20,6 @@
   const rows = await table.scan(prefix, prefixEnd(prefix), MAX_WINDOWS);
   return rows.map(row => ({
     windowId: row.key.slice(SEAL_PREFIX.length),
-    sums: usageSumsSchema.parse(JSON.parse(row.value)),
+    sums: decodeUsageSums(row.value),
   }));
 }
--- a/state/usage/src/usage_accumulator.ts
+++ b/state/usage/src/usage_accumulator.ts
@@ -2,7 +2,13 @@
 import {keepLarger} from './keep_larger.js';
 import type {SourceUsage} from './usage_batch_writer.js';
 import {closedKey, sumsKey, windowIdAt} from './usage_keys.js';
-import {addAllUsage, addUsage, type UsageSums} from './usage_sums.js';
+import {
+  addAllUsage,
+  addUsage,
+  decodeUsageSums,
+  encodeUsageSums,
+  type UsageSums,
+} from './usage_sums.js';
 
 /**
  * Age up to which stored sums are kept to be stored again; it exceeds the age
@@ -63,7 +69,12 @@
   const windowOf = (windowId: string) => {
     let window = windows.get(windowId);
     if (!window) {
-      window = {sums: {}, storedSums: {}, rowVersion: 0, isDirty: false};
+      window = {
+        sums: new Map(),
+        storedSums: new Map(),
+        rowVersion: 0,
+        isDirty: false,
+      };
       windows.set(windowId, window);
     }
     return window;
@@ -76,7 +87,7 @@
     const key = sumsKey(windowId, source);
     window.rowVersion ??= (await table.get(key))?.version ?? 0;
     const sums = structuredClone(window.sums);
-    const value = JSON.stringify(sums);
+    const value = encodeUsageSums(sums);
     const {rowVersion} = window;
     window.isDirty = false;
     window.rowVersion = undefined;
@@ -104,7 +115,7 @@
    */
   const moveToCurrentWindow = async (windowId: string, window: Window) => {
     const row = await table.get(sumsKey(windowId, source));
-    const rowSums = row ? (JSON.parse(row.value) as UsageSums) : {};
+    const rowSums = row ? decodeUsageSums(row.value) : new Map();
     const stored = keepLarger(rowSums, window.storedSums);
     windows.delete(windowId);
     const current = windowOf(windowIdAt(options.wallMs(), options.windowMs));
@@ -174,20 +185,20 @@
     dump: () =>
       [...windows].map(([windowId, window]) => ({
         windowId,
-        organisations: Object.keys(window.sums).length,
+        organisations: window.sums.size,
       })),
   };
 }
 
 function subtractUsage(sums: UsageSums, stored: UsageSums): UsageSums {
-  const remaining: UsageSums = {};
-  for (const [organisation, usage] of Object.entries(sums)) {
-    const storedUsage = stored[organisation];
-    remaining[organisation] = {
+  const remaining: UsageSums = new Map();
+  for (const [organisation, usage] of sums) {
+    const storedUsage = stored.get(organisation);
+    remaining.set(organisation, {
       requests: usage.requests - (storedUsage?.requests ?? 0),
       promptTokens: usage.promptTokens - (storedUsage?.promptTokens ?? 0),
       outputTokens: usage.outputTokens - (storedUsage?.outputTokens ?? 0),
-    };
+    });
   }
   return remaining;
 }
--- a/state/usage/src/usage_batch_writer.ts
+++ b/state/usage/src/usage_batch_writer.ts
@@ -1,7 +1,11 @@
 import type {TableService} from '@sardinestile/ports';
 import {keepLarger} from './keep_larger.js';
 import {closedKey, prefixEnd, sumsKey, sumsPrefix} from './usage_keys.js';
-import {usageSumsSchema, type UsageSums} from './usage_sums.js';
+import {
+  decodeUsageSums,
+  encodeUsageSums,
+  type UsageSums,
+} from './usage_sums.js';
 
 /** Most rows that one transaction writes; the platform allows a hundred entries. */
 const MAX_BATCH_ROWS = 45;
@@ -79,7 +83,7 @@
     const stored = await table.scan(prefix, prefixEnd(prefix), SCAN_LIMIT_ROWS);
     rows.clear();
     for (const {key, value, version} of stored) {
-      const sums = usageSumsSchema.parse(JSON.parse(value));
+      const sums = decodeUsageSums(value);
       rows.set(key, {version, sums});
     }
   };
@@ -101,7 +105,7 @@
       const {committed, version} = await table.transact(
         merged.map(({key, sums, expectedVersion}) => ({
           key,
-          value: JSON.stringify(sums),
+          value: encodeUsageSums(sums),
           expectedVersion,
         })),
         [check],
--- a/state/usage/src/usage_reporter.ts
+++ b/state/usage/src/usage_reporter.ts
@@ -14,7 +14,12 @@
   windowEndMs,
   windowIdAt,
 } from './usage_keys.js';
-import {addAllUsage, usageSumsSchema, type UsageSums} from './usage_sums.js';
+import {
+  addAllUsage,
+  decodeUsageSums,
+  encodeUsageSums,
+  type UsageSums,
+} from './usage_sums.js';
 
 /** Default time from the end of a window until it is closed. */
 const CLOSE_DELAY_MS = 15_000;
@@ -141,7 +146,7 @@
   /** Adds up the sums of all sources for a closed window, which no longer change. */
   const sumWindow = async (windowId: string): Promise<UsageSums> => {
     const prefix = sumsPrefix(windowId);
-    const sums: UsageSums = {};
+    const sums: UsageSums = new Map();
     let fromKey = prefix;
     for (;;) {
       const rows = await table.scan(
@@ -149,9 +154,7 @@
         prefixEnd(prefix),
         SCAN_LIMIT_ROWS,
       );
-      rows.forEach(row =>
-        addAllUsage(sums, usageSumsSchema.parse(JSON.parse(row.value))),
-      );
+      rows.forEach(row => addAllUsage(sums, decodeUsageSums(row.value)));
       if (rows.length < SCAN_LIMIT_ROWS) return sums;
       fromKey = rows[rows.length - 1].key + '\0';
     }
@@ -170,7 +173,7 @@
     const sealed = await table.get(key);
     if (sealed) {
       const row = await writeReporterRow(state, version);
-      return row && {...row, sums: parseSums(sealed.value)};
+      return row && {...row, sums: decodeUsageSums(sealed.value)};
     }
     const ownSeal = ownSeals.get(windowId);
     if (!ownSeal && windowId <= state.skipUnsealedUntil) {
@@ -178,7 +181,7 @@
       return row && {...row, sums: undefined};
     }
     const sums = ownSeal ?? (await sumWindow(windowId));
-    const value = JSON.stringify(sums);
+    const value = encodeUsageSums(sums);
     const seal = {key, value, expectedVersion: 0};
     const row = await writeReporterRow(state, version, [seal]);
     if (row) keepSeal(windowId, sums);
@@ -190,7 +193,7 @@
     if (ownSeals.size > MAX_OWN_SEALS) ownSeals.delete(oldest);
   };
   const sendReports = async (windowId: string, sums: UsageSums) => {
-    const organisations = Object.entries(sums).map(([organisation, usage]) => ({
+    const organisations = [...sums].map(([organisation, usage]) => ({
       windowId,
       organisation,
       ...usage,
@@ -271,7 +274,3 @@
     },
   };
 }
-
-function parseSums(value: string): UsageSums {
-  return usageSumsSchema.parse(JSON.parse(value));
-}
--- a/state/usage/test/usage_batch_writer_test.ts
+++ b/state/usage/test/usage_batch_writer_test.ts
@@ -5,6 +5,8 @@
   closedKey,
   createUsageAccumulator,
   createUsageBatchWriter,
+  decodeUsageSums,
+  encodeUsageSums,
   sumsKey,
   type UsageSums,
 } from '../src/index.js';
@@ -23,8 +25,7 @@
     losesNextResponse: false,
     requestsOf: (source: string) => {
       const row = rows.get(sumsKey(WINDOW_ID, source));
-      const sums = row ? (JSON.parse(row.value) as UsageSums) : {};
-      return sums.org?.requests ?? 0;
+      return row ? (decodeUsageSums(row.value).get('org')?.requests ?? 0) : 0;
     },
   };
   const table: TableService = {
@@ -57,7 +58,7 @@
 }
 
 function sumsOf(requests: number): UsageSums {
-  return {org: {requests, promptTokens: 0, outputTokens: 0}};
+  return new Map([['org', {requests, promptTokens: 0, outputTokens: 0}]]);
 }
 
 describe('createUsageBatchWriter', () => {
@@ -87,7 +88,7 @@
     const windowId = WINDOW_ID;
     await writer.store({source: 'a', windowId, sums: sumsOf(2)});
     const key = sumsKey(windowId, 'a');
-    const value = JSON.stringify(sumsOf(9));
+    const value = encodeUsageSums(sumsOf(9));
     await table.transact([{key, value, expectedVersion: null}]);
     await writer.store({source: 'a', windowId, sums: sumsOf(4)});
     expect(state.requestsOf('a')).toEqual(9);
--- a/state/usage/test/usage_store_route_test.ts
+++ b/state/usage/test/usage_store_route_test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import {createUsageStoreRoute} from '../src/index.js';
 
-const USAGE = {source: 's', windowId: '1', sums: {}};
+const USAGE = {source: 's', windowId: '1', sums: new Map()};
 
 describe('createUsageStoreRoute', () => {
   const setUp = (prefersPeer: boolean) => {
--- a/testing/hosting/src/hostile/hostile_answers.ts
+++ b/testing/hosting/src/hostile/hostile_answers.ts
@@ -52,9 +52,9 @@
 
 /** A header line that a gateway may stumble over, with its end. */
 export const oddHeaderLine = fc
-  .constantFrom(...Object.keys(ODD_HEADERS))
-  .chain(name =>
-    fc.constantFrom(...ODD_HEADERS[name]).map(value => `${name}: ${value}\r\n`),
+  .constantFrom(...Object.entries(ODD_HEADERS))
+  .chain(([name, values]) =>
+    fc.constantFrom(...values).map(value => `${name}: ${value}\r\n`),
   );
 
 /** Bytes that an upstream sends instead of a response to the request with an id. */
--- a/testing/hosting/src/hostile/hostile_requests.ts
+++ b/testing/hosting/src/hostile/hostile_requests.ts
@@ -70,9 +70,9 @@
 };
 
 const oddHeader = fc
-  .constantFrom(...Object.keys(ODD_HEADERS))
-  .chain(name =>
-    fc.tuple(fc.constant(name), fc.constantFrom(...ODD_HEADERS[name])),
+  .constantFrom(...Object.entries(ODD_HEADERS))
+  .chain(([name, values]) =>
+    fc.tuple(fc.constant(name), fc.constantFrom(...values)),
   );
 
 const randomHeader = fc.tuple(
--- a/testing/hosting/src/hostile/hostile_service_answers.ts
+++ b/testing/hosting/src/hostile/hostile_service_answers.ts
@@ -240,6 +240,9 @@
   };
 }
 
+/** Attributes of a field that JSON contains, whatever its name is. */
+const OWN_FIELD = {configurable: true, enumerable: true, writable: true};
+
 /** Replaces a field of the answer or of an object in one of its lists; removes it without a value. */
 function replaceField(root: object, at: number, value: unknown): void {
   const objects = [
@@ -253,8 +256,8 @@
   );
   if (fields.length === 0) return;
   const {object, name} = fields[at % fields.length];
-  if (value === undefined) delete object[name];
-  else object[name] = value;
+  if (value === undefined) Reflect.deleteProperty(object, name);
+  else Reflect.defineProperty(object, name, {...OWN_FIELD, value});
 }
 
 function isObject(value: unknown): value is Record<string, unknown> {
--- a/testing/hosting/src/raw_request.ts
+++ b/testing/hosting/src/raw_request.ts
@@ -95,11 +95,12 @@
   const headEnd = text.indexOf('\r\n\r\n');
   if (headEnd < 0) return {status: 0, headers: {}, body: '', isComplete: false};
   const [statusLine, ...lines] = text.slice(0, headEnd).split('\r\n');
-  const headers: Record<string, string> = {};
-  for (const line of lines) {
-    const colon = line.indexOf(':');
-    headers[line.slice(0, colon).toLowerCase()] = line.slice(colon + 1).trim();
-  }
+  const headers: Record<string, string> = Object.fromEntries(
+    lines.map(line => {
+      const colon = line.indexOf(':');
+      return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+    }),
+  );
   const status = Number(statusLine.split(' ')[1]);
   const bodyText = text.slice(headEnd + 4);
   if (headers['transfer-encoding'] === 'chunked') {
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -155,9 +155,9 @@
     const {next} = createSeededRandom(options.seed * 101 + index);
     while (performance.now() < endMs) {
       await delay(minDelayMs + next() * (maxDelayMs - minDelayMs));
-      const name = pickRandom(Object.keys(faults), next);
+      const [name, cause] = pickRandom(Object.entries(faults), next);
       const atMs = Math.round(performance.now() - startMs);
-      const line = `${atMs} ms ${name}: ${faults[name](soak)}`;
+      const line = `${atMs} ms ${name}: ${cause(soak)}`;
       faultLines.push(line);
       options.logFault(line);
     }
--- a/upstreams/adapters/src/openai_engine_adapter.ts
+++ b/upstreams/adapters/src/openai_engine_adapter.ts
@@ -192,7 +192,7 @@
   } else {
     body.prompt = String(body.prompt) + call.resumeText;
   }
-  for (const name of ['max_tokens', 'max_completion_tokens']) {
+  for (const name of ['max_tokens', 'max_completion_tokens'] as const) {
     const limit = body[name];
     if (typeof limit !== 'number') continue;
     body[name] = Math.max(1, limit - call.resumeTokens);
