fix(metrics): a value that cannot be recorded fails nothing that is measured

Cause: prom-client throws for labels, names and values that it does not accept, which fails the request that is counted. The boundary of inputs counts that failure, with the same error, which nobody catches. Ruled out: handlers outside of the boundary; the stacks have its counter.

The registry drops such a value and logs metric_dropped; the boundary logs first and does not throw if counting fails.

--- a/cli/sardinestile/src/platform_gateway.ts
+++ b/cli/sardinestile/src/platform_gateway.ts
@@ -107,7 +107,7 @@
   options.memoryWatch.setLimitMb(settings.memoryLimitMb);
   // The process would wait for an address that it has itself.
   checkOwnAddresses(settings, path);
-  const metrics = createMetricsRegistry();
+  const metrics = createMetricsRegistry({logger});
   const store = createStoreClient(
     settings.store.address,
     (operation, outcome, durationMs) => {
--- a/core/connections/src/input_boundary.ts
+++ b/core/connections/src/input_boundary.ts
@@ -22,7 +22,7 @@
  * fails that request, connection or datagram, and is logged and counted here.
  */
 export interface InputBoundary {
-  /** Logs and counts a failure. */
+  /** Logs and counts a failure; never throws. */
   report(failure: InputFailure): void;
   /**
    * Returns a handler that never throws; its failures, also those of a promise that it
@@ -50,11 +50,16 @@
   logger = createLogger({level: 'warn'}),
   metrics,
 }: InputBoundaryOptions = {}): InputBoundary {
+  const describe = (error: unknown) =>
+    error instanceof Error ? (error.stack ?? error.message) : String(error);
   const report = ({input, error, from}: InputFailure) => {
-    metrics?.increment('sardinestile_input_failures_total', {input});
-    const reason =
-      error instanceof Error ? (error.stack ?? error.message) : String(error);
-    logger.error('input_failed', {input, from, reason});
+    logger.error('input_failed', {input, from, reason: describe(error)});
+    try {
+      metrics?.increment('sardinestile_input_failures_total', {input});
+    } catch (countError) {
+      // Nobody is left who would catch it, so that the process would end.
+      logger.error('input_failed', {input, reason: describe(countError)});
+    }
   };
   return {
     report,
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -166,6 +166,8 @@
   };
   log_suppressed: {suppressedEvent: string; lines: number};
   log_dropped: {lines: number};
+  /** A value could not be recorded in a metric, and was dropped. */
+  metric_dropped: {metric: string; reason: string};
   /** Code that handled bytes from outside failed; only that request, connection or datagram did. */
   input_failed: {input: string; from?: string; reason: string};
   call_abandoned: {requestId?: string};
--- a/core/metrics/src/metrics_registry.ts
+++ b/core/metrics/src/metrics_registry.ts
@@ -1,4 +1,5 @@
 import {getHeapStatistics} from 'node:v8';
+import {createLogger, type Logger} from '@sardinestile/logger';
 import {readPeakResidentBytes} from '@sardinestile/memory';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
@@ -31,7 +32,8 @@
 
 /**
  * Records counters, gauges and duration histograms, and renders them for
- * Prometheus.
+ * Prometheus. A value that cannot be recorded is dropped and reported; recording
+ * never throws, as what is measured has to go on.
  */
 export interface MetricsRegistry {
   increment(name: string, labels: Labels, by?: number): void;
@@ -47,8 +49,16 @@
   seriesFor(labels: Labels): Series;
 }
 
+/** Options for `createMetricsRegistry`. */
+export interface MetricsRegistryOptions {
+  /** Receives the values that are dropped; writes warnings to standard output by default. */
+  logger?: Logger;
+}
+
 /** Creates an empty registry. */
-export function createMetricsRegistry(): MetricsRegistry {
+export function createMetricsRegistry({
+  logger = createLogger({level: 'warn'}),
+}: MetricsRegistryOptions = {}): MetricsRegistry {
   const registry = new Registry();
   const register = {registers: [registry]};
   const counters = createFamilies((name, labelNames) => {
@@ -65,16 +75,26 @@
     const histogram = new Histogram(options);
     return labels => histogram.labels(labels);
   });
+  const record = (name: string, apply: () => void) => {
+    try {
+      apply();
+    } catch (error) {
+      const {message: reason} = error as Error;
+      logger.warn('metric_dropped', {metric: name, reason});
+    }
+  };
   const setGauge = (name: string, labels: Labels, value: number) =>
-    gauges(name, labels).seriesFor(labels).set(value);
+    record(name, () => gauges(name, labels).seriesFor(labels).set(value));
   return {
     increment: (name, labels, by = 1) =>
-      counters(name, labels).seriesFor(labels).inc(by),
+      record(name, () => counters(name, labels).seriesFor(labels).inc(by)),
     setGauge,
     recordMs: (name, labels, durationMs) =>
-      histograms(name, labels)
-        .seriesFor(labels)
-        .observe(durationMs / 1000),
+      record(name, () =>
+        histograms(name, labels)
+          .seriesFor(labels)
+          .observe(durationMs / 1000),
+      ),
     render() {
       const processGauges = readProcessGauges();
       for (const [name, value] of Object.entries(processGauges)) {
--- a/core/metrics/test/metrics_registry_test.ts
+++ b/core/metrics/test/metrics_registry_test.ts
@@ -1,4 +1,5 @@
 import {describe, it} from 'node:test';
+import {createLogger} from '@sardinestile/logger';
 import {expect} from 'earl';
 import {createMetricsRegistry} from '../src/index.js';
 
@@ -23,6 +24,28 @@
     expect(text).toInclude('call_seconds_count{route="a"} 1');
   });
 
+  // Guards against a request, or a process, that ends because it could not be counted.
+  it('drops a value that cannot be recorded, and says so', async () => {
+    const lines: string[] = [];
+    const logger = createLogger({
+      level: 'warn',
+      write: line => lines.push(line),
+    });
+    const metrics = createMetricsRegistry({logger});
+    metrics.increment('calls_total', {route: 'a'});
+    metrics.increment('calls_total', {route: 'b', 'no-label': 'c'});
+    metrics.setGauge('not-a-name', {}, 1);
+    metrics.recordMs('call_seconds', {}, NaN);
+    metrics.increment('calls_total', {route: 'a'}, -1);
+    expect(await metrics.render()).toInclude('calls_total{route="a"} 1');
+    expect(lines.map(line => /metric=(\S+)/.exec(line)?.[1])).toEqual([
+      'calls_total',
+      'not-a-name',
+      'call_seconds',
+      'calls_total',
+    ]);
+  });
+
   it('limits the number of series and counts the rest in the overflow series', async () => {
     const metrics = createMetricsRegistry();
     for (let i = 0; i < SERIES_COUNT; i++) {
--- a/daemons/agent/src/agent.ts
+++ b/daemons/agent/src/agent.ts
@@ -53,7 +53,7 @@
 /** Starts the agent of one upstream. */
 export async function startAgent(options: AgentOptions): Promise<Agent> {
   const {logger, instance, upstream} = options;
-  const metrics = createMetricsRegistry();
+  const metrics = createMetricsRegistry({logger});
   const boundary = createInputBoundary({logger, metrics});
   const replica = createConfigReplica();
   const sessions = new Set<Session<AgentBody>>();
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -202,7 +202,7 @@
   const {logger, instance, platform} = options;
   const {table} = platform;
   const replica = createConfigReplica();
-  const metrics = createMetricsRegistry();
+  const metrics = createMetricsRegistry({logger});
   const boundary = createInputBoundary({logger, metrics});
   const pool = createSessionPool({instance, replica, logger, boundary});
   const registry = createRequestRegistry();
