fix(gateway): a resumed stream goes on at the service that began it

After the loss of all gateways they could get events of another service.

Cause: the service of a request is drawn from the hash of its id, also for a resume, whose work has begun elsewhere; only the version was remembered.

The memory of streams, the ledger and the answers of gateways have the service beside the version, and a resume is sent there. If its route sends requests to that service no more, or with a weight of zero, it is refused as not run: it is a new request under the new configuration. On a split route nothing is concluded from the only version of a service. Gateways of an older build are understood.

The test of the memory of streams asks for the origin, with the service, where it asked for the version; it compares both.

--- a/daemons/gateway/src/calls/call.ts
+++ b/daemons/gateway/src/calls/call.ts
@@ -19,6 +19,7 @@
   requestId: string;
   requestMetadata: RequestMetadata;
   route: Route;
+  /** Service that runs it; of a resumed stream the one that began it. */
   service: string;
   organisation: KeyHolder | undefined;
   /** Priority rank among all requests; 0 is the most urgent. */
--- a/daemons/gateway/src/calls/prepare_continuation.ts
+++ b/daemons/gateway/src/calls/prepare_continuation.ts
@@ -1,7 +1,8 @@
+import {listReachableServices} from '@sardinestile/route_table';
 import type {Call, InterruptReason} from './call.js';
 import {endInterrupted} from './finish_call.js';
 import type {GatewayContext} from '../gateway_context.js';
-import type {FoundVersion} from '../shared/stream_continuations.js';
+import type {FoundOrigin} from '../shared/stream_continuations.js';
 import {refuse} from './refuse.js';
 
 /**
@@ -11,8 +12,8 @@
 const VERSION_RETRY_AFTER_MS = 1_000;
 
 /**
- * Finds the software version at which a stream that the caller resumes has to go on.
- * Returns whether the call may be placed; otherwise it has been answered.
+ * Finds the service and the software version at which a stream that the caller resumes has
+ * to go on, in place of the service that was chosen for a new request. Returns whether the call may be placed; otherwise it has been answered.
  */
 export async function prepareContinuation(
   context: GatewayContext,
@@ -23,19 +24,30 @@
   const interrupted = new Promise<InterruptReason>(resolve => {
     call.onInterrupt = resolve;
   });
+  const services = listReachableServices(call.route);
   const found = context.continuations
-    .findVersion({requestId: resumedRequestId, service: call.service})
-    .then(version => ({version}));
+    .findOrigin({requestId: resumedRequestId, services})
+    .then(origin => ({origin}));
   const result = await Promise.race([found, interrupted]);
   call.onInterrupt = undefined;
   if (typeof result === 'string') {
     endInterrupted(context, call, result);
     return false;
   }
-  if (result.version) {
-    recordContinuation(context, call, result.version);
+  const {origin} = result;
+  if (origin && services.includes(origin.service)) {
+    recordContinuation(context, call, origin);
     return true;
   }
+  if (origin) {
+    // It is a new request, which the configuration does not let that service run.
+    refuseAsUnavailable(
+      context,
+      call,
+      `route ${call.route.name} sends no requests to ${origin.service}, which began the stream`,
+    );
+    return false;
+  }
   recordRefusal(context, call, 'versionUnknown');
   refuse(context, call, 'streamVersionUnknown', {
     retryAfterMs: VERSION_RETRY_AFTER_MS,
@@ -44,14 +56,15 @@
   return false;
 }
 
-/** Limits a call to the version at which its stream has to go on. */
+/** Limits a call to the service and the version at which its stream has to go on. */
 function recordContinuation(
   {metrics, logger}: GatewayContext,
   call: Call,
-  {softwareVersion, source}: FoundVersion,
+  {service, softwareVersion, source}: FoundOrigin,
 ): void {
+  call.service = service;
   call.streamVersion = softwareVersion;
-  const {requestId, service} = call;
+  const {requestId} = call;
   const {resumedRequestId: resumedRequest} = call.requestMetadata;
   metrics.increment('sardinestile_streams_continued_total', {service, source});
   logger.info('stream_continued', {
@@ -74,14 +87,24 @@
   const {streamVersion, service} = call;
   const isAnswerable = !call.mayHaveRun && !call.response.headersSent;
   if (streamVersion === undefined || !isAnswerable) return false;
-  recordRefusal(context, call, 'versionUnavailable');
-  refuse(context, call, 'streamVersionUnavailable', {
-    retryAfterMs: VERSION_RETRY_AFTER_MS,
-    reason: `no upstream of ${service} with software version ${streamVersion} takes the request`,
-  });
+  refuseAsUnavailable(
+    context,
+    call,
+    `no upstream of ${service} with software version ${streamVersion} takes the request`,
+  );
   return true;
 }
 
+function refuseAsUnavailable(
+  context: GatewayContext,
+  call: Call,
+  reason: string,
+): void {
+  recordRefusal(context, call, 'versionUnavailable');
+  const retryAfterMs = VERSION_RETRY_AFTER_MS;
+  refuse(context, call, 'streamVersionUnavailable', {retryAfterMs, reason});
+}
+
 /** Whether events of the stream came from an upstream whose software version is unknown. */
 export function hasUnknownVersion(call: Call): boolean {
   return call.firstEventAtMs !== undefined && call.streamVersion === undefined;
--- a/daemons/gateway/src/calls/run_attempt.ts
+++ b/daemons/gateway/src/calls/run_attempt.ts
@@ -57,7 +57,7 @@
             reporter.recordFirstEvent(
               upstreamId,
               requestId,
-              call.streamVersion,
+              beganStream(call),
               nowMs,
             );
             countUsage(context, call);
@@ -120,7 +120,12 @@
   return outcome;
 }
 
-/** Records which software version began the stream, when its first event arrives. */
+/** Returns the service of a call and the software version that began its stream. */
+function beganStream({service, streamVersion: softwareVersion}: Call) {
+  return {service, softwareVersion};
+}
+
+/** Records what began the stream, when its first event arrives. */
 function recordStreamStart(
   {continuations, fleet}: GatewayContext,
   call: Call,
@@ -130,7 +135,7 @@
   if (call.firstEventAtMs !== undefined) return;
   call.firstEventAtMs = nowMs;
   call.streamVersion ??= fleet.coldUpstreams.versionOf(upstream);
-  continuations.origins.record(call.requestId, call.streamVersion, nowMs);
+  continuations.origins.record(call.requestId, beganStream(call), nowMs);
 }
 
 /** Whether the upstream had closed the connection while it was idle. */
--- a/daemons/gateway/src/calls/run_call.ts
+++ b/daemons/gateway/src/calls/run_call.ts
@@ -40,9 +40,9 @@
   call: Call,
 ): Promise<void> {
   const {clock, retryBudgets} = context;
+  if (!(await prepareContinuation(context, call))) return;
   const retryBudget = retryBudgets.of(call.service);
   retryBudget.recordRequest(clock.monotonicMs());
-  if (!(await prepareContinuation(context, call))) return;
   let heldResponse: BufferedResponse | undefined;
   let reason = 'the service has no usable upstream';
   for (;;) {
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -457,13 +457,8 @@
       config.getConfirmedConfig(haveVersion, waitMs),
     getUpstreamChanges: (since, waitMs) =>
       sharedUpstreams.getUpstreamChanges(since, waitMs),
-    getStreamVersion(requestId) {
-      const softwareVersion = continuations.origins.versionOf(
-        requestId,
-        clock.monotonicMs(),
-      );
-      return softwareVersion === undefined ? undefined : {softwareVersion};
-    },
+    getStreamVersion: requestId =>
+      continuations.origins.originOf(requestId, clock.monotonicMs()),
     getCachedParts: () => cacheRecovery.getCachedParts(),
     applyGroupUsage: usageOfGroup => fairShares.applyGroupUsage(usageOfGroup),
     applyCachedParts: cached => cacheRecovery.applyCachedParts(cached),
--- a/daemons/gateway/src/shared/fleet_reporter.ts
+++ b/daemons/gateway/src/shared/fleet_reporter.ts
@@ -1,4 +1,4 @@
-import type {StreamOrigins} from '@sardinestile/continuation';
+import type {StreamOrigin, StreamOrigins} from '@sardinestile/continuation';
 import type {UpstreamFleet, PlacedRequest} from '@sardinestile/fleet';
 import type {LedgerLink, LedgerUpdate} from '@sardinestile/ledger';
 import type {EvidenceItem} from '@sardinestile/quarantine';
@@ -19,11 +19,11 @@
 /** Records the progress of requests in the fleet models of this gateway and its peers. */
 export interface FleetReporter {
   recordPlacement(request: PlacedRequest, nowMs: number): void;
-  /** `softwareVersion` is the one that began the stream; undefined if it is unknown. */
+  /** The software version of `origin` is absent if it is unknown. */
   recordFirstEvent(
     upstreamId: string,
     requestId: string,
-    softwareVersion: string | undefined,
+    origin: BegunStream,
     nowMs: number,
   ): void;
   /** `hasFailed` is undefined if the outcome says nothing about the upstream. */
@@ -51,13 +51,16 @@
   ): void;
 }
 
+/** What began a stream; the version is absent if it is unknown. */
+type BegunStream = Pick<StreamOrigin, 'service'> & Partial<StreamOrigin>;
+
 /** Options for `createFleetReporter`. */
 export interface FleetReporterOptions {
   instance: string;
   fleet: UpstreamFleet;
   link: LedgerLink;
   clock: Clock;
-  /** Receives which software versions began the streams of peers. */
+  /** Receives which services and software versions began the streams of peers. */
   streamOrigins: () => StreamOrigins;
   /** Receives what organisations were given at peers or in other groups. */
   onUsage: (
@@ -89,19 +92,26 @@
     const record = fleet.membership.get(upstreamId);
     return record !== undefined && fleet.isSharedByGroups(record.service);
   };
-  /** Returns the version by this gateway's own list, for peers that state none. */
-  const listedVersion = (upstreamId: string) => {
-    const record = fleet.membership.get(upstreamId);
-    return record && fleet.coldUpstreams.versionOf(record);
-  };
   const handlers: PeerUpdateHandlers = {
     placed: (peer, event, isFromOtherGroup) =>
       fleet.recordPlacement(peer, event, clock.monotonicMs(), isFromOtherGroup),
-    firstEvent(_peer, {upstreamId, requestId, softwareVersion}) {
+    firstEvent(_peer, {upstreamId, requestId, softwareVersion, service}) {
       const nowMs = clock.monotonicMs();
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
-      const version = softwareVersion ?? listedVersion(upstreamId);
-      options.streamOrigins().record(requestId, version || undefined, nowMs);
+      // Peers of an older build state neither, so that they are looked up in the list.
+      const record = fleet.membership.get(upstreamId);
+      const beganService = service ?? record?.service;
+      if (beganService === undefined) return;
+      const beganVersion =
+        softwareVersion ?? (record && fleet.coldUpstreams.versionOf(record));
+      options.streamOrigins().record(
+        requestId,
+        {
+          service: beganService,
+          softwareVersion: beganVersion || undefined,
+        },
+        nowMs,
+      );
     },
     leaving: (_peer, {upstreamId, startedAtWallMs}) =>
       void fleet.membership.markLeaving({id: upstreamId, startedAtWallMs}),
@@ -142,7 +152,12 @@
       if (isForAllGroups) toldToAll.add(requestKey(upstreamId, requestId));
       link.send(event, true, isForAllGroups);
     },
-    recordFirstEvent(upstreamId, requestId, softwareVersion, nowMs) {
+    recordFirstEvent(
+      upstreamId,
+      requestId,
+      {service, softwareVersion = ''},
+      nowMs,
+    ) {
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
       const record = fleet.membership.get(upstreamId);
       // Peers of an older build would record the version in the registration, which may
@@ -154,7 +169,8 @@
           kind: 'firstEvent',
           requestId,
           upstreamId,
-          softwareVersion: softwareVersion ?? '',
+          softwareVersion,
+          service,
         },
         false,
         isForAllGroups,
--- a/daemons/gateway/src/shared/stream_continuations.ts
+++ b/daemons/gateway/src/shared/stream_continuations.ts
@@ -1,10 +1,11 @@
 import {
   createStreamOrigins,
+  type StreamOrigin,
   type StreamOrigins,
 } from '@sardinestile/continuation';
 import {divideIntoGroups} from '@sardinestile/fleet';
 import type {Logger} from '@sardinestile/logger';
-import type {PeerClient} from '@sardinestile/peer';
+import type {PeerClient, StreamVersion} from '@sardinestile/peer';
 import type {Clock} from '@sardinestile/types';
 import type {RegisteredGateway} from './peer_registry.js';
 import type {ServedVersionStore} from './served_version_store.js';
@@ -26,7 +27,8 @@
 export interface ResumedStream {
   /** Request that brought its first event; absent if the caller names none. */
   requestId: string | undefined;
-  service: string;
+  /** Services to which its route sends requests. */
+  services: readonly string[];
 }
 
 /** Options for `createStreamContinuations`. */
@@ -41,30 +43,29 @@
   logger: Logger;
 }
 
-/** How a gateway knows the software version at which a stream has to go on. */
-export type VersionSource =
+/** How a gateway knows the service and the software version at which a stream has to go on. */
+export type OriginSource =
   /** It saw the first event, or was told of it. */
   | 'memory'
   /** Another gateway remembers the stream. */
   | 'gateway'
-  /** The service has served with this version only. */
+  /** The route leads to one service, which has served with this version only. */
   | 'servedVersions';
 
-/** Software version at which a stream has to go on. */
-export interface FoundVersion {
-  softwareVersion: string;
-  source: VersionSource;
+/** Service and software version at which a stream has to go on. */
+export interface FoundOrigin extends StreamOrigin {
+  source: OriginSource;
 }
 
-/** Knowledge of the software versions at which streams have to go on. */
+/** Knowledge of the services and software versions at which streams have to go on. */
 export interface StreamContinuations {
   /** Streams that this gateway remembers; what it answers to others. */
   readonly origins: StreamOrigins;
   /**
-   * Returns the version at which a stream has to go on, asking other gateways and the
-   * store if this gateway does not remember it; undefined if nobody knows.
+   * Returns what began a stream, asking other gateways and the store if this gateway
+   * does not remember it; undefined if nobody knows.
    */
-  findVersion(stream: ResumedStream): Promise<FoundVersion | undefined>;
+  findOrigin(stream: ResumedStream): Promise<FoundOrigin | undefined>;
 }
 
 /** Creates the knowledge of a gateway that has just started. */
@@ -86,13 +87,15 @@
   };
   const askGateways = async (
     requestId: string,
-  ): Promise<FoundVersion | undefined> => {
+    services: readonly string[],
+  ): Promise<FoundOrigin | undefined> => {
     const answers = chooseGateways().map(({address: {host, port}}) =>
       options.fetchStreamVersion(`${host}:${port}`, requestId),
     );
     try {
-      const {softwareVersion} = await Promise.any(answers);
-      return {softwareVersion, source: 'gateway'};
+      const {softwareVersion, service} = await Promise.any(answers);
+      const origin = nameService({softwareVersion, service}, services);
+      return origin && {...origin, source: 'gateway'};
     } catch (error) {
       // Gateways that are lost, or know no more than this one, are the usual case.
       const {errors} = error as AggregateError;
@@ -102,29 +105,44 @@
       return undefined;
     }
   };
-  const concludeVersion = async (
-    service: string,
-  ): Promise<FoundVersion | undefined> => {
+  const concludeOrigin = async (
+    services: readonly string[],
+  ): Promise<FoundOrigin | undefined> => {
+    // The only version of one service says nothing about a stream that another one began.
+    if (services.length !== 1) return undefined;
+    const [service] = services;
     const softwareVersion = await servedVersions.onlyVersion(service);
     return softwareVersion === undefined
       ? undefined
-      : {softwareVersion, source: 'servedVersions'};
+      : {service, softwareVersion, source: 'servedVersions'};
   };
   return {
     origins,
-    async findVersion({requestId, service}) {
-      if (requestId === undefined) return within(concludeVersion(service));
-      const softwareVersion = origins.versionOf(requestId, clock.monotonicMs());
-      if (softwareVersion !== undefined) {
-        return {softwareVersion, source: 'memory'};
-      }
+    async findOrigin({requestId, services}) {
+      if (requestId === undefined) return within(concludeOrigin(services));
+      const origin = origins.originOf(requestId, clock.monotonicMs());
+      if (origin) return {...origin, source: 'memory'};
       return within(
-        firstKnown([askGateways(requestId), concludeVersion(service)]),
+        firstKnown([
+          askGateways(requestId, services),
+          concludeOrigin(services),
+        ]),
       );
     },
   };
 }
 
+/** Adds the service to the answer of a gateway whose build states none, if only one can be meant. */
+function nameService(
+  {softwareVersion, service}: StreamVersion,
+  services: readonly string[],
+): StreamOrigin | undefined {
+  if (service !== undefined) return {service, softwareVersion};
+  return services.length === 1
+    ? {service: services[0], softwareVersion}
+    : undefined;
+}
+
 /** Resolves to the first result that is not undefined, or to undefined if all are. */
 async function firstKnown<T>(
   results: ReadonlyArray<Promise<T | undefined>>,
--- a/daemons/gateway/test/fleet_reporter_test.ts
+++ b/daemons/gateway/test/fleet_reporter_test.ts
@@ -65,7 +65,7 @@
 
 const runOneRequest = ({reporter}: ReturnType<typeof createReporter>) => {
   reporter.recordPlacement(placedAt('u0'), 0);
-  reporter.recordFirstEvent('u0', 'r', 'v1', 1);
+  reporter.recordFirstEvent('u0', 'r', {service: 'pool'}, 1);
   reporter.recordEnd('u0', 'r', false, 2);
 };
 
@@ -115,36 +115,43 @@
       requestId: 'r',
       upstreamId: 'u9',
     } as const;
-    const versionOf = (
+    const originOf = (
       {reporter, origins}: ReturnType<typeof createReporter>,
       event: Extract<LedgerUpdate, {kind: 'firstEvent'}>,
     ) => {
       reporter.applyPeerUpdate('peer', event, false);
-      return origins.versionOf('r', createSystemClock().monotonicMs());
+      return origins.originOf('r', createSystemClock().monotonicMs());
     };
 
     // Guards against a resume that is placed by a list which is behind that of the peer.
-    it('is remembered with the version that the peer states, also of an unknown upstream', () => {
-      const event = {...firstEvent, softwareVersion: 'v2'};
-      expect(versionOf(createReporter(1), event)).toEqual('v2');
+    it('is remembered with the version and service that the peer states, also of an unknown upstream', () => {
+      const origin = {softwareVersion: 'v2', service: 'other'};
+      const event = {...firstEvent, ...origin};
+      expect(originOf(createReporter(1), event)).toEqual(origin);
       const listed = {...event, upstreamId: 'u0'};
       const gateway = createReporter(1);
       gateway.putUpstream(0, 'v1');
-      expect(versionOf(gateway, listed)).toEqual('v2');
+      expect(originOf(gateway, listed)).toEqual(origin);
     });
 
     it('is not remembered if the peer does not know the version', () => {
       const gateway = createReporter(1);
       gateway.putUpstream(0, 'v1');
       const event = {...firstEvent, upstreamId: 'u0', softwareVersion: ''};
-      expect(versionOf(gateway, event)).toEqual(undefined);
+      expect(originOf(gateway, event)).toEqual(undefined);
+      const stated = {...event, service: 'pool'};
+      expect(originOf(gateway, stated)).toEqual(undefined);
     });
 
-    it('is remembered with the listed version if the build of the peer states none', () => {
+    it('is remembered by the list if the build of the peer states neither', () => {
       const gateway = createReporter(1);
       gateway.putUpstream(0, 'v1');
       const event = {...firstEvent, upstreamId: 'u0'};
-      expect(versionOf(gateway, event)).toEqual('v1');
+      expect(originOf(gateway, event)).toEqual({
+        service: 'pool',
+        softwareVersion: 'v1',
+      });
+      expect(originOf(createReporter(1), firstEvent)).toEqual(undefined);
     });
   });
 
--- a/daemons/gateway/test/stream_continuations_test.ts
+++ b/daemons/gateway/test/stream_continuations_test.ts
@@ -1,6 +1,7 @@
 import {beforeEach, describe, it} from 'node:test';
 import {STREAM_LIFETIME_MS} from '@sardinestile/continuation';
 import {createLogger} from '@sardinestile/logger';
+import type {StreamVersion} from '@sardinestile/peer';
 import type {TableService} from '@sardinestile/ports';
 import {expect} from 'earl';
 import type {RegisteredGateway} from '../src/shared/peer_registry.js';
@@ -8,7 +9,8 @@
 import {createStreamContinuations} from '../src/shared/stream_continuations.js';
 
 const STEP_MS = 500;
-const STREAM = {requestId: 'r', service: 'pool'};
+const STREAM = {requestId: 'r', services: ['pool']};
+const SPLIT_STREAM = {requestId: 'r', services: ['pool', 'other']};
 
 const pool = (...versions: string[]) =>
   versions.map(softwareVersion => ({service: 'pool', softwareVersion}));
@@ -28,7 +30,7 @@
     listed: pool('v1'),
     listedAtMs: 10_000,
     /** What the other gateway remembers of the stream. */
-    remembered: undefined as string | undefined,
+    remembered: undefined as StreamVersion | undefined,
   };
   const requireStore = () => {
     if (!world.registered) throw new Error('status 503');
@@ -70,7 +72,7 @@
     registeredGateways: () => [OTHER_GATEWAY],
     async fetchStreamVersion() {
       if (!world.remembered) throw new Error('status 404');
-      return {softwareVersion: world.remembered};
+      return world.remembered;
     },
     servedVersions,
     clock,
@@ -87,8 +89,8 @@
       servedVersions.update();
     }
   };
-  const findVersion = () => continuations.findVersion(STREAM);
-  return {world, continuations, followFor, findVersion};
+  const findOrigin = (stream = STREAM) => continuations.findOrigin(stream);
+  return {world, continuations, followFor, findOrigin};
 }
 
 describe('createStreamContinuations', () => {
@@ -100,7 +102,8 @@
 
   describe('a stream that no gateway remembers', () => {
     it('goes on at the only version that served, once the store confirms it', async () => {
-      expect(await knowledge.findVersion()).toEqual({
+      expect(await knowledge.findOrigin()).toEqual({
+        service: 'pool',
         softwareVersion: 'v1',
         source: 'servedVersions',
       });
@@ -110,44 +113,69 @@
     it('is refused at a gateway that the store rejects, although its list has one version', async () => {
       knowledge.world.registered = undefined;
       knowledge.followFor(STEP_MS);
-      expect(await knowledge.findVersion()).toEqual(undefined);
+      expect(await knowledge.findOrigin()).toEqual(undefined);
     });
 
     it('is refused beside a version that registered after the list was read', async () => {
       knowledge.world.registered = pool('v1', 'v2');
-      expect(await knowledge.findVersion()).toEqual(undefined);
+      expect(await knowledge.findOrigin()).toEqual(undefined);
     });
 
     it('is refused after a resume to which the store answered before a version registered', async () => {
-      expect((await knowledge.findVersion())?.softwareVersion).toEqual('v1');
+      expect((await knowledge.findOrigin())?.softwareVersion).toEqual('v1');
       knowledge.world.registered = pool('v1', 'v2');
-      expect(await knowledge.findVersion()).toEqual(undefined);
+      expect(await knowledge.findOrigin()).toEqual(undefined);
     });
 
     it('is refused after the only version has changed', async () => {
       knowledge.world.registered = pool('v2');
-      expect(await knowledge.findVersion()).toEqual(undefined);
+      expect(await knowledge.findOrigin()).toEqual(undefined);
     });
   });
 
   describe('a stream that some gateway remembers', () => {
     it('goes on at its version without the store, at the gateway that remembers it', async () => {
       const {world, continuations} = knowledge;
-      continuations.origins.record('r', 'v2', world.nowMs);
+      const origin = {service: 'pool', softwareVersion: 'v2'};
+      continuations.origins.record('r', origin, world.nowMs);
       world.registered = undefined;
-      expect(await knowledge.findVersion()).toEqual({
+      expect(await knowledge.findOrigin()).toEqual({
+        service: 'pool',
         softwareVersion: 'v2',
         source: 'memory',
       });
     });
 
     it('goes on at its version without the store, if another gateway remembers it', async () => {
-      knowledge.world.remembered = 'v2';
+      knowledge.world.remembered = {service: 'pool', softwareVersion: 'v2'};
       knowledge.world.registered = undefined;
-      expect(await knowledge.findVersion()).toEqual({
+      expect(await knowledge.findOrigin()).toEqual({
+        service: 'pool',
         softwareVersion: 'v2',
         source: 'gateway',
       });
     });
   });
+
+  describe('a stream on a route that is split between services', () => {
+    it('goes on at the service that began it, if some gateway remembers it', async () => {
+      const origin = {service: 'other', softwareVersion: 'v1'};
+      knowledge.world.remembered = origin;
+      expect(await knowledge.findOrigin(SPLIT_STREAM)).toEqual({
+        ...origin,
+        source: 'gateway',
+      });
+    });
+
+    // Guards against streams that are joined from two services after the loss of all gateways.
+    it('is refused if no gateway remembers it, although each service has one version', async () => {
+      expect(await knowledge.findOrigin(SPLIT_STREAM)).toEqual(undefined);
+    });
+
+    it('is refused if the build of the gateway that remembers it states no service', async () => {
+      knowledge.world.remembered = {softwareVersion: 'v1'};
+      expect(await knowledge.findOrigin(SPLIT_STREAM)).toEqual(undefined);
+      expect((await knowledge.findOrigin())?.service).toEqual('pool');
+    });
+  });
 });
--- a/protocol/ledger/src/ledger_update.ts
+++ b/protocol/ledger/src/ledger_update.ts
@@ -31,6 +31,8 @@
    * unknown. Absent from gateways whose build does not state it.
    */
   softwareVersion: z.string().optional(),
+  /** Service of the upstream; absent from gateways whose build does not state it. */
+  service: z.string().optional(),
 });
 
 /** A request ended at an upstream. */
--- a/protocol/ledger/src/update_rows.ts
+++ b/protocol/ledger/src/update_rows.ts
@@ -38,15 +38,16 @@
   },
   firstEvent: {
     code: 'f',
-    encode: ({requestId, upstreamId, softwareVersion}) => [
+    encode: ({requestId, upstreamId, softwareVersion, service}) => [
       requestId,
       upstreamId,
-      ...(softwareVersion === undefined ? [] : [softwareVersion]),
+      ...[softwareVersion, service].filter(value => value !== undefined),
     ],
-    decode: ([requestId, upstreamId, softwareVersion]) => ({
+    decode: ([requestId, upstreamId, softwareVersion, service]) => ({
       requestId,
       upstreamId,
       ...(softwareVersion !== undefined && {softwareVersion}),
+      ...(service !== undefined && {service}),
     }),
   },
   ended: {
--- a/protocol/ledger/test/ledger_codec_test.ts
+++ b/protocol/ledger/test/ledger_codec_test.ts
@@ -63,6 +63,7 @@
     requestId: 'r',
     upstreamId: 'u',
     softwareVersion: 'v1',
+    service: 's',
   },
 ];
 
--- a/protocol/peer/src/peer_client.ts
+++ b/protocol/peer/src/peer_client.ts
@@ -66,8 +66,8 @@
   /** Fetches the cached prompt parts that the peer knows. */
   fetchCachedParts(address: string): Promise<CachedParts>;
   /**
-   * Fetches the software version at which the stream that a request began has to go
-   * on; rejects if the peer does not remember the stream.
+   * Fetches the service and the software version at which the stream that a request
+   * began has to go on; rejects if the peer does not remember the stream.
    */
   fetchStreamVersion(
     address: string,
--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -99,10 +99,14 @@
 /** Prompt parts that engines have in their caches, as a gateway knows them. */
 export type CachedParts = z.infer<typeof cachedPartsSchema>;
 
-/** Software version at which a stream has to go on, as a gateway remembers it. */
-export const streamVersionSchema = z.object({softwareVersion: z.string()});
+/** Service and software version at which a stream has to go on, as a gateway remembers them. */
+export const streamVersionSchema = z.object({
+  softwareVersion: z.string(),
+  /** Absent if the gateway's build does not state it. */
+  service: z.string().optional(),
+});
 
-/** Software version at which a stream has to go on, as a gateway remembers it. */
+/** Service and software version at which a stream has to go on, as a gateway remembers them. */
 export type StreamVersion = z.infer<typeof streamVersionSchema>;
 
 /** What organisations asked for and were given at the gateways of one group. */
@@ -136,7 +140,7 @@
 /** Path that returns the cached prompt parts by GET and accepts some by POST. */
 export const CACHED_PARTS_PATH = '/peer/cached-parts';
 
-/** Path that returns the version of a stream; `?request=ID`. */
+/** Path that returns the service and the version of a stream; `?request=ID`. */
 export const STREAM_VERSION_PATH = '/peer/stream-version';
 
 /** Path that accepts usage counts by POST. */
--- a/protocol/peer/src/peer_server.ts
+++ b/protocol/peer/src/peer_server.ts
@@ -69,7 +69,7 @@
     since: LogPosition | undefined,
     waitMs: number,
   ) => Promise<UpstreamChanges | undefined>;
-  /** Returns the software version of a stream; undefined if this gateway does not remember it. */
+  /** Returns the service and version of a stream; undefined if this gateway does not remember it. */
   getStreamVersion: (requestId: string) => StreamVersion | undefined;
   /** Returns the cached prompt parts; undefined if this gateway knows too little. */
   getCachedParts: () => CachedParts | undefined;
--- a/routing/continuation/test/version_history_test.ts
+++ b/routing/continuation/test/version_history_test.ts
@@ -84,15 +84,17 @@
 });
 
 describe('createStreamOrigins', () => {
-  it('keeps the version that wrote the first event, for the lifetime of a stream', () => {
+  it('keeps what wrote the first event, for the lifetime of a stream', () => {
     const beganAtMs = 1;
     const origins = createStreamOrigins();
-    origins.record('r', undefined, beganAtMs);
-    origins.record('r', 'v1', beganAtMs);
-    origins.record('r', 'v2', beganAtMs + 5);
-    expect(origins.versionOf('r', beganAtMs + 10)).toEqual('v1');
-    expect(origins.versionOf('s', beganAtMs + 10)).toEqual(undefined);
+    const origin = {service: 'pool', softwareVersion: 'v1'};
+    const other = {service: 'other', softwareVersion: 'v2'};
+    origins.record('r', {...other, softwareVersion: undefined}, beganAtMs);
+    origins.record('r', origin, beganAtMs);
+    origins.record('r', other, beganAtMs + 5);
+    expect(origins.originOf('r', beganAtMs + 10)).toEqual(origin);
+    expect(origins.originOf('s', beganAtMs + 10)).toEqual(undefined);
     const lateMs = beganAtMs + STREAM_LIFETIME_MS + 1;
-    expect(origins.versionOf('r', lateMs)).toEqual(undefined);
+    expect(origins.originOf('r', lateMs)).toEqual(undefined);
   });
 });
--- a/routing/route_table/src/match_route.ts
+++ b/routing/route_table/src/match_route.ts
@@ -77,6 +77,13 @@
   return first.service;
 }
 
+/** Returns the services to which a route sends requests, each once. */
+export function listReachableServices({targets}: Route): string[] {
+  const weighted = targets.filter(({weight}) => weight > 0);
+  const reachable = weighted.length > 0 ? weighted : targets.slice(0, 1);
+  return [...new Set(reachable.map(({service}) => service))];
+}
+
 function computeShortestGaps({routes}: RouteTable): Map<string, number> {
   const gaps = new Map<string, number>();
   for (const {targets, targetGapMs} of routes) {
