--- a/development/hosting_stand_ins/src/upstream_stand_in.ts
+++ b/development/hosting_stand_ins/src/upstream_stand_in.ts
@@ -127,6 +127,8 @@
 export interface UpstreamStandIn {
   id: string;
   readonly address: string;
+  /** Service that it registers for. */
+  service: string;
   /** Version of its software, which it writes into the events of streams. */
   softwareVersion: string;
   /** Times by performance.now() at which it started and was told to leave; Infinity while it stays. */
@@ -210,6 +212,7 @@
   const upstream: UpstreamStandIn = {
     id,
     address: `127.0.0.1:${port}`,
+    service: 'pool',
     softwareVersion: 'v1',
     startedAtMs: performance.now(),
     leftAtMs: Infinity,
--- a/testing/hosting/src/gateway_cluster.ts
+++ b/testing/hosting/src/gateway_cluster.ts
@@ -120,15 +120,16 @@
     upstreams,
     async addUpstream(id, service = 'pool', softwareVersion = 'v1') {
       const upstream = await startUpstreamStandIn(id);
+      upstream.service = service;
       upstream.softwareVersion = softwareVersion;
       upstreams.push(upstream);
       closeCallbacks.push(() => upstream.close());
-      cluster.register(upstream, {service});
+      cluster.register(upstream);
       return upstream;
     },
     register(upstream, fields = {}) {
       store.putJson('servers', upstream.id, {
-        service: 'pool',
+        service: upstream.service,
         address: upstream.address,
         zone: 'a',
         version: upstream.softwareVersion,
--- a/testing/soak/src/faults.ts
+++ b/testing/soak/src/faults.ts
@@ -6,6 +6,7 @@
 import type {GatewayProcess} from './gateway_process.js';
 import {disturb, pickRandom, RESTART_MS, type Fault} from './soak_context.js';
 import {STOP_FAULTS} from './stop_faults.js';
+import {versionNameOf} from './split_route.js';
 import type {ProxyMode} from './tcp_proxy.js';
 import {
   createUsualBehaviour,
@@ -95,10 +96,10 @@
     if (!old) return 'no upstream runs';
     // Some rolls go on, others begin with another version beside the last ones.
     if (random() < 0.4) soak.newestVersion++;
-    const version = `v${soak.newestVersion}`;
+    const version = versionNameOf(old.service, soak.newestVersion);
     const id = `u${cluster.upstreams.length + 1}`;
     void cluster
-      .addUpstream(id, 'pool', version)
+      .addUpstream(id, old.service, version)
       .then(next => prepareUpstream(cluster, next, upstreamRandom));
     old.leftAtMs = performance.now();
     cluster.register(old, {state: 'draining'});
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -30,6 +30,7 @@
   type SoakOptions,
 } from './soak_context.js';
 import {STOP_FAULTS} from './stop_faults.js';
+import {splitResumableRoute} from './split_route.js';
 import {startTcpProxy, type TcpProxy} from './tcp_proxy.js';
 import {prepareUpstream} from './usual_upstream.js';
 
@@ -88,6 +89,7 @@
     config.tenants[0].api_keys = [...keys];
     config.limits.max_body_bytes = MAX_BODY_BYTES;
   });
+  await splitResumableRoute(cluster);
   for (const upstream of cluster.upstreams) {
     prepareUpstream(cluster, upstream, upstreamRandom);
   }
--- a/testing/soak/src/usual_upstream.ts
+++ b/testing/soak/src/usual_upstream.ts
@@ -43,7 +43,7 @@
     setTimeout(() => {
       const id = `u${cluster.upstreams.length + 1}`;
       void cluster
-        .addUpstream(id, 'pool', upstream.softwareVersion)
+        .addUpstream(id, upstream.service, upstream.softwareVersion)
         .then(next => prepareUpstream(cluster, next, random));
     }, UPSTREAM_RESTART_MS);
   };
