feat(gateway): the line of a resumed stream has the age of what decided it

stream_continued states the time since the first event was recorded, also by the gateway that answered, or since the store was asked. A first event states the service and then the version, which is absent if it is unknown, instead of an empty text. The first complete answer of a gateway counts, also beside one of an older build that names no service.

--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -188,7 +188,7 @@
      */
     configAgeMs?: number;
   };
-  /** The software version at which the stream that a caller resumes goes on is known. */
+  /** It is known at which service and software version the stream that a caller resumes goes on. */
   stream_continued: {
     requestId: string;
     /** Request that brought the first event of the stream; absent if the caller names none. */
@@ -197,6 +197,8 @@
     softwareVersion: string;
     /** How it is known: `memory`, `gateway` or `servedVersions`. */
     source: string;
+    /** Time since its first event was recorded, or since the store was asked. */
+    ageMs?: number;
   };
   attempt_started: {
     requestId: string;
--- a/daemons/gateway/src/calls/prepare_continuation.ts
+++ b/daemons/gateway/src/calls/prepare_continuation.ts
@@ -13,7 +13,8 @@
 
 /**
  * Finds the service and the software version at which a stream that the caller resumes has
- * to go on, in place of the service that was chosen for a new request. Returns whether the call may be placed; otherwise it has been answered.
+ * to go on; the service replaces the one that a new request would get. Returns whether the
+ * call may be placed; otherwise it has been answered.
  */
 export async function prepareContinuation(
   context: GatewayContext,
@@ -60,7 +61,7 @@
 function recordContinuation(
   {metrics, logger}: GatewayContext,
   call: Call,
-  {service, softwareVersion, source}: FoundOrigin,
+  {service, softwareVersion, source, ageMs}: FoundOrigin,
 ): void {
   call.service = service;
   call.streamVersion = softwareVersion;
@@ -73,6 +74,7 @@
     service,
     softwareVersion,
     source,
+    ageMs: ageMs && Math.round(ageMs),
   });
 }
 
--- a/daemons/gateway/src/shared/fleet_reporter.ts
+++ b/daemons/gateway/src/shared/fleet_reporter.ts
@@ -1,4 +1,4 @@
-import type {StreamOrigin, StreamOrigins} from '@sardinestile/continuation';
+import type {BegunStream, StreamOrigins} from '@sardinestile/continuation';
 import type {UpstreamFleet, PlacedRequest} from '@sardinestile/fleet';
 import type {LedgerLink, LedgerUpdate} from '@sardinestile/ledger';
 import type {EvidenceItem} from '@sardinestile/quarantine';
@@ -19,7 +19,6 @@
 /** Records the progress of requests in the fleet models of this gateway and its peers. */
 export interface FleetReporter {
   recordPlacement(request: PlacedRequest, nowMs: number): void;
-  /** The software version of `origin` is absent if it is unknown. */
   recordFirstEvent(
     upstreamId: string,
     requestId: string,
@@ -51,9 +50,6 @@
   ): void;
 }
 
-/** What began a stream; the version is absent if it is unknown. */
-type BegunStream = Pick<StreamOrigin, 'service'> & Partial<StreamOrigin>;
-
 /** Options for `createFleetReporter`. */
 export interface FleetReporterOptions {
   instance: string;
@@ -92,26 +88,24 @@
     const record = fleet.membership.get(upstreamId);
     return record !== undefined && fleet.isSharedByGroups(record.service);
   };
+  /** Returns what began a stream by this gateway's own list, for peers that do not state it. */
+  const listedOrigin = (upstreamId: string): BegunStream | undefined => {
+    const record = fleet.membership.get(upstreamId);
+    if (!record) return undefined;
+    const softwareVersion = fleet.coldUpstreams.versionOf(record);
+    return {service: record.service, softwareVersion};
+  };
   const handlers: PeerUpdateHandlers = {
     placed: (peer, event, isFromOtherGroup) =>
       fleet.recordPlacement(peer, event, clock.monotonicMs(), isFromOtherGroup),
-    firstEvent(_peer, {upstreamId, requestId, softwareVersion, service}) {
+    firstEvent(_peer, {upstreamId, requestId, service, softwareVersion}) {
       const nowMs = clock.monotonicMs();
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
-      // Peers of an older build state neither, so that they are looked up in the list.
-      const record = fleet.membership.get(upstreamId);
-      const beganService = service ?? record?.service;
-      if (beganService === undefined) return;
-      const beganVersion =
-        softwareVersion ?? (record && fleet.coldUpstreams.versionOf(record));
-      options.streamOrigins().record(
-        requestId,
-        {
-          service: beganService,
-          softwareVersion: beganVersion || undefined,
-        },
-        nowMs,
-      );
+      const origin =
+        service === undefined
+          ? listedOrigin(upstreamId)
+          : {service, softwareVersion};
+      if (origin) options.streamOrigins().record(requestId, origin, nowMs);
     },
     leaving: (_peer, {upstreamId, startedAtWallMs}) =>
       void fleet.membership.markLeaving({id: upstreamId, startedAtWallMs}),
@@ -152,12 +146,7 @@
       if (isForAllGroups) toldToAll.add(requestKey(upstreamId, requestId));
       link.send(event, true, isForAllGroups);
     },
-    recordFirstEvent(
-      upstreamId,
-      requestId,
-      {service, softwareVersion = ''},
-      nowMs,
-    ) {
+    recordFirstEvent(upstreamId, requestId, origin, nowMs) {
       fleet.recordFirstEvent(upstreamId, requestId, nowMs);
       const record = fleet.membership.get(upstreamId);
       // Peers of an older build would record the version in the registration, which may
@@ -165,13 +154,7 @@
       if (record && fleet.coldUpstreams.isInDoubt(record)) return;
       const isForAllGroups = toldToAll.has(requestKey(upstreamId, requestId));
       link.send(
-        {
-          kind: 'firstEvent',
-          requestId,
-          upstreamId,
-          softwareVersion,
-          service,
-        },
+        {kind: 'firstEvent', requestId, upstreamId, ...origin},
         false,
         isForAllGroups,
       );
--- a/daemons/gateway/src/shared/stream_continuations.ts
+++ b/daemons/gateway/src/shared/stream_continuations.ts
@@ -55,6 +55,11 @@
 /** Service and software version at which a stream has to go on. */
 export interface FoundOrigin extends StreamOrigin {
   source: OriginSource;
+  /**
+   * Time since the first event was recorded, or since the store was asked, in milliseconds;
+   * absent if a gateway of an older build remembers the stream.
+   */
+  ageMs?: number;
 }
 
 /** Knowledge of the services and software versions at which streams have to go on. */
@@ -89,17 +94,18 @@
     requestId: string,
     services: readonly string[],
   ): Promise<FoundOrigin | undefined> => {
-    const answers = chooseGateways().map(({address: {host, port}}) =>
-      options.fetchStreamVersion(`${host}:${port}`, requestId),
+    const answers = chooseGateways().map(async ({address: {host, port}}) =>
+      nameService(
+        await options.fetchStreamVersion(`${host}:${port}`, requestId),
+        services,
+      ),
     );
     try {
-      const {softwareVersion, service} = await Promise.any(answers);
-      const origin = nameService({softwareVersion, service}, services);
-      return origin && {...origin, source: 'gateway'};
+      return {...(await Promise.any(answers)), source: 'gateway'};
     } catch (error) {
       // Gateways that are lost, or know no more than this one, are the usual case.
       const {errors} = error as AggregateError;
-      const operation = 'ask for the software version of a stream';
+      const operation = 'ask what began a stream';
       const reason = errors.map(String).join('; ') || 'no other gateway';
       logger.info('peer_failed', {operation, reason});
       return undefined;
@@ -111,10 +117,11 @@
     // The only version of one service says nothing about a stream that another one began.
     if (services.length !== 1) return undefined;
     const [service] = services;
+    const askedAtMs = clock.monotonicMs();
     const softwareVersion = await servedVersions.onlyVersion(service);
-    return softwareVersion === undefined
-      ? undefined
-      : {service, softwareVersion, source: 'servedVersions'};
+    if (softwareVersion === undefined) return undefined;
+    const ageMs = clock.monotonicMs() - askedAtMs;
+    return {service, softwareVersion, ageMs, source: 'servedVersions'};
   };
   return {
     origins,
@@ -132,15 +139,17 @@
   };
 }
 
-/** Adds the service to the answer of a gateway whose build states none, if only one can be meant. */
+/**
+ * Adds the service to the answer of a gateway whose build does not state it; throws if more
+ * than one can be meant.
+ */
 function nameService(
-  {softwareVersion, service}: StreamVersion,
+  {service, ...version}: StreamVersion,
   services: readonly string[],
-): StreamOrigin | undefined {
-  if (service !== undefined) return {service, softwareVersion};
-  return services.length === 1
-    ? {service: services[0], softwareVersion}
-    : undefined;
+) {
+  if (service !== undefined) return {service, ...version};
+  if (services.length === 1) return {service: services[0], ...version};
+  throw new Error('the answer names no service');
 }
 
 /** Resolves to the first result that is not undefined, or to undefined if all are. */
--- a/protocol/ledger/src/ledger_update.ts
+++ b/protocol/ledger/src/ledger_update.ts
@@ -26,13 +26,10 @@
   kind: z.literal('firstEvent'),
   requestId: z.string(),
   upstreamId: z.string(),
-  /**
-   * Software version that began the stream, as the sender knows it; empty if it is
-   * unknown. Absent from gateways whose build does not state it.
-   */
-  softwareVersion: z.string().optional(),
-  /** Service of the upstream; absent from gateways whose build does not state it. */
+  /** Service that began the stream; absent from gateways whose build does not state it. */
   service: z.string().optional(),
+  /** Software version that began the stream, stated with the service; absent if it is unknown. */
+  softwareVersion: z.string().optional(),
 });
 
 /** A request ended at an upstream. */
--- a/protocol/ledger/src/update_rows.ts
+++ b/protocol/ledger/src/update_rows.ts
@@ -38,16 +38,16 @@
   },
   firstEvent: {
     code: 'f',
-    encode: ({requestId, upstreamId, softwareVersion, service}) => [
+    encode: ({requestId, upstreamId, service, softwareVersion}) => [
       requestId,
       upstreamId,
-      ...[softwareVersion, service].filter(value => value !== undefined),
+      ...[service, softwareVersion].filter(value => value !== undefined),
     ],
-    decode: ([requestId, upstreamId, softwareVersion, service]) => ({
+    decode: ([requestId, upstreamId, service, softwareVersion]) => ({
       requestId,
       upstreamId,
-      ...(softwareVersion !== undefined && {softwareVersion}),
       ...(service !== undefined && {service}),
+      ...(softwareVersion !== undefined && {softwareVersion}),
     }),
   },
   ended: {
--- a/protocol/ledger/test/ledger_codec_test.ts
+++ b/protocol/ledger/test/ledger_codec_test.ts
@@ -62,9 +62,10 @@
     kind: 'firstEvent',
     requestId: 'r',
     upstreamId: 'u',
-    softwareVersion: 'v1',
     service: 's',
+    softwareVersion: 'v1',
   },
+  {kind: 'firstEvent', requestId: 'r', upstreamId: 'u', service: 's'},
 ];
 
 const messageWith = (...updates: LedgerUpdate[]): LedgerMessage => ({
--- a/protocol/peer/src/peer_messages.ts
+++ b/protocol/peer/src/peer_messages.ts
@@ -104,6 +104,8 @@
   softwareVersion: z.string(),
   /** Absent if the gateway's build does not state it. */
   service: z.string().optional(),
+  /** Time since the gateway recorded it; absent if its build does not state it. */
+  ageMs: z.number().nonnegative().optional(),
 });
 
 /** Service and software version at which a stream has to go on, as a gateway remembers them. */
