--- a/daemons/gateway/src/shared/stream_continuations.ts
+++ b/daemons/gateway/src/shared/stream_continuations.ts
@@ -161,7 +161,7 @@
     if (value === undefined) throw new Error('the result is not known');
     return value;
   });
-  // Each source has logged why it does not know.
+  // All are rejected if no result is known; the sources log their own failures.
   return Promise.any(known).catch(() => undefined);
 }
 
