--- a/testing/hosting/test/split_streams_test.ts
+++ b/testing/hosting/test/split_streams_test.ts
@@ -1,4 +1,5 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {itOrKnownRed} from '@sardinestile/known_red';
 import {expect} from 'earl';
 import {
   createGatewayCluster,
@@ -161,6 +162,23 @@
     }
   });
 
+  itOrKnownRed(
+    'goes on at the service that began it after all gateways were lost',
+    async () => {
+      const begun = await loseGateway(await cluster.startGateway());
+      const successor = await cluster.startGateway();
+      for (const stream of begun) {
+        const rest = await takeUp(successor, stream);
+        expect(rest.status).toEqual(200);
+        expect([...eventIds(stream.broken), ...eventIds(rest)]).toEqual(
+          numbersBelow(EVENTS),
+        );
+        expect(versionsOf(stream.broken, rest).size).toEqual(1);
+        expect(serviceOf(`${stream.id}-again`)).toEqual(serviceOf(stream.id));
+      }
+    },
+  );
+
   for (const [change, weights] of Object.entries(LOST_SHARES)) {
     it(`is refused as not run when its service ${change}`, async () => {
       const [first, second] = await startConnectedGateways(cluster, 2);
