--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -1,7 +1,12 @@
 import type {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {canWait} from './can_wait.js';
-import type {ConnectionEnd, ConnectionEndReason} from './connection_end.js';
+import type {
+  ConnectionEnd,
+  ConnectionEndReason,
+  PeerEnd,
+} from './connection_end.js';
+import {wasBrokenOff} from './fail_request.js';
 import {bodyBytes, messageBytes} from './message_size.js';
 import {skipInput, stopParsing} from './stop_parsing.js';
 
@@ -99,6 +104,7 @@
   let isOverrun = false;
   let isExpired = false;
   let reason: ConnectionEndReason | undefined;
+  let peerEnd: PeerEnd | undefined;
   let isDrainLimitPassed = false;
   let unsentBytes = 0;
   let bytesReadAtLastUse = 0;
@@ -211,8 +217,12 @@
   };
   const findReason = () => {
     if (reason === 'answered' && isOverrun) return 'overrun';
-    return reason ?? (isDrainLimitPassed ? 'drainLimit' : 'other');
+    if (reason !== undefined) return reason;
+    if (isDrainLimitPassed) return 'drainLimit';
+    return [...responses.keys()].some(wasBrokenOff) ? 'brokenOff' : 'other';
   };
+  socket.once('end', () => (peerEnd ??= 'closed'));
+  socket.once('error', () => (peerEnd = 'reset'));
   // node:http calls this after a response that announced the end. Its own way closes the
   // connection at once, and bytes that the peer still sends would then reset it before
   // the peer has read its response.
@@ -301,10 +311,14 @@
       socket.destroy();
     },
     close() {
+      const openRequests = [...responses.keys()].map(({req}) => req);
       const held: ConnectionEnd = {
         reason: findReason(),
         peer,
-        openRequests: [...responses.keys()].map(({req}) => req),
+        peerEnd,
+        openRequests,
+        incompleteRequests: openRequests.filter(({complete}) => !complete)
+          .length,
         isResponseCut: [...responses.keys()].some(r => r.headersSent),
         unsentBytes,
         partialRequestBytes: partialRequestBytes(),
--- a/core/connections/src/connection_end.ts
+++ b/core/connections/src/connection_end.ts
@@ -12,16 +12,25 @@
   | 'overrun'
   /** Too much input waited in the process to be parsed, and it held most of it. */
   | 'shed'
+  /** A response that had begun was broken off. */
+  | 'brokenOff'
   /** The peer closed or reset it, or a time limit of the server passed. */
   | 'other';
 
+/** How the peer ended its side of a connection. */
+export type PeerEnd = 'closed' | 'reset';
+
 /** What a connection held when it ended. */
 export interface ConnectionEnd {
   reason: ConnectionEndReason;
   /** Address of the peer, as host:port. */
   peer: string;
+  /** How the peer ended it; absent if the server ended it first. */
+  peerEnd?: PeerEnd;
   /** Requests that were taken and whose responses were not sent whole. */
   openRequests: readonly IncomingMessage[];
+  /** Number of these requests that had not arrived whole. */
+  incompleteRequests: number;
   /** Whether a response had begun and was not sent whole. */
   isResponseCut: boolean;
   /** Bytes of responses that the operating system had not taken. */
--- a/core/connections/src/fail_request.ts
+++ b/core/connections/src/fail_request.ts
@@ -18,11 +18,19 @@
   request.resume();
 }
 
+const brokenOffResponses = new WeakSet<ServerResponse>();
+
+/** Whether a response was ended by `breakOff`. */
+export function wasBrokenOff(response: ServerResponse): boolean {
+  return brokenOffResponses.has(response);
+}
+
 /**
  * Ends a response early so that it cannot look complete. One that is delimited by
  * the close of its connection needs a reset; others lack their last bytes.
  */
 export function breakOff(response: ServerResponse): void {
+  brokenOffResponses.add(response);
   if (response.useChunkedEncodingByDefault) response.destroy();
   else response.socket?.resetAndDestroy();
 }
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -72,7 +72,19 @@
     /** Longest time for which the signal may have waited until the process noticed it. */
     signalDelayMs?: number;
   };
-  process_stopped: {instance: string};
+  /** Beside the name what became of the requests of callers since the process started. */
+  process_stopped: {
+    instance: string;
+    connections?: number;
+    requests?: number;
+    unanswerable?: number;
+    /** Requests whose connection the caller ended before the end of the response. */
+    abandoned?: number;
+    /** Requests whose connection the process ended before the end of the response. */
+    unanswered?: number;
+    /** The same by reason, as `reason:count`, by commas. */
+    unansweredBy?: string;
+  };
   /** The last line of a process, whatever ended it, except signals that it cannot handle. */
   process_ended: ProcessMemoryFields & {
     cause: string;
@@ -99,15 +111,22 @@
   process_memory_usual: ProcessMemoryFields & MemoryLimitFields;
   /** `sinceStartMs` is the time since the process started. */
   signal_received: {signal: string; sinceStartMs: number; effect: string};
-  /** A connection of a caller ended after the process was told to stop. */
+  /**
+   * A connection of a caller ended after the process was told to stop, or the process ended it
+   * while a request was open.
+   */
   caller_connection_ended: {
     /** Address of the caller, as host:port. */
     caller: string;
     reason: string;
-    /** Time since the process was told to stop. */
-    sinceStopMs: number;
+    /** `closed` or `reset` if the caller ended it. */
+    peerEnd?: string;
+    /** Time since the process was told to stop; absent before that. */
+    sinceStopMs?: number;
     /** Requests that were read and whose responses were not sent whole. */
     openRequests: number;
+    /** Number of these requests that had not arrived whole. */
+    incompleteRequests: number;
     /** Ids of these requests. */
     requestIds?: string;
     /** Whether a response had begun and was not sent whole. */
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -17,6 +17,7 @@
 import type {Logger} from '@sardinestile/logger';
 import type {MetricsRegistry} from '@sardinestile/metrics';
 import type {CallerLimits} from '@sardinestile/route_table';
+import {createCallerTotals, type CallerTotals} from './caller_totals.js';
 import {breakOff} from './response_framing.js';
 
 /** Time limit for receiving a complete request, in milliseconds. */
@@ -83,6 +84,8 @@
   open(addresses: AddressOpener): Promise<void>;
   applyLimits(limits: CallerLimits): void;
   readonly openRequests: number;
+  /** Returns what became of all requests so far. */
+  totals(): CallerTotals;
   /** Whether new requests must be refused, as they could not be finished before the stop. */
   readonly isRefusingRequests: boolean;
   /**
@@ -114,6 +117,7 @@
       : Math.round(performance.now() - drainingSinceMs);
   const isRefusingRequests = () =>
     (sinceStopMs() ?? 0) > ACCEPT_WHILE_DRAINING_MS;
+  const totals = createCallerTotals();
   const server = createServer({
     ...MANAGED_SERVER_OPTIONS,
     maxHeaderSize: options.maxHeaderBytes,
@@ -125,11 +129,21 @@
     handler: options.handler,
     boundary: options.boundary,
     input: 'callerRequest',
-    onEnded: end => options.onConnectionEnded(end, sinceStopMs()),
-    onUnanswerable: request => options.onUnanswerable(request, sinceStopMs()),
-    onTaken: request => heapBudget.openRequest(request),
+    onEnded(end) {
+      totals.recordConnectionEnd(end);
+      options.onConnectionEnded(end, sinceStopMs());
+    },
+    onUnanswerable(request) {
+      totals.recordUnanswerable();
+      options.onUnanswerable(request, sinceStopMs());
+    },
+    onTaken(request) {
+      totals.recordRequest();
+      return heapBudget.openRequest(request);
+    },
     mayWait: () => heapBudget.step() === 'none',
   });
+  server.on('connection', () => totals.recordConnection());
   const stopHeapGuard = startHeapGuard({
     server,
     connections,
@@ -156,6 +170,7 @@
     get openRequests() {
       return connections.openResponses().length;
     },
+    totals: () => totals.totals(),
     get isRefusingRequests() {
       return isRefusingRequests();
     },
--- a/daemons/gateway/src/calls/record_connection_end.ts
+++ b/daemons/gateway/src/calls/record_connection_end.ts
@@ -2,8 +2,9 @@
 import type {GatewayContext} from '../gateway_context.js';
 
 /**
- * Counts the end of a caller's connection, and logs it after the process was told to
- * stop. `sinceStopMs` is the time since then; undefined before it.
+ * Counts the end of a caller's connection. Logs it after the process was told to stop, and
+ * whenever this process ended it while a request was open. `sinceStopMs` is the time since
+ * then; undefined before it.
  */
 export function recordConnectionEnd(
   {
@@ -18,7 +19,8 @@
     reason: end.reason,
     hadOpenRequest: String(openRequests.length > 0),
   });
-  if (sinceStopMs === undefined) return;
+  const isUnanswered = openRequests.length > 0 && end.peerEnd === undefined;
+  if (sinceStopMs === undefined && !isUnanswered) return;
   const requestIds = openRequests.map(
     ({headers}) => headerCodec.readRequest(headers).requestId ?? '',
   );
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -571,7 +571,7 @@
     upstreams.stop();
     sharedUpstreams.close();
     context.connections.close();
-    logger.info('process_stopped', {instance});
+    logger.info('process_stopped', {instance, ...listener.totals()});
   };
   try {
     await peerServer.open(addresses);
