--- a/testing/hosting/test/unanswered_requests_test.ts
+++ b/testing/hosting/test/unanswered_requests_test.ts
@@ -39,7 +39,7 @@
     expect((await send('cut').response).isComplete).toEqual(false);
     const parts = ['caller_connection_ended', 'requestIds=cut'];
     await waitUntil('the line', () => findLine(...parts) !== undefined);
-    const line = findLine(...parts);
+    const line = findLine(...parts)!;
     expect(line).toInclude('reason=brokenOff');
     expect(line).toInclude('incompleteRequests=0');
     expect(line).not.toInclude('peerEnd=');
@@ -68,7 +68,7 @@
 
   it('count both at the end of the process', async () => {
     await gateway.handle.close();
-    expect(findLine('process_stopped')).toInclude(
+    expect(findLine('process_stopped')!).toInclude(
       'requests=2 unanswerable=0 abandoned=1 unanswered=1 unansweredBy=brokenOff:1',
     );
   });
