--- a/core/connections/src/drain_server.ts
+++ b/core/connections/src/drain_server.ts
@@ -1,21 +1,13 @@
 import type {Server} from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {afterPoll} from './after_poll.js';
 import type {ServerConnections} from './server_connections.js';
+import {finishAccepting} from './stop_accepting.js';
 
 /** Interval at which a draining server ends idle connections, in milliseconds. */
 const END_IDLE_INTERVAL_MS = 100;
 
-/**
- * Stops accepting connections. `onClosed` is called when all connections are closed. The
- * method of the HTTP server also destroys connections whose response is not sent yet, and
- * stops checking the timeouts of requests.
- */
-export function stopAccepting(
-  server: Server,
-  onClosed: () => void = () => undefined,
-): void {
-  NetServer.prototype.close.call(server, onClosed);
-}
+/** Longest time for which a draining server accepts connections that wait, in milliseconds. */
+const MAX_ACCEPT_MS = 1_000;
 
 /**
  * Stops accepting connections and ends each one once the responses on it were
@@ -25,20 +17,18 @@
 export function drainServer(
   server: Server,
   connections: ServerConnections,
-  limitMs?: number,
+  limitMs = Infinity,
 ): Promise<void> {
   connections.disableKeepAlive();
   const timer = setInterval(
-    // Immediates run after the event loop has read what has arrived.
-    () => setImmediate(() => connections.endIdle()),
+    () => afterPoll(() => connections.endIdle()),
     END_IDLE_INTERVAL_MS,
   );
-  const limitTimer =
-    limitMs === undefined
-      ? undefined
-      : setTimeout(() => connections.destroyAll(), limitMs);
+  const limitTimer = Number.isFinite(limitMs)
+    ? setTimeout(() => connections.destroyAll(), limitMs)
+    : undefined;
   return new Promise(resolve => {
-    stopAccepting(server, () => {
+    void finishAccepting(server, Math.min(limitMs, MAX_ACCEPT_MS), () => {
       clearInterval(timer);
       clearTimeout(limitTimer);
       resolve();
--- a/core/connections/src/index.ts
+++ b/core/connections/src/index.ts
@@ -1,4 +1,5 @@
 export * from './address_opener.js';
+export * from './after_poll.js';
 export * from './connection_end.js';
 export * from './create_bounded_server.js';
 export * from './drain_server.js';
@@ -10,3 +11,4 @@
 export * from './input_pacer.js';
 export * from './server_connections.js';
 export * from './slice_size.js';
+export * from './stop_accepting.js';
--- /dev/null
+++ b/core/connections/src/stop_accepting.ts
@@ -0,0 +1,61 @@
+import type {Server} from 'node:http';
+import {Server as NetServer, type Socket} from 'node:net';
+import {afterPoll} from './after_poll.js';
+
+/** Connections that were accepted just before their server stopped to accept any. */
+export interface LastConnections {
+  count: number;
+  /** Whether none was left that waits to be accepted, and was reset therefore. */
+  isComplete: boolean;
+}
+
+/**
+ * Stops accepting connections at once, and resets those that wait to be accepted. `onClosed` is
+ * called when all connections are closed. The method of the HTTP server also destroys
+ * connections whose response is not sent yet, and stops checking the timeouts of requests.
+ */
+export function stopAccepting(
+  server: Server,
+  onClosed: () => void = () => undefined,
+): void {
+  NetServer.prototype.close.call(server, onClosed);
+}
+
+/**
+ * Stops accepting connections once those were accepted that the operating system has completed,
+ * whose peers may have sent requests long before; at the latest after the limit, in
+ * milliseconds. Node.js accepts one connection in each iteration of its event loop. Until none
+ * waits, nothing is read from them, as peers that are answered would connect again.
+ */
+export async function finishAccepting(
+  server: Server,
+  limitMs: number,
+  onClosed?: () => void,
+): Promise<LastConnections> {
+  const endMs = performance.now() + limitMs;
+  const held: Socket[] = [];
+  let accepted = 0;
+  const countDropped = () => void accepted++;
+  const hold = (socket: Socket) => {
+    accepted++;
+    socket.pause();
+    held.push(socket);
+  };
+  server.on('connection', hold);
+  server.on('drop', countDropped);
+  await nextPoll();
+  let acceptedBefore: number;
+  do {
+    acceptedBefore = accepted;
+    await nextPoll();
+  } while (accepted > acceptedBefore && performance.now() < endMs);
+  stopAccepting(server, onClosed);
+  server.off('connection', hold);
+  server.off('drop', countDropped);
+  for (const socket of held) socket.resume();
+  return {count: held.length, isComplete: accepted === acceptedBefore};
+}
+
+function nextPoll(): Promise<void> {
+  return new Promise(resolve => afterPoll(() => resolve()));
+}
--- a/core/connections/test/drain_server_test.ts
+++ b/core/connections/test/drain_server_test.ts
@@ -1,8 +1,7 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
-import {afterEach, beforeEach, describe} from 'node:test';
-import {itOrKnownRed} from '@sardinestile/known_red';
+import {afterEach, beforeEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
   drainServer,
@@ -46,21 +45,18 @@
     return received;
   };
 
-  itOrKnownRed(
-    'answers requests on connections that wait to be accepted when it stops accepting',
-    async () => {
-      const calls = Array.from({length: PEERS}, call);
-      await once(peers.at(-1)!, 'connect');
-      const drained = drainServer(server, connections);
-      const received = await Promise.all(calls);
-      await drained;
-      expect(
-        received.filter(text => text.startsWith('HTTP/1.1 200')).length,
-      ).toEqual(PEERS);
-    },
-  );
+  it('answers requests on connections that wait to be accepted when it stops accepting', async () => {
+    const calls = Array.from({length: PEERS}, call);
+    await once(peers.at(-1)!, 'connect');
+    const drained = drainServer(server, connections);
+    const received = await Promise.all(calls);
+    await drained;
+    expect(
+      received.filter(text => text.startsWith('HTTP/1.1 200')).length,
+    ).toEqual(PEERS);
+  });
 
-  itOrKnownRed('refuses connections that come afterwards', async () => {
+  it('refuses connections that come afterwards', async () => {
     const {port} = server.address() as AddressInfo;
     await drainServer(server, connections);
     const peer = connect(port, '127.0.0.1');
--- a/core/logger/src/log_event.ts
+++ b/core/logger/src/log_event.ts
@@ -137,6 +137,16 @@
     partialRequestBytes: number;
     idleMs: number;
   };
+  /** A stopping gateway accepts no more connections of callers. */
+  caller_listener_closed: {
+    sinceStopMs?: number;
+    /** Time for which it went on accepting connections that waited. */
+    acceptMs: number;
+    /** Connections that it accepted meanwhile. */
+    lastConnections: number;
+    /** Whether none was left that waited, and was reset. */
+    isComplete: boolean;
+  };
   /** The request was read when its connection could take no response any more. */
   call_unanswerable: {requestId?: string; sinceStopMs?: number};
   request_finished: RequestFields & {
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -5,8 +5,10 @@
 } from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-  MANAGED_SERVER_OPTIONS,
+  afterPoll,
+  finishAccepting,
   manageConnections,
+  MANAGED_SERVER_OPTIONS,
   startHeapGuard,
   stopAccepting,
   type AddressOpener,
@@ -42,6 +44,13 @@
  */
 const ACCEPT_WHILE_DRAINING_MS = 3_000;
 
+/**
+ * Time before its limit at which a draining listener stops accepting connections, and the part
+ * of it within which it accepts those that wait, in milliseconds. The rest is for refusals.
+ */
+const LAST_CONNECTIONS_MS = 1_500;
+const MAX_LAST_ACCEPT_MS = 1_000;
+
 /** Interval at which a draining listener checks whether it can stop, in milliseconds. */
 const DRAIN_CHECK_INTERVAL_MS = 100;
 
@@ -90,15 +99,12 @@
   readonly isRefusingRequests: boolean;
   /**
    * Closes each connection after its next response while new requests are still served,
-   * later idle connections. Resolves when all responses were delivered and no request has
-   * arrived lately, or when the limit has passed. `signalledAtMs` is the earliest
-   * time by performance.now() at which the signal may have been sent.
+   * later idle connections, and at last accepts no more. Resolves when all responses were
+   * delivered and no request has arrived lately, or when the limit has passed. `signalledAtMs`
+   * is the earliest time by performance.now() at which the signal may have been sent.
    */
   drain(limitMs: number, signalledAtMs: number): Promise<void>;
-  /**
-   * Answers what has arrived and stops accepting connections. Resolves when all responses
-   * were sent, or when the limit has passed.
-   */
+  /** Answers what has arrived. Resolves when all responses were sent, or after the limit. */
   finish(limitMs: number): Promise<void>;
   /** Closes every connection at once. */
   close(): void;
@@ -152,6 +158,20 @@
     metrics,
   });
   server.maxRequestsPerSocket = 0;
+  let listenerClose: Promise<void> | undefined;
+  const closeListener = (limitMs: number) => {
+    listenerClose ??= (async () => {
+      const startMs = performance.now();
+      const {count, isComplete} = await finishAccepting(server, limitMs);
+      logger.info('caller_listener_closed', {
+        sinceStopMs: sinceStopMs(),
+        acceptMs: Math.round(performance.now() - startMs),
+        lastConnections: count,
+        isComplete,
+      });
+    })();
+    return listenerClose;
+  };
   return {
     open: addresses =>
       addresses.listen('callers', server, {
@@ -176,13 +196,13 @@
     },
     async finish(limitMs) {
       const endMs = performance.now() + limitMs;
-      // After a pause of this process, requests have arrived that it has not read.
-      await sleep(SENT_CHECK_MS);
-      stopAccepting(server);
-      await sleep(SENT_CHECK_MS);
+      await Promise.race([closeListener(limitMs), sleep(limitMs)]);
       const isBusy = () =>
         connections.hasWaitingInput || connections.openResponses().length > 0;
-      while (isBusy()) {
+      for (;;) {
+        // After a pause of this process, requests have arrived that it has not read.
+        await new Promise(afterPoll);
+        if (!isBusy()) return;
         if (performance.now() >= endMs) return;
         await sleep(SENT_CHECK_MS);
       }
@@ -199,8 +219,13 @@
       connections.disableKeepAlive();
       return new Promise(resolve => {
         const check = () => {
-          if (isRefusingRequests()) connections.endIdle();
           const nowMs = performance.now();
+          if (isRefusingRequests()) {
+            connections.endIdle();
+            if (nowMs >= drainEndAtMs - LAST_CONNECTIONS_MS) {
+              void closeListener(MAX_LAST_ACCEPT_MS);
+            }
+          }
           const isQuiet =
             isRefusingRequests() &&
             connections.isSettled &&
@@ -210,9 +235,8 @@
           clearInterval(timer);
           resolve();
         };
-        // Immediates run after the event loop has read what has arrived.
         const timer = setInterval(
-          () => setImmediate(check),
+          () => afterPoll(check),
           DRAIN_CHECK_INTERVAL_MS,
         );
       });
--- a/testing/soak/test/saturated_stop_test.ts
+++ b/testing/soak/test/saturated_stop_test.ts
@@ -1,4 +1,4 @@
-import {after, before, describe} from 'node:test';
+import {after, before, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   createKeyedHeaders,
@@ -7,7 +7,6 @@
   ROUTE_PATHS,
   startLoopPolls,
 } from '@sardinestile/hosting_tests';
-import {itOrKnownRed} from '@sardinestile/known_red';
 import {expect} from 'earl';
 import {
   createSingleGateway,
@@ -43,42 +42,38 @@
     await single.close();
   });
 
-  itOrKnownRed(
-    'resets no connection whose request waited for longer than 200 ms',
-    async () => {
-      single.start({NODE_OPTIONS: `--import=${BUSY_LOOP_URL}`});
-      await single.waitUntilReady();
-      const lost: string[] = [];
-      let calls = 0;
-      let hasExited = false;
-      const runCaller = async () => {
-        while (!hasExited) {
-          const id = `saturated-${calls++}`;
-          const connection = openKeptConnection(single.process.address, {
-            loopPolls,
-          });
-          const {isComplete} = await connection.send({
-            path: ROUTE_PATHS.idempotent,
-            headers: createKeyedHeaders(id),
-          });
-          const {sentWholeAtMs = Infinity, openUntilMs = -Infinity} =
-            connection;
-          const waitedMs = openUntilMs - sentWholeAtMs;
-          if (!isComplete && waitedMs > LOSS_SLACK_MS) {
-            lost.push(`${id} after ${Math.round(waitedMs)} ms`);
-          }
-          connection.close();
-          await sleep(PAUSE_MS);
+  it('resets no connection whose request waited for longer than 200 ms', async () => {
+    single.start({NODE_OPTIONS: `--import=${BUSY_LOOP_URL}`});
+    await single.waitUntilReady();
+    const lost: string[] = [];
+    let calls = 0;
+    let hasExited = false;
+    const runCaller = async () => {
+      while (!hasExited) {
+        const id = `saturated-${calls++}`;
+        const connection = openKeptConnection(single.process.address, {
+          loopPolls,
+        });
+        const {isComplete} = await connection.send({
+          path: ROUTE_PATHS.idempotent,
+          headers: createKeyedHeaders(id),
+        });
+        const {sentWholeAtMs = Infinity, openUntilMs = -Infinity} = connection;
+        const waitedMs = openUntilMs - sentWholeAtMs;
+        if (!isComplete && waitedMs > LOSS_SLACK_MS) {
+          lost.push(`${id} after ${Math.round(waitedMs)} ms`);
         }
-      };
-      const callers = numbersBelow(CALLERS).map(runCaller);
-      await sleep(LEAD_MS);
-      single.process.signal('SIGTERM');
-      await single.waitForExit();
-      hasExited = true;
-      await Promise.all(callers);
-      expect(calls > 10 * CALLERS).toEqual(true);
-      expect(lost).toEqual([]);
-    },
-  );
+        connection.close();
+        await sleep(PAUSE_MS);
+      }
+    };
+    const callers = numbersBelow(CALLERS).map(runCaller);
+    await sleep(LEAD_MS);
+    single.process.signal('SIGTERM');
+    await single.waitForExit();
+    hasExited = true;
+    await Promise.all(callers);
+    expect(calls > 10 * CALLERS).toEqual(true);
+    expect(lost).toEqual([]);
+  });
 });
