--- a/core/connections/src/drain_server.ts
+++ b/core/connections/src/drain_server.ts
@@ -1,5 +1,5 @@
 import type {Server} from 'node:http';
-import {afterPoll} from './after_poll.js';
+import {afterPoll, MAX_UNREAD_MS} from './after_poll.js';
 import type {ServerConnections} from './server_connections.js';
 import {finishAccepting} from './stop_accepting.js';
 
@@ -21,7 +21,10 @@
 ): Promise<void> {
   connections.disableKeepAlive();
   const timer = setInterval(
-    () => afterPoll(() => connections.endIdle()),
+    () =>
+      afterPoll(unreadMs => {
+        if (unreadMs <= MAX_UNREAD_MS) connections.endIdle();
+      }),
     END_IDLE_INTERVAL_MS,
   );
   const limitTimer = Number.isFinite(limitMs)
--- a/core/connections/test/drain_server_test.ts
+++ b/core/connections/test/drain_server_test.ts
@@ -1,7 +1,13 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
-import {connect, type AddressInfo, type Socket} from 'node:net';
+import {
+  connect,
+  createServer as createTcpServer,
+  type AddressInfo,
+  type Socket,
+} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
   drainServer,
@@ -13,6 +19,39 @@
 /** Peers that connect at once; Node.js accepts one connection in each iteration of its event loop. */
 const PEERS = 50;
 
+/** Time after which a connection without a request counts as idle, in milliseconds. */
+const IDLE_MS = 600;
+
+/** Time for which each poll is occupied, in milliseconds. */
+const BUSY_MS = 300;
+
+/** Two connected sockets that occupy each poll of the event loop until they are closed. */
+async function openBusyPeers() {
+  const tcpServer = createTcpServer();
+  tcpServer.listen(0, '127.0.0.1');
+  await once(tcpServer, 'listening');
+  const first = connect((tcpServer.address() as AddressInfo).port);
+  const [second] = (await once(tcpServer, 'connection')) as [Socket];
+  const busy = {
+    /** Called once in each poll, with the number of polls before it. */
+    onPoll: (_poll: number): void => undefined,
+    close() {
+      first.destroy();
+      second.destroy();
+      tcpServer.close();
+    },
+  };
+  let polls = 0;
+  second.on('data', () => {
+    busy.onPoll(polls++);
+    const endMs = performance.now() + BUSY_MS;
+    while (performance.now() < endMs);
+    first.write('a');
+  });
+  first.write('a');
+  return busy;
+}
+
 describe('drainServer', () => {
   let server: Server;
   let connections: ServerConnections;
@@ -56,6 +95,27 @@
     ).toEqual(PEERS);
   });
 
+  it('does not end a connection as idle whose request lies unread, as the event loop is late', async () => {
+    const {port} = server.address() as AddressInfo;
+    const peer = connect(port, '127.0.0.1');
+    peers.push(peer);
+    let received = '';
+    peer.on('data', (bytes: Buffer) => (received += bytes.toString('latin1')));
+    await once(peer, 'connect');
+    await sleep(IDLE_MS);
+    const busy = await openBusyPeers();
+    const drained = drainServer(server, connections);
+    busy.onPoll = poll => {
+      // By then each iteration of the event loop looks for idle connections.
+      if (poll === 3) peer.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    };
+    await once(peer, 'end');
+    busy.close();
+    peer.end();
+    await drained;
+    expect(received).toInclude('HTTP/1.1 200');
+  });
+
   it('refuses connections that come afterwards', async () => {
     const {port} = server.address() as AddressInfo;
     await drainServer(server, connections);
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -9,6 +9,7 @@
   finishAccepting,
   manageConnections,
   MANAGED_SERVER_OPTIONS,
+  MAX_UNREAD_MS,
   startHeapGuard,
   stopAccepting,
   type AddressOpener,
@@ -201,8 +202,8 @@
         connections.hasWaitingInput || connections.openResponses().length > 0;
       for (;;) {
         // After a pause of this process, requests have arrived that it has not read.
-        await new Promise(afterPoll);
-        if (!isBusy()) return;
+        const unreadMs = await new Promise<number>(afterPoll);
+        if (!isBusy() && unreadMs <= MAX_UNREAD_MS) return;
         if (performance.now() >= endMs) return;
         await sleep(SENT_CHECK_MS);
       }
@@ -218,10 +219,10 @@
       const drainEndAtMs = signalledAtMs + limitMs;
       connections.disableKeepAlive();
       return new Promise(resolve => {
-        const check = () => {
+        const check = (unreadMs: number) => {
           const nowMs = performance.now();
           if (isRefusingRequests()) {
-            connections.endIdle();
+            if (unreadMs <= MAX_UNREAD_MS) connections.endIdle();
             if (nowMs >= drainEndAtMs - LAST_CONNECTIONS_MS) {
               void closeListener(MAX_LAST_ACCEPT_MS);
             }
