--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -30,7 +30,8 @@
   type SoakOptions,
 } from './soak_context.js';
 import {STOP_FAULTS} from './stop_faults.js';
-import {splitResumableRoute} from './split_route.js';
+import {SPLIT_FAULTS, splitResumableRoute} from './split_route.js';
+import {CROWD_FAULTS} from './stop_crowds.js';
 import {startTcpProxy, type TcpProxy} from './tcp_proxy.js';
 import {prepareUpstream} from './usual_upstream.js';
 
@@ -43,6 +44,8 @@
   {faults: STOP_FAULTS, minDelayMs: 1_000, maxDelayMs: 4_000},
   {faults: HOSTILE_FAULTS, minDelayMs: 300, maxDelayMs: 2_000},
   {faults: LARGE_FAULTS, minDelayMs: 2_000, maxDelayMs: 6_000},
+  {faults: SPLIT_FAULTS, minDelayMs: 2_000, maxDelayMs: 8_000},
+  {faults: CROWD_FAULTS, minDelayMs: 4_000, maxDelayMs: 8_000},
 ];
 
 /**
--- a/testing/soak/src/send_calls.ts
+++ b/testing/soak/src/send_calls.ts
@@ -8,6 +8,10 @@
   type SoakOptions,
 } from './soak_context.js';
 
+/** Share of the broken streams that are taken up late, when lost gateways are in contact again, and that delay. */
+const LATE_RESUME_SHARE = 0.5;
+const LATE_RESUME_MS = 4_700;
+
 /** Share of the calls that have a harmful part or body while callers send one. */
 const HARMFUL_SHARE = 0.2;
 
@@ -31,6 +35,7 @@
       sendSingleCall(soak, call, gateway.address).then(async () => {
         const next = createResume(call, other.name);
         if (!next) return;
+        if (random() < LATE_RESUME_SHARE) await delay(LATE_RESUME_MS);
         calls.push(next);
         await sendSingleCall(soak, next, other.address);
       }),
--- a/testing/soak/src/split_route.ts
+++ b/testing/soak/src/split_route.ts
@@ -1,4 +1,5 @@
 import type {GatewayCluster} from '@sardinestile/hosting_tests';
+import {pickRandom, type Fault} from './soak_context.js';
 
 /** Service that gets a part of the resumable streams. */
 const SPLIT_SERVICE = 'pool-b';
@@ -24,9 +25,35 @@
     config.services.push({...usual, name: SPLIT_SERVICE});
     const route = config.routes.find(({name}) => name === 'resumable')!;
     delete route.service;
+  });
+  setWeights(cluster, [2, 1]);
+}
+
+function setWeights(
+  cluster: GatewayCluster,
+  [usual, other]: readonly [usual: number, other: number],
+): void {
+  cluster.configure(config => {
+    const route = config.routes.find(({name}) => name === 'resumable')!;
     route.traffic_split = [
-      {service: usual.name, weight: 2},
-      {service: SPLIT_SERVICE, weight: 1},
+      {service: config.services[0].name, weight: usual},
+      {service: SPLIT_SERVICE, weight: other},
     ];
   });
 }
+
+/** Weights of the services; a change of them moves a part of the streams that begin. */
+const WEIGHTS = [
+  [2, 1],
+  [3, 2],
+  [1, 1],
+] as const;
+
+/** Changes of the split of the route, which decide the service of streams that are resumed. */
+export const SPLIT_FAULTS: Readonly<Record<string, Fault>> = {
+  changeSplit({cluster, random}) {
+    const weights = pickRandom(WEIGHTS, random);
+    setWeights(cluster, weights);
+    return `the resumable route is split ${weights.join(' to ')}`;
+  },
+};
