--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -45,7 +45,7 @@
   {faults: HOSTILE_FAULTS, minDelayMs: 300, maxDelayMs: 2_000},
   {faults: LARGE_FAULTS, minDelayMs: 2_000, maxDelayMs: 6_000},
   {faults: SPLIT_FAULTS, minDelayMs: 2_000, maxDelayMs: 8_000},
-  {faults: CROWD_FAULTS, minDelayMs: 4_000, maxDelayMs: 8_000},
+  {faults: CROWD_FAULTS, minDelayMs: 1_000, maxDelayMs: 8_000},
 ];
 
 /**
--- a/testing/soak/src/stop_crowds.ts
+++ b/testing/soak/src/stop_crowds.ts
@@ -1,27 +1,25 @@
 import {ROUTE_PATHS} from '@sardinestile/hosting_tests';
+import {SOAK_BOUNDS} from './gateway_process.js';
 import {runLargeCallers} from './run_large_callers.js';
 import {pickRandom, type Fault} from './soak_context.js';
+import {pickRunning, signalAsPlanned} from './stop_faults.js';
 
-/** Range of the number of callers, and of the time for which they send, up to the end of a stop. */
-const MIN_CALLERS = 50;
-const MAX_CALLERS = 250;
-const MIN_DURATION_MS = 2_000;
-const MAX_DURATION_MS = 8_000;
+/** Range of the number of callers. */
+const MIN_CALLERS = 150;
+const MAX_CALLERS = 400;
 
-/** Sizes of their bodies, in bytes. */
-const BODY_BYTES = [16, 1_024, 65_536, 600_000];
+/** Sizes of their bodies, of which a crowd has one, in bytes. */
+const BODY_BYTES = [16, 16_384, 262_144];
 
 /** Pause of callers after a refusal or a lost connection, in milliseconds. */
-const PAUSE_MS = 50;
+const PAUSE_MS = 20;
 
-/** Crowds of callers that connect to a gateway again as fast as it refuses them; they excuse no lost request. */
+/** Stops beside crowds that connect again as fast as they are refused; they excuse no lost request. */
 export const CROWD_FAULTS: Readonly<Record<string, Fault>> = {
-  stopCrowd({largeRandom: random, gateways, keys, largeRuns}) {
-    const stopping = gateways.filter(({isStopping}) => isStopping);
-    const gateway = pickRandom(
-      stopping.length > 0 ? stopping : gateways,
-      random,
-    );
+  stopInCrowd(soak) {
+    const {largeRandom: random, keys, largeRuns} = soak;
+    const gateway = pickRunning(soak);
+    const stop = signalAsPlanned(soak, gateway, 'SIGTERM');
     const range = MAX_CALLERS - MIN_CALLERS;
     const callers = MIN_CALLERS + Math.floor(random() * range);
     const bodyBytes = [pickRandom(BODY_BYTES, random)];
@@ -29,8 +27,7 @@
       runLargeCallers({
         address: gateway.address,
         path: ROUTE_PATHS.idempotent,
-        durationMs:
-          MIN_DURATION_MS + random() * (MAX_DURATION_MS - MIN_DURATION_MS),
+        durationMs: SOAK_BOUNDS.grace_s * 1_000,
         pattern: {
           name: `crowd${largeRuns.length}`,
           bodyBytes,
@@ -40,6 +37,6 @@
         },
       }),
     );
-    return `${callers} callers with bodies of ${bodyBytes[0]} bytes at ${gateway.name}`;
+    return `${stop} beside ${callers} callers with bodies of ${bodyBytes[0]} bytes`;
   },
 };
--- a/testing/soak/src/stop_faults.ts
+++ b/testing/soak/src/stop_faults.ts
@@ -116,7 +116,10 @@
 };
 
 /** Returns a random gateway that has not received SIGTERM; any if there is none. */
-function pickRunning({exposedGateways, random}: SoakContext): GatewayProcess {
+export function pickRunning({
+  exposedGateways,
+  random,
+}: SoakContext): GatewayProcess {
   const running = exposedGateways.filter(({isStopping}) => !isStopping);
   return pickRandom(running.length > 0 ? running : exposedGateways, random);
 }
@@ -127,7 +130,7 @@
 }
 
 /** Sends a signal as planned work; a stop also counts as a disturbance. */
-function signalAsPlanned(
+export function signalAsPlanned(
   soak: SoakContext,
   gateway: GatewayProcess,
   signal: 'SIGTERM' | 'SIGHUP',
