--- a/core/connections/src/stop_accepting.ts
+++ b/core/connections/src/stop_accepting.ts
@@ -38,9 +38,10 @@
   const countDropped = () => void accepted++;
   const hold = (socket: Socket) => {
     accepted++;
-    socket.pause();
     held.push(socket);
   };
+  // A socket that is paused later has begun to read.
+  setPauseOnConnect(server, true);
   server.on('connection', hold);
   server.on('drop', countDropped);
   await nextPoll();
@@ -50,12 +51,18 @@
     await nextPoll();
   } while (accepted > acceptedBefore && performance.now() < endMs);
   stopAccepting(server, onClosed);
+  setPauseOnConnect(server, false);
   server.off('connection', hold);
   server.off('drop', countDropped);
   for (const socket of held) socket.resume();
   return {count: held.length, isComplete: accepted === acceptedBefore};
 }
 
+/** Sets an option of a server that Node.js reads for each connection that it accepts. */
+function setPauseOnConnect(server: Server, pauseOnConnect: boolean): void {
+  Object.assign(server, {pauseOnConnect});
+}
+
 function nextPoll(): Promise<void> {
   return new Promise(resolve => afterPoll(() => resolve()));
 }
--- a/core/connections/test/drain_server_test.ts
+++ b/core/connections/test/drain_server_test.ts
@@ -11,6 +11,7 @@
 import {expect} from 'earl';
 import {
   drainServer,
+  finishAccepting,
   MANAGED_SERVER_OPTIONS,
   manageConnections,
   type ServerConnections,
@@ -72,20 +73,22 @@
   });
 
   /** Connects, sends a request and returns what arrives until the connection ends. */
-  const call = async () => {
+  const call = async (body = '') => {
     const {port} = server.address() as AddressInfo;
     const peer = connect(port, '127.0.0.1');
     peers.push(peer);
     let received = '';
     peer.on('data', (bytes: Buffer) => (received += bytes.toString('latin1')));
     peer.on('error', () => undefined);
-    peer.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    peer.write(
+      `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+    );
     await new Promise(resolve => peer.once('close', resolve));
     return received;
   };
 
   it('answers requests on connections that wait to be accepted when it stops accepting', async () => {
-    const calls = Array.from({length: PEERS}, call);
+    const calls = Array.from({length: PEERS}, () => call());
     await once(peers.at(-1)!, 'connect');
     const drained = drainServer(server, connections);
     const received = await Promise.all(calls);
@@ -95,6 +98,21 @@
     ).toEqual(PEERS);
   });
 
+  // Guards against input of thousands of connections that is held in the process at once.
+  it('reads nothing from the connections that it accepts last before it has accepted all', async () => {
+    const accepted: Socket[] = [];
+    server.on('connection', (socket: Socket) => accepted.push(socket));
+    const calls = Array.from({length: PEERS}, () => call('a'.repeat(100_000)));
+    await once(peers.at(-1)!, 'connect');
+    const acceptedBefore = accepted.length;
+    await finishAccepting(server, 1_000);
+    const last = accepted.slice(acceptedBefore);
+    expect(last.length > PEERS / 2).toEqual(true);
+    expect(last.filter(({bytesRead}) => bytesRead > 0).length).toEqual(0);
+    const received = await Promise.all(calls);
+    expect(received.filter(text => text.includes('200')).length).toEqual(PEERS);
+  });
+
   it('does not end a connection as idle whose request lies unread, as the event loop is late', async () => {
     const {port} = server.address() as AddressInfo;
     const peer = connect(port, '127.0.0.1');
