--- a/core/connections/src/connection.ts
+++ b/core/connections/src/connection.ts
@@ -79,7 +79,7 @@
   markDrainLimit(): void;
   /** Ends it at once, with what is on it. */
   destroy(): void;
-  /** Ends it at once, as too much input waits in the process. */
+  /** Ends it at once, as too much input waits in the process or its heap is full. */
   shed(): void;
   /** Gives back what its requests hold after it has closed, and returns what they were. */
   close(): ConnectionEnd;
--- a/core/connections/src/connection_end.ts
+++ b/core/connections/src/connection_end.ts
@@ -10,11 +10,11 @@
   | 'drainLimit'
   /** As `answered`, after the peer sent many more requests than may wait. */
   | 'overrun'
-  /** Too much input waited in the process to be parsed, and it held most of it. */
+  /** Too much input waited in the process to be parsed, or its heap was full, and it held most. */
   | 'shed'
   /** A response that had begun was broken off. */
   | 'brokenOff'
-  /** The peer closed or reset it, or a time limit of the server passed. */
+  /** The peer closed or reset it, sent what cannot be parsed, or a time limit of the server passed. */
   | 'other';
 
 /** How the peer ended its side of a connection. */
--- a/core/connections/src/server_connections.ts
+++ b/core/connections/src/server_connections.ts
@@ -182,7 +182,7 @@
     },
     partialRequests: () =>
       all()
-        .map(({partialRequestBytes: bytes, destroy}) => ({bytes, destroy}))
+        .map(({partialRequestBytes: bytes, shed}) => ({bytes, destroy: shed}))
         .filter(({bytes}) => bytes > 0),
     get lastUsedAtMs() {
       return lastUsedAtMs;
