--- a/core/connections/src/drain_server.ts
+++ b/core/connections/src/drain_server.ts
@@ -20,10 +20,11 @@
   limitMs = Infinity,
 ): Promise<void> {
   connections.disableKeepAlive();
+  let isAccepting = true;
   const timer = setInterval(
     () =>
       afterPoll(unreadMs => {
-        if (unreadMs <= MAX_UNREAD_MS) connections.endIdle();
+        if (unreadMs <= MAX_UNREAD_MS && !isAccepting) connections.endIdle();
       }),
     END_IDLE_INTERVAL_MS,
   );
@@ -31,10 +32,15 @@
     ? setTimeout(() => connections.destroyAll(), limitMs)
     : undefined;
   return new Promise(resolve => {
-    void finishAccepting(server, Math.min(limitMs, MAX_ACCEPT_MS), () => {
+    const onClosed = () => {
       clearInterval(timer);
       clearTimeout(limitTimer);
       resolve();
-    });
+    };
+    void finishAccepting(
+      server,
+      Math.min(limitMs, MAX_ACCEPT_MS),
+      onClosed,
+    ).then(() => (isAccepting = false));
   });
 }
--- a/core/connections/src/stop_accepting.ts
+++ b/core/connections/src/stop_accepting.ts
@@ -25,7 +25,8 @@
  * Stops accepting connections once those were accepted that the operating system has completed,
  * whose peers may have sent requests long before; at the latest after the limit, in
  * milliseconds. Node.js accepts one connection in each iteration of its event loop. Until none
- * waits, nothing is read from them, as peers that are answered would connect again.
+ * waits, nothing is read from them, as peers that are answered would connect again. Resolves
+ * when what they had sent was read; before that, they must not be ended as idle.
  */
 export async function finishAccepting(
   server: Server,
@@ -55,6 +56,7 @@
   server.off('connection', hold);
   server.off('drop', countDropped);
   for (const socket of held) socket.resume();
+  await nextPoll();
   return {count: held.length, isComplete: accepted === acceptedBefore};
 }
 
--- a/core/connections/test/drain_server_test.ts
+++ b/core/connections/test/drain_server_test.ts
@@ -23,6 +23,9 @@
 /** Time after which a connection without a request counts as idle, in milliseconds. */
 const IDLE_MS = 600;
 
+/** Time of an iteration of the event loop; those for all peers take longer than a connection may be idle, in milliseconds. */
+const SLOW_ITERATION_MS = 16;
+
 /** Time for which each poll is occupied, in milliseconds. */
 const BUSY_MS = 300;
 
@@ -98,17 +101,36 @@
     ).toEqual(PEERS);
   });
 
+  it('does not end the connections that it accepts last as idle, however long that takes', async () => {
+    const calls = Array.from({length: PEERS}, () => call());
+    await once(peers.at(-1)!, 'connect');
+    let isDrained = false;
+    const keepBusy = () => {
+      const endMs = performance.now() + SLOW_ITERATION_MS;
+      while (performance.now() < endMs);
+      if (!isDrained) setImmediate(keepBusy);
+    };
+    keepBusy();
+    const drained = drainServer(server, connections);
+    const received = await Promise.all(calls);
+    await drained;
+    isDrained = true;
+    expect(received.filter(text => text.includes('200')).length).toEqual(PEERS);
+  });
+
   // Guards against input of thousands of connections that is held in the process at once.
   it('reads nothing from the connections that it accepts last before it has accepted all', async () => {
-    const accepted: Socket[] = [];
-    server.on('connection', (socket: Socket) => accepted.push(socket));
     const calls = Array.from({length: PEERS}, () => call('a'.repeat(100_000)));
     await once(peers.at(-1)!, 'connect');
-    const acceptedBefore = accepted.length;
+    const last: Socket[] = [];
+    const readEarly = new Set<Socket>();
+    server.on('connection', (socket: Socket) => {
+      for (const other of last) if (other.bytesRead > 0) readEarly.add(other);
+      last.push(socket);
+    });
     await finishAccepting(server, 1_000);
-    const last = accepted.slice(acceptedBefore);
     expect(last.length > PEERS / 2).toEqual(true);
-    expect(last.filter(({bytesRead}) => bytesRead > 0).length).toEqual(0);
+    expect(readEarly.size).toEqual(0);
     const received = await Promise.all(calls);
     expect(received.filter(text => text.includes('200')).length).toEqual(PEERS);
   });
--- a/daemons/gateway/src/calls/caller_listener.ts
+++ b/daemons/gateway/src/calls/caller_listener.ts
@@ -160,10 +160,14 @@
   });
   server.maxRequestsPerSocket = 0;
   let listenerClose: Promise<void> | undefined;
+  /** Whether connections are being accepted that nobody reads yet. */
+  let isAcceptingLast = false;
   const closeListener = (limitMs: number) => {
     listenerClose ??= (async () => {
       const startMs = performance.now();
+      isAcceptingLast = true;
       const {count, isComplete} = await finishAccepting(server, limitMs);
+      isAcceptingLast = false;
       logger.info('caller_listener_closed', {
         sinceStopMs: sinceStopMs(),
         acceptMs: Math.round(performance.now() - startMs),
@@ -222,7 +226,9 @@
         const check = (unreadMs: number) => {
           const nowMs = performance.now();
           if (isRefusingRequests()) {
-            if (unreadMs <= MAX_UNREAD_MS) connections.endIdle();
+            if (unreadMs <= MAX_UNREAD_MS && !isAcceptingLast) {
+              connections.endIdle();
+            }
             if (nowMs >= drainEndAtMs - LAST_CONNECTIONS_MS) {
               void closeListener(MAX_LAST_ACCEPT_MS);
             }
