--- a/core/connections/test/heap_guard_test.ts
+++ b/core/connections/test/heap_guard_test.ts
@@ -34,10 +34,12 @@
   let usedBytes: number;
   let stop: () => void;
   let lines: string[];
+  let endReasons: Set<string>;
 
   beforeEach(async () => {
     usedBytes = 0;
     const ownLines: string[] = (lines = []);
+    const ownReasons: Set<string> = (endReasons = new Set());
     server = createServer();
     budget = createHeapBudget({heapLimitBytes: HEAP_LIMIT_BYTES});
     connections = manageConnections(server, {
@@ -46,6 +48,7 @@
         if (url !== UNANSWERED_PATH) response.end('a');
       },
       onTaken: request => budget.openRequest(request),
+      onEnded: ({reason}) => ownReasons.add(reason),
     });
     stop = startHeapGuard({
       server,
@@ -88,6 +91,7 @@
     await sleep(CHECKS_MS);
     const left = sockets.filter(socket => !socket.destroyed).length;
     expect(left > PARTIAL_COUNT / 2).toEqual(true);
+    expect([...endReasons]).toEqual(['shed']);
     expect(budget.step()).toEqual('none');
     const sound = await open(REQUEST);
     expect(await readAnswer(sound)).toMatchRegex(/ 200 OK/);
