--- a/core/connections/src/stop_accepting.ts
+++ b/core/connections/src/stop_accepting.ts
@@ -2,10 +2,10 @@
 import {Server as NetServer, type Socket} from 'node:net';
 import {afterPoll} from './after_poll.js';
 
-/** Connections that were accepted just before their server stopped to accept any. */
+/** Connections that a server accepted just before it stopped accepting. */
 export interface LastConnections {
   count: number;
-  /** Whether none was left that waits to be accepted, and was reset therefore. */
+  /** Whether none was left that waits to be accepted, and was therefore reset. */
   isComplete: boolean;
 }
 
